--- /dev/null
+++ b/cmd/trefoilramp/main.go
@@ -0,0 +1,21 @@
+// Command trefoilramp schedules latency-critical and batch work that share instances.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	app := &cli.Command{
+		Name:  "trefoilramp",
+		Usage: "schedule latency-critical and batch work that share instances",
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "trefoilramp: "+err.Error())
+		os.Exit(2)
+	}
+}
--- /dev/null
+++ b/internal/core/event/store.go
@@ -0,0 +1,12 @@
+package event
+
+import "go.uber.org/zap/zapcore"
+
+// Events of the store.
+const (
+	StoreUnavailable Number = 801
+)
+
+var storeEvents = []Entry{
+	{StoreUnavailable, zapcore.InfoLevel, "store unavailable", "A store request failed or timed out.", "Check the store; serving goes on, batch starts wait."},
+}
--- /dev/null
+++ b/internal/core/sizes/doc.go
@@ -0,0 +1,2 @@
+// Package sizes holds the resources of workers and tasks and their arithmetic.
+package sizes
--- /dev/null
+++ b/internal/link/wire/config.go
@@ -0,0 +1,57 @@
+package wire
+
+// ConfigChanged tells an entry that a newer configuration was accepted.
+type ConfigChanged struct {
+	Version uint64
+}
+
+// ConfigFetch heads a stream that asks an entry for its configuration, if that is at least of the given version.
+type ConfigFetch struct {
+	AtLeast uint64
+}
+
+// ConfigDoc answers ConfigFetch; the document follows as the body of the stream.
+type ConfigDoc struct {
+	Version uint64 // 0 when the sender has no such version
+	Hash    string // SHA-256 of the document, hex
+}
+
+// AgentService is the part of a service's configuration that an agent needs.
+type AgentService struct {
+	Name           string
+	LongSlots      int64 // slots that long requests may hold
+	MaxBody        int64 // bytes
+	MaxRun         int64 // longest run of a request, ns
+	StreamGrace    int64 // time that open streams get when the target leaves, ns
+	MaxConnections int64
+}
+
+// AgentConfig is the part of the configuration that one agent needs; it replaces the one sent before.
+type AgentConfig struct {
+	Version  uint64
+	Services []AgentService
+}
+
+// ConfigApplied tells an entry that the agent applies a version.
+type ConfigApplied struct {
+	Version uint64
+}
+
+// Kind implements Message.
+func (*ConfigChanged) Kind() Kind { return KindConfigChanged }
+
+// Kind implements Message.
+func (*ConfigFetch) Kind() Kind { return KindConfigFetch }
+
+// Kind implements Message.
+func (*ConfigDoc) Kind() Kind { return KindConfigDoc }
+
+// Kind implements Message.
+func (*AgentConfig) Kind() Kind { return KindAgentConfig }
+
+// Kind implements Message.
+func (*ConfigApplied) Kind() Kind { return KindConfigApplied }
+
+func init() {
+	register(&ConfigChanged{}, &ConfigFetch{}, &ConfigDoc{}, &AgentConfig{}, &ConfigApplied{})
+}
--- /dev/null
+++ b/internal/link/wire/kind.go
@@ -0,0 +1,112 @@
+package wire
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+//go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type Kind -trimprefix Kind -output kind_string.go
+
+// Kind is the type of a message on the wire; values are part of the protocol and never change.
+type Kind uint8
+
+// Kinds of messages: 1 to 31 belong to sessions, 32 to 63 to membership and configuration, 64 to 95 to serving, 96 to
+// 159 to batch work.
+const (
+	KindHello         Kind = 1
+	KindProof         Kind = 2
+	KindPing          Kind = 3
+	KindPong          Kind = 4
+	KindGoodbye       Kind = 5
+	KindOpen          Kind = 6 // head of a stream
+	KindData          Kind = 7 // raw body bytes
+	KindWindow        Kind = 8
+	KindEnd           Kind = 9
+	KindReset         Kind = 10
+	KindRoster        Kind = 32
+	KindHeartbeat     Kind = 33
+	KindHeartbeatAck  Kind = 34
+	KindTargets       Kind = 35
+	KindLeaving       Kind = 36
+	KindSummary       Kind = 37
+	KindConfigChanged Kind = 38
+	KindConfigFetch   Kind = 39
+	KindConfigDoc     Kind = 40
+	KindAgentConfig   Kind = 41
+	KindConfigApplied Kind = 42
+	KindRequestHead   Kind = 64
+	KindResponseHead  Kind = 65
+	KindVerdict       Kind = 66
+	KindTrailers      Kind = 67
+	KindStartTask     Kind = 96
+	KindStopTask      Kind = 97
+	KindThrottleTask  Kind = 98
+	KindTaskReport    Kind = 99
+	KindTaskReportAck Kind = 100
+	KindAdopt         Kind = 101
+	KindInventory     Kind = 102
+	KindReconcile     Kind = 103
+	KindShareOffer    Kind = 104
+	KindShareAck      Kind = 105
+	KindShareDone     Kind = 106
+	KindShareDoneAck  Kind = 107
+	KindJobSubmit     Kind = 108
+	KindJobQuery      Kind = 109
+	KindJobCancel     Kind = 110
+	KindJobReply      Kind = 111
+)
+
+// Message is a typed message between two of the system's processes.
+type Message interface {
+	// Kind returns the type of the message on the wire.
+	Kind() Kind
+}
+
+var types = map[Kind]reflect.Type{}
+
+// register makes a message type known to Decode.
+func register(list ...Message) {
+	for _, m := range list {
+		types[m.Kind()] = reflect.TypeOf(m).Elem()
+	}
+}
+
+// Pack returns the msgpack form of v, with structs as arrays.
+func Pack(v any) ([]byte, error) {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(v); err != nil {
+		return nil, fmt.Errorf("encode %T: %w", v, err)
+	}
+	return buf.Bytes(), nil
+}
+
+// Unpack reads into v what Pack wrote.
+func Unpack(b []byte, v any) error {
+	if err := msgpack.Unmarshal(b, v); err != nil {
+		return fmt.Errorf("decode %T: %w", v, err)
+	}
+	return nil
+}
+
+// Decode returns the message of kind k that Pack wrote; it fails on an unknown kind and on malformed bytes.
+func Decode(k Kind, b []byte) (Message, error) {
+	t, ok := types[k]
+	if !ok {
+		return nil, errors.Newf("unknown message kind %d", uint8(k))
+	}
+	m, ok := reflect.New(t).Interface().(Message)
+	if !ok {
+		return nil, errors.Newf("type %v is not a message", t)
+	}
+	if err := Unpack(b, m); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/link/wire/serve.go
@@ -0,0 +1,80 @@
+package wire
+
+import (
+	"net/http"
+
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+)
+
+//go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type Reason -trimprefix Reason -output serve_string.go
+
+// RequestHead heads the stream of a caller's request; the body follows.
+type RequestHead struct {
+	Request       ident.Request
+	Service       string
+	Target        string // the target chosen by the sender; empty lets the receiver choose
+	Method        string
+	Path          string // with query, as the target sees it
+	Header        http.Header
+	Deadline      int64 // ns since 1970 on the sender's wall clock; the receiver converts it
+	Idempotent    bool
+	Long          bool // expected to run long
+	Hops          uint8
+	ContentLength int64 // -1 when unknown
+}
+
+// ResponseHead starts the answer to a request; the body follows.
+type ResponseHead struct {
+	Status        int
+	Header        http.Header
+	ContentLength int64 // -1 when unknown
+}
+
+// Reason says why a request did not run or why its outcome is unknown.
+type Reason uint8
+
+// Reasons of verdicts.
+const (
+	ReasonNone Reason = iota
+	ReasonNoTarget
+	ReasonOverloaded
+	ReasonDeadline
+	ReasonLeaving
+	ReasonDraining
+	ReasonQuota
+	ReasonStore
+	ReasonUnknownService
+	ReasonTooLarge
+	ReasonUnreachable
+	ReasonBrokenOff
+	ReasonConfig
+)
+
+// Verdict ends a stream instead of a response.
+type Verdict struct {
+	NotRun     bool // true: the request did not run; false: the outcome is unknown
+	Reason     Reason
+	Detail     string
+	RetryAfter int64 // ns
+}
+
+// Trailers follow the body of a response or request.
+type Trailers struct {
+	Header http.Header
+}
+
+// Kind implements Message.
+func (*RequestHead) Kind() Kind { return KindRequestHead }
+
+// Kind implements Message.
+func (*ResponseHead) Kind() Kind { return KindResponseHead }
+
+// Kind implements Message.
+func (*Verdict) Kind() Kind { return KindVerdict }
+
+// Kind implements Message.
+func (*Trailers) Kind() Kind { return KindTrailers }
+
+func init() {
+	register(&RequestHead{}, &ResponseHead{}, &Verdict{}, &Trailers{})
+}
--- /dev/null
+++ b/internal/plat/table/table.go
@@ -0,0 +1,79 @@
+package table
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+)
+
+// Errors of the store. ErrUnavailable and ErrOverBudget mean that a transaction has no effect now or later;
+// ErrUnknown means that it may have taken effect or may still do so.
+var (
+	ErrUnavailable = errors.New("store is unavailable")
+	ErrOverBudget  = errors.New("store is over its budget of requests")
+	ErrUnknown     = errors.New("outcome of the store request is unknown")
+	ErrNotFound    = errors.New("not found in the store")
+)
+
+// Row is a row of the table.
+type Row struct {
+	Key     string
+	Value   json.RawMessage
+	Version uint64 // sequence number of the transaction that wrote the row, from 1
+}
+
+// Condition requires that a row has the given version; version 0 requires that the row does not exist.
+type Condition struct {
+	Key     string
+	Version uint64
+}
+
+// Put writes a row.
+type Put struct {
+	Key   string
+	Value json.RawMessage
+}
+
+// Transaction writes and deletes rows if all conditions hold, atomically.
+type Transaction struct {
+	Txn        ident.Txn // for the writer's own use; the store does not deduplicate by it
+	Conditions []Condition
+	Puts       []Put
+	Deletes    []string
+}
+
+// Result is the outcome of a transaction.
+type Result struct {
+	Committed bool
+	Version   uint64 // version of the rows written, when committed
+	Conflicts []Row  // current rows whose condition did not hold, when not committed; version 0 for a missing row
+}
+
+// Store is the platform's store.
+type Store interface {
+	// Transact executes t.
+	Transact(ctx context.Context, t Transaction) (Result, error)
+	// Range returns at most limit rows with from <= key < to, in order of their keys.
+	Range(ctx context.Context, from, to string, limit int) ([]Row, error)
+	// GetObject returns an object or ErrNotFound.
+	GetObject(ctx context.Context, name string) ([]byte, error)
+	// PutObject writes an object.
+	PutObject(ctx context.Context, name string, b []byte) error
+	// DeleteObject deletes an object; a missing one is no error.
+	DeleteObject(ctx context.Context, name string) error
+}
+
+// Get returns one row or ErrNotFound.
+func Get(ctx context.Context, s Store, key string) (Row, error) {
+	rows, err := s.Range(ctx, key, key+"\x00", 1)
+	if err != nil {
+		return Row{}, err
+	}
+	if len(rows) == 0 {
+		return Row{}, ErrNotFound
+	}
+	return rows[0], nil
+}
