--- /dev/null
+++ b/internal/host/beside/doc.go
@@ -0,0 +1,2 @@
+// Package beside keeps the targets that announce themselves to the agent beside them.
+package beside
