--- /dev/null
+++ b/internal/plat/table/client.go
@@ -0,0 +1,186 @@
+package table
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/core/event"
+)
+
+// Limits of the client.
+const (
+	DefaultTimeout = 3 * time.Second // of one request
+	maxConnections = 32              // idle connections kept to the store
+	maxResponse    = 256 << 20       // bytes of a response; a snapshot of a partition is far smaller
+)
+
+// Options describes the store to a client.
+type Options struct {
+	URL     string        // http://host:port
+	Name    string        // sent as ClientHeader
+	Timeout time.Duration // of one request; 0 for DefaultTimeout
+	Log     *zap.Logger   // nil for none
+}
+
+// Client is a Store over HTTP; it is safe for concurrent use.
+type Client struct {
+	o    Options
+	http *http.Client
+	down atomic.Bool // the last request found the store unavailable
+}
+
+var _ Store = (*Client)(nil)
+
+// NewClient returns a client of the store at o.URL.
+func NewClient(o Options) *Client {
+	if o.Timeout == 0 {
+		o.Timeout = DefaultTimeout
+	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	o.URL = strings.TrimRight(o.URL, "/")
+	t := &http.Transport{MaxIdleConnsPerHost: maxConnections, IdleConnTimeout: time.Minute}
+	return &Client{o: o, http: &http.Client{Transport: t}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Transact implements Store.
+func (c *Client) Transact(ctx context.Context, t Transaction) (Result, error) {
+	var res TransactResponse
+	if err := c.post(ctx, "/v1/transact", ErrUnknown, t, &res); err != nil {
+		return Result{}, err
+	}
+	r := Result{Committed: res.Committed, Conflicts: res.Conflicts}
+	if len(res.Versions) > 0 {
+		r.Version = res.Versions[0].Version // all rows of a transaction have one version
+	}
+	return r, nil
+}
+
+// Range implements Store.
+func (c *Client) Range(ctx context.Context, from, to string, limit int) ([]Row, error) {
+	var res RangeResponse
+	err := c.post(ctx, "/v1/range", ErrUnavailable, RangeRequest{from, to, limit}, &res)
+	return res.Rows, err
+}
+
+// GetObject implements Store.
+func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
+	return c.do(ctx, http.MethodGet, objectPath(name), ErrUnavailable, nil)
+}
+
+// PutObject implements Store.
+func (c *Client) PutObject(ctx context.Context, name string, b []byte) error {
+	_, err := c.do(ctx, http.MethodPut, objectPath(name), ErrUnknown, b)
+	return err
+}
+
+// DeleteObject implements Store.
+func (c *Client) DeleteObject(ctx context.Context, name string) error {
+	_, err := c.do(ctx, http.MethodDelete, objectPath(name), ErrUnknown, nil)
+	return err
+}
+
+func objectPath(name string) string { return "/v1/objects/" + url.PathEscape(name) }
+
+func (c *Client) post(ctx context.Context, path string, lost error, req, res any) error {
+	b, err := json.Marshal(req)
+	if err != nil {
+		return fmt.Errorf("encode request of %s: %w: %w", path, ErrMalformed, err)
+	}
+	b, err = c.do(ctx, http.MethodPost, path, lost, b)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(b, res); err != nil {
+		return fmt.Errorf("decode response of %s: %w: %w", path, lost, err)
+	}
+	return nil
+}
+
+// do sends one request; lost is the error when the request may have reached the store and no valid response came.
+func (c *Client) do(ctx context.Context, method, path string, lost error, body []byte) ([]byte, error) {
+	b, err := c.exchange(ctx, method, path, lost, body)
+	if err != nil {
+		err = fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	c.note(err)
+	return b, err
+}
+
+func (c *Client) exchange(ctx context.Context, method, path string, lost error, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.o.Timeout)
+	defer cancel()
+	var connected atomic.Bool // false proves that no byte of the request was written
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	req, err := http.NewRequestWithContext(ctx, method, c.o.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	if c.o.Name != "" {
+		req.Header.Set(ClientHeader, c.o.Name)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		if !connected.Load() {
+			return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		}
+		return nil, fmt.Errorf("%w: %w", lost, err)
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxResponse))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", lost, err)
+	}
+	return b, statusError(res.StatusCode, b, lost)
+}
+
+// statusError returns the error that a status means; a 429 or 503 without the statement that the request has no effect
+// may come from a proxy that had passed the request on.
+func statusError(status int, body []byte, lost error) error {
+	if status < http.StatusMultipleChoices {
+		return nil
+	}
+	var e ErrorResponse
+	_ = json.Unmarshal(body, &e) // a body of another form states nothing
+	switch {
+	case status == http.StatusNotFound && e.NoEffect:
+		return ErrNotFound
+	case status == http.StatusBadRequest && e.NoEffect:
+		return fmt.Errorf("%w: %s", ErrMalformed, e.Error)
+	case status == http.StatusTooManyRequests && e.NoEffect:
+		return ErrOverBudget
+	case e.NoEffect:
+		return fmt.Errorf("%w: status %d: %s", ErrUnavailable, status, e.Error)
+	}
+	return fmt.Errorf("%w: status %d", lost, status)
+}
+
+// note logs the change between an available and an unavailable store.
+func (c *Client) note(err error) {
+	failed := errors.Is(err, ErrUnavailable) || errors.Is(err, ErrUnknown)
+	if c.down.Swap(failed) == failed {
+		return
+	}
+	if failed {
+		event.Log(c.o.Log, event.StoreUnavailable, zap.Error(err))
+		return
+	}
+	event.Log(c.o.Log, event.StoreAvailable)
+}
--- /dev/null
+++ b/internal/plat/table/message.go
@@ -0,0 +1,35 @@
+package table
+
+// ClientHeader names the HTTP request header in which a client of the store gives its name.
+const ClientHeader = "Trefoilramp-Client"
+
+// RowVersion is the version of a written row.
+type RowVersion struct {
+	Key     string
+	Version uint64
+}
+
+// TransactResponse is the body of a response to POST /v1/transact, whose request body is a Transaction.
+type TransactResponse struct {
+	Committed bool
+	Versions  []RowVersion // of the rows put, when committed
+	Conflicts []Row        // when not committed
+}
+
+// RangeRequest is the body of POST /v1/range.
+type RangeRequest struct {
+	From  string
+	To    string
+	Limit int
+}
+
+// RangeResponse is the body of a response to POST /v1/range.
+type RangeResponse struct {
+	Rows []Row
+}
+
+// ErrorResponse is the body of a response with a status of 400 or higher.
+type ErrorResponse struct {
+	Error    string
+	NoEffect bool // the request has no effect now or later
+}
--- a/internal/plat/table/table.go
+++ b/internal/plat/table/table.go
@@ -16,6 +16,7 @@
 	ErrOverBudget  = errors.New("store is over its budget of requests")
 	ErrUnknown     = errors.New("outcome of the store request is unknown")
 	ErrNotFound    = errors.New("not found in the store")
+	ErrMalformed   = errors.New("store request is malformed")
 )
 
 // Row is a row of the table.
@@ -48,7 +49,7 @@
 // Result is the outcome of a transaction.
 type Result struct {
 	Committed bool
-	Version   uint64 // version of the rows written, when committed
+	Version   uint64 // version of the rows written, when committed; 0 when none was
 	Conflicts []Row  // current rows whose condition did not hold, when not committed; version 0 for a missing row
 }
 
@@ -56,7 +57,7 @@
 type Store interface {
 	// Transact executes t.
 	Transact(ctx context.Context, t Transaction) (Result, error)
-	// Range returns at most limit rows with from <= key < to, in order of their keys.
+	// Range returns at most limit rows with from <= key < to, in order of their keys; a limit of 0 means no limit.
 	Range(ctx context.Context, from, to string, limit int) ([]Row, error)
 	// GetObject returns an object or ErrNotFound.
 	GetObject(ctx context.Context, name string) ([]byte, error)
--- /dev/null
+++ b/internal/stand/script/script.go
@@ -0,0 +1,166 @@
+package script
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Rule is one fault of a script; it applies to matching calls only.
+type Rule struct {
+	Action Action
+	Kind   string   `json:",omitempty"` // kind of call, named by the stand-in; empty for all kinds
+	Client string   `json:",omitempty"` // name of the client; empty for all clients
+	First  uint64   `json:",omitempty"` // first matching call that is affected, counted from 1 at Set; 0 is the same as 1
+	Count  uint64   `json:",omitempty"` // number of calls affected; 0 for no bound
+	For    Duration `json:",omitempty"` // time since Set for which the rule applies; 0 until it is cleared
+	Delay  Duration `json:",omitempty"` // of Slow and the lost responses
+}
+
+// Validate reports the first fault of the rule.
+func (r Rule) Validate() error {
+	if err := r.Action.Validate(); err != nil {
+		return err
+	}
+	if r.For < 0 || r.Delay < 0 {
+		return errors.New("For and Delay are not negative")
+	}
+	if r.Action == Slow && r.Delay == 0 {
+		return errors.New("a Slow rule needs a Delay")
+	}
+	return nil
+}
+
+// Fault is what happens to one call.
+type Fault struct {
+	Action Action
+	Delay  time.Duration
+}
+
+// Script is the set of rules in force; the zero value has none, and it is safe for concurrent use.
+type Script struct {
+	mu    sync.Mutex
+	rules []*active
+}
+
+type active struct {
+	Rule
+	until time.Time // zero for no end
+	calls uint64
+}
+
+// Set replaces all rules; an empty list clears the script.
+func (s *Script) Set(rules ...Rule) error {
+	list := make([]*active, 0, len(rules))
+	now := time.Now()
+	for i, r := range rules {
+		if err := r.Validate(); err != nil {
+			return fmt.Errorf("rule %d: %w", i, err)
+		}
+		a := &active{Rule: r}
+		if r.For > 0 {
+			a.until = now.Add(time.Duration(r.For))
+		}
+		list = append(list, a)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rules = list
+	return nil
+}
+
+// Clear removes all rules.
+func (s *Script) Clear() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rules = nil
+}
+
+// Next counts a call and returns the fault of the first rule that applies to it.
+func (s *Script) Next(kind, client string) Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var f Fault
+	now := time.Now()
+	for _, a := range s.rules {
+		if a.matches(kind, client) && a.applies(now) && f.Action == None {
+			f = Fault{a.Action, time.Duration(a.Delay)}
+		}
+	}
+	return f
+}
+
+func (a *active) matches(kind, client string) bool {
+	return (a.Kind == "" || a.Kind == kind) && (a.Client == "" || a.Client == client)
+}
+
+// applies counts a matching call and reports whether the rule affects it.
+func (a *active) applies(now time.Time) bool {
+	a.calls++
+	first := max(a.First, 1)
+	if a.calls < first || (a.Count > 0 && a.calls >= first+a.Count) {
+		return false
+	}
+	return a.until.IsZero() || now.Before(a.until)
+}
+
+// ErrLost says that the response of a call is lost; the server cuts the connection.
+var ErrLost = errors.New("response is lost")
+
+// ErrRefused says that a call was refused without effect.
+var ErrRefused = errors.New("call is refused")
+
+// Run executes effect under the fault. It returns ErrRefused, ErrLost, or the error of ctx when ctx ends before the response;
+// in the last case the effect still happens, since the request had already arrived.
+func Run[T any](ctx context.Context, f Fault, effect func() (T, error)) (T, error) {
+	var zero T
+	switch f.Action {
+	case Down:
+		return zero, ErrRefused
+	case LoseBefore:
+		return zero, lose(ctx, f.Delay)
+	case LoseAfter:
+		_, _ = effect() // the outcome is lost with the response
+		return zero, lose(ctx, f.Delay)
+	case LoseLate:
+		time.AfterFunc(f.Delay, func() { _, _ = effect() })
+		return zero, ErrLost
+	case Slow:
+		return runLater(ctx, f.Delay, effect)
+	default:
+		return effect()
+	}
+}
+
+func lose(ctx context.Context, delay time.Duration) error {
+	t := time.NewTimer(delay)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return ErrLost
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func runLater[T any](ctx context.Context, delay time.Duration, effect func() (T, error)) (T, error) {
+	type outcome struct {
+		v   T
+		err error
+	}
+	done := make(chan outcome, 1)
+	time.AfterFunc(delay, func() {
+		v, err := effect()
+		done <- outcome{v, err}
+	})
+	select {
+	case o := <-done:
+		return o.v, o.err
+	case <-ctx.Done():
+		var zero T
+		return zero, ctx.Err()
+	}
+}
