--- /dev/null
+++ b/internal/link/sess/reader.go
@@ -0,0 +1,164 @@
+package sess
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoilramp.org/trefoilramp/internal/link/frame"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+)
+
+// read is the goroutine that reads the connection and calls the handler; it ends the session.
+func (s *Session) read() {
+	defer s.running.Done()
+	for {
+		f, err := s.reader.Read()
+		if err == nil {
+			err = s.handle(f)
+		}
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = fmt.Errorf("read: %w", io.ErrUnexpectedEOF)
+			}
+			s.fail(err)
+			break
+		}
+	}
+	// After Close, the connection stays open until the writer has sent the reason.
+	<-s.flushed
+	s.raw.Close()
+	s.finish()
+}
+
+func violation(format string, args ...any) error {
+	return fmt.Errorf("%w: %w", ErrViolation, errors.Newf(format, args...))
+}
+
+func (s *Session) handle(f frame.Frame) error {
+	s.mu.Lock()
+	s.frameSeen = true
+	ended := s.ended
+	s.mu.Unlock()
+	if ended {
+		return nil // discarded until the connection is closed
+	}
+	if f.Stream != 0 {
+		return s.handleStreamFrame(f)
+	}
+	switch f.Kind {
+	case wire.KindPing:
+		return s.handlePing(f.Payload)
+	case wire.KindPong:
+		return s.handlePong(f.Payload)
+	case wire.KindGoodbye:
+		return peerGoodbye(f.Payload)
+	}
+	m, err := decode(f.Kind, f.Payload)
+	if err != nil {
+		return err
+	}
+	s.handler.HandleMessage(s, m)
+	return nil
+}
+
+// firstMessage is the lowest kind of messages; lower ones belong to sessions.
+const firstMessage wire.Kind = 32
+
+func decode(k wire.Kind, payload []byte) (wire.Message, error) {
+	if k < firstMessage {
+		return nil, violation("frame %v in place of a message", k)
+	}
+	m, err := wire.Decode(k, payload)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrViolation, err)
+	}
+	return m, nil
+}
+
+func (s *Session) handlePing(p []byte) error {
+	if len(p) != pingPayload {
+		return violation("ping of %d bytes", len(p))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pongDue = true
+	s.pongSeq = binary.BigEndian.Uint64(p)
+	s.pongReceived = time.Now().UnixNano()
+	s.notify()
+	return nil
+}
+
+func (s *Session) handlePong(p []byte) error {
+	now := time.Now()
+	if len(p) != pongPayload {
+		return violation("pong of %d bytes", len(p))
+	}
+	s.mu.Lock()
+	current := binary.BigEndian.Uint64(p) == s.pingSeq
+	sentAt := s.pingAt
+	s.mu.Unlock()
+	if !current {
+		return nil // the answer came after the next ping
+	}
+	received, replied := int64(binary.BigEndian.Uint64(p[8:])), int64(binary.BigEndian.Uint64(p[16:]))
+	if v, ok := newSample(sentAt, received, replied, now); ok {
+		s.clock.add(v)
+	}
+	return nil
+}
+
+func (s *Session) handleStreamFrame(f frame.Frame) error {
+	if f.Kind == wire.KindOpen {
+		return s.handleOpen(f)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.streams[f.Stream]
+	if st == nil {
+		if s.ended || f.Stream <= s.lastOwn && f.Stream%2 == s.lastOwn%2 || f.Stream <= s.lastPeer && f.Stream%2 == s.lastPeer%2 {
+			return nil // the stream has ended here, which the peer did not know
+		}
+		return violation("%v for stream %d, which was never opened", f.Kind, f.Stream)
+	}
+	return st.handle(f)
+}
+
+// handleOpen starts a stream of the peer; its numbers must grow, so that none is used twice.
+func (s *Session) handleOpen(f frame.Frame) error {
+	if len(f.Payload) == 0 {
+		return violation("stream %d has no head", f.Stream)
+	}
+	head, err := decode(wire.Kind(f.Payload[0]), f.Payload[1:])
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return nil
+	}
+	if f.Stream%2 != s.lastPeer%2 || f.Stream <= s.lastPeer {
+		return violation("stream %d after stream %d", f.Stream, s.lastPeer)
+	}
+	s.lastPeer = f.Stream
+	if s.peerStreams >= MaxStreams || s.handlers >= maxHandlers {
+		return violation("more than %d streams", MaxStreams)
+	}
+	st := newStream(s, f.Stream, head, false)
+	s.peerStreams++
+	s.handlers++
+	s.running.Add(1)
+	go func() {
+		defer s.running.Done()
+		s.handler.HandleStream(s, st)
+		st.release()
+		s.mu.Lock()
+		s.handlers--
+		s.mu.Unlock()
+	}()
+	return nil
+}
