--- /dev/null
+++ b/internal/serve/route/route_test.go
@@ -0,0 +1,197 @@
+package route_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"trefoilramp.org/trefoilramp/internal/serve/route"
+)
+
+const (
+	ms  = time.Millisecond
+	run = 10 * ms
+)
+
+// ready returns candidates a, b, ... that have been ready for an hour.
+func ready(n int) []route.Candidate {
+	list := make([]route.Candidate, n)
+	for i := range list {
+		list[i] = route.Candidate{Name: string(rune('a' + i)), Slots: 8, ReadyAt: time.Now().Add(-time.Hour)}
+	}
+	return list
+}
+
+// drive sends n requests, each of which ends before the next, and counts them by target.
+func drive(p *route.Picker, set route.Set, n int, result func(name string) (route.Result, time.Duration)) map[string]int {
+	count := make(map[string]int)
+	for range n {
+		c, ok := p.Pick(set, run, nil)
+		if !ok {
+			break
+		}
+		count[c.Name]++
+		r, d := result(c.Name)
+		time.Sleep(ms)
+		p.Done(c.Name, r, run, d)
+	}
+	return count
+}
+
+func answered(string) (route.Result, time.Duration) { return route.Answered, run }
+
+// Guards against work for targets that are leaving, whose session is gone, or that were tried already.
+func TestUnusableTargetsGetNothing(t *testing.T) {
+	p := route.NewPicker(1)
+	list := ready(4)
+	list[0].Leaving, list[1].Closed = true, true
+	for range 200 {
+		c, ok := p.Pick(route.Set{Own: list}, run, []string{"c"})
+		if !ok || c.Name != "d" {
+			t.Fatalf("picked %q, want d", c.Name)
+		}
+	}
+	if c, ok := p.Pick(route.Set{Own: list}, run, []string{"c", "d"}); ok {
+		t.Errorf("picked %q although none is left", c.Name)
+	}
+}
+
+// Guards against load that ignores requests in progress, including those that other entries started.
+func TestLoadSpreads(t *testing.T) {
+	p := route.NewPicker(1)
+	list := ready(4)
+	list[0].InFlight, list[0].HintAt = 8, time.Now()
+	count := make(map[string]int)
+	for range 24 {
+		c, _ := p.Pick(route.Set{Own: list}, run, nil)
+		count[c.Name]++
+	}
+	if count["a"] > 3 || max(count["b"], count["c"], count["d"]) > 9 {
+		t.Errorf("24 requests were spread as %v, want few on the busy target a", count)
+	}
+}
+
+// Guards against a link that is used for less than it costs, and against a full zone beside an idle one.
+func TestOtherZoneOnlyForGain(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		busy  int64
+		delay time.Duration
+		loss  float64
+		want  bool
+	}{
+		{"idle own zone", 0, ms, 0, false},
+		{"busy own zone, short link", 16, 3 * ms, 0, true},
+		{"busy own zone, long link", 16, 40 * ms, 0, false},
+		{"busy own zone, lossy link", 16, 3 * ms, 0.3, false},
+	} {
+		p := route.NewPicker(1)
+		own := ready(2)
+		for i := range own {
+			own[i].InFlight, own[i].HintAt = c.busy, time.Now()
+		}
+		other := route.Candidate{Name: "far", Slots: 8, Delay: c.delay, Loss: c.loss}
+		got, _ := p.Pick(route.Set{Own: own, Other: []route.Candidate{other}}, run, nil)
+		if (got.Name == "far") != c.want {
+			t.Errorf("%s: picked %q, want the other zone: %v", c.name, got.Name, c.want)
+		}
+	}
+}
+
+// Guards against a cold target that is filled at once, and against one that never gets its share.
+func TestRampOfNewTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := route.NewPicker(1)
+		list := ready(4)
+		list[0].ReadyAt = time.Now()
+		share := func() int {
+			count := make(map[string]int)
+			for range 32 {
+				c, _ := p.Pick(route.Set{Own: list}, run, nil)
+				count[c.Name]++
+			}
+			for name, n := range count {
+				for range n {
+					p.Done(name, route.Answered, run, run)
+				}
+			}
+			return count["a"]
+		}
+		if n := share(); n > 4 {
+			t.Errorf("a new target got %d of 32 requests", n)
+		}
+		time.Sleep(10 * time.Second)
+		if n := share(); n < 6 {
+			t.Errorf("a target got %d of 32 requests after its ramp", n)
+		}
+	})
+}
+
+// Guards against outliers that keep their share: one that is slow, one that fails, one that fails at once and so looks
+// fast, one that alternates, and one whose hints promise more than it does.
+func TestOutliersLoseTheirShare(t *testing.T) {
+	flips := 0
+	for name, bad := range map[string]func() (route.Result, time.Duration){
+		"slower":    func() (route.Result, time.Duration) { return route.Answered, 3 * run },
+		"slow":      func() (route.Result, time.Duration) { return route.Answered, 20 * run },
+		"fails":     func() (route.Result, time.Duration) { return route.Failed, run },
+		"fast 500s": func() (route.Result, time.Duration) { return route.Faulty, ms / 10 },
+		"flapping": func() (route.Result, time.Duration) {
+			flips++
+			if flips%2 == 0 {
+				return route.Answered, run
+			}
+			return route.Failed, run
+		},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			p := route.NewPicker(1)
+			list := ready(4)
+			list[0].Slots, list[0].MeanRun, list[0].HintAt = 1000, 1, time.Now()
+			count := drive(p, route.Set{Own: list}, 4000, func(name string) (route.Result, time.Duration) {
+				if name == "a" {
+					return bad()
+				}
+				return answered(name)
+			})
+			if count["a"] > 200 {
+				t.Errorf("%s: bad target got %d of 4000 requests", name, count["a"])
+			}
+		})
+	}
+}
+
+// Guards against a service that is refused because all of its targets are ejected, and against targets that were slow or
+// failed and never get their share back.
+func TestRecoveredTargetsAreUsedAgain(t *testing.T) {
+	for name, bad := range map[string]struct {
+		result route.Result
+		run    time.Duration
+	}{"failed": {route.Failed, run}, "slow": {route.Answered, 20 * run}} {
+		synctest.Test(t, func(t *testing.T) {
+			p := route.NewPicker(1)
+			list := ready(2)
+			all := func(string) (route.Result, time.Duration) { return bad.result, bad.run }
+			if n := drive(p, route.Set{Own: list[:1]}, 50, all); n["a"] != 50 {
+				t.Errorf("%s: %d of 50 requests found the only target", name, n["a"])
+			}
+			time.Sleep(time.Minute)
+			count := make(map[string]int)
+			for range 200 { // pairs in progress at the same time, so that load matters
+				var pair [2]string
+				for i := range pair {
+					c, _ := p.Pick(route.Set{Own: list}, run, nil)
+					pair[i] = c.Name
+					count[c.Name]++
+				}
+				time.Sleep(ms)
+				for _, n := range pair {
+					p.Done(n, route.Answered, run, run)
+				}
+			}
+			if count["a"] < 150 || count["b"] < 150 {
+				t.Errorf("%s: after recovery 400 requests were spread as %v", name, count)
+			}
+		})
+	}
+}
