--- a/internal/link/wire/job.go
+++ b/internal/link/wire/job.go
@@ -24,6 +24,16 @@
 	From, To uint32
 }
 
+// Counts tells how many tasks are in each state; a task that an agent holds or is about to hold counts as running.
+type Counts struct {
+	Queued    uint32
+	Running   uint32
+	Done      uint32
+	Failed    uint32
+	Cancelled uint32
+	Evictions uint32 // so far
+}
+
 // ShareOffer hands a range of a job's tasks to the owner of another partition; it is repeated until acknowledged.
 type ShareOffer struct {
 	Home      ident.Partition
@@ -33,13 +43,15 @@
 	Cancelled bool
 }
 
-// ShareAck tells that a share is durable in its partition.
+// ShareAck tells that a share is durable in its partition; it is sent again when the counts of the share have changed.
 type ShareAck struct {
 	Home      ident.Partition
 	Partition ident.Partition
 	Job       ident.Job
 	Range     Range
 	Cancelled bool
+	Counts    Counts
+	Detail    string // for example why no worker fits the job
 }
 
 // ShareDone tells the home partition the final counts of a share; it is repeated until acknowledged.
@@ -48,9 +60,8 @@
 	Partition ident.Partition
 	Job       ident.Job
 	Range     Range
-	Done      uint32
-	Failed    uint32
-	Cancelled uint32
+	Counts    Counts
+	Detail    string // last failure
 }
 
 // ShareDoneAck tells that the end of a share is durable in the home partition.
