Add the configuration document and the settings of processes

The document names every fault at once with its JSON path, value and what is allowed. encoding/json stops at the first type error, ignores case and keeps the last of duplicate fields, so package strict walks the tokens itself.

--- /dev/null
+++ b/internal/conf/model/duration.go
@@ -0,0 +1,45 @@
+package model
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoilramp.org/trefoilramp/internal/conf/strict"
+)
+
+// Duration is a length of time that is written as a string such as "250ms".
+type Duration time.Duration
+
+// Std returns d as time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// String returns the form that UnmarshalText reads.
+func (d Duration) String() string { return time.Duration(d).String() }
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	if err != nil {
+		return fmt.Errorf("parse duration: %w", err)
+	}
+	if v < 0 {
+		return errors.Newf("duration %q is negative", b)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Allowed implements strict.Allower.
+func (*Duration) Allowed() string { return `a duration such as "250ms", "10s" or "15m"` }
+
+// CheckDuration fails unless low <= d <= high.
+func CheckDuration(c strict.Check, d Duration, low, high time.Duration) {
+	if d.Std() < low || d.Std() > high {
+		c.Fail(d, `"%v" to "%v"`, low, high)
+	}
+}
--- /dev/null
+++ b/internal/conf/model/names.go
@@ -0,0 +1,48 @@
+package model
+
+import (
+	"trefoilramp.org/trefoilramp/internal/conf/strict"
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+)
+
+const allowedName = "1 to 63 letters, digits, dots, underscores and hyphens that start with a letter or digit"
+
+// CheckName fails unless s is a name.
+func CheckName(c strict.Check, s string) {
+	switch {
+	case s == "":
+		c.Missing(allowedName)
+	case !ident.IsName(s):
+		c.Fail(s, allowedName)
+	}
+}
+
+// checkUnique fails for a name that an earlier element of the list has.
+func checkUnique(c strict.Check, name string, seen map[string]bool) {
+	if name != "" && seen[name] {
+		c.Fail(name, "a name that no other element of the list has")
+	}
+	seen[name] = true
+}
+
+// checkReferences fails for each name of a list that is unknown or repeated.
+func checkReferences(c strict.Check, names []string, known map[string]bool, what string) {
+	seen := make(map[string]bool, len(names))
+	for i, name := range names {
+		switch {
+		case !known[name]:
+			c.Index(i).Fail(name, "the name of a declared %s", what)
+		case seen[name]:
+			c.Index(i).Fail(name, "each %s once", what)
+		}
+		seen[name] = true
+	}
+}
+
+func nameSet[T any](list []T, name func(T) string) map[string]bool {
+	set := make(map[string]bool, len(list))
+	for _, v := range list {
+		set[name(v)] = true
+	}
+	return set
+}
--- /dev/null
+++ b/internal/conf/setup/agent.go
@@ -0,0 +1,52 @@
+package setup
+
+import (
+	"trefoilramp.org/trefoilramp/internal/conf/model"
+	"trefoilramp.org/trefoilramp/internal/conf/strict"
+)
+
+// Agent holds the settings of an agent.
+type Agent struct {
+	Name             string // of the worker
+	AvailabilityZone string
+	Rack             string
+	Announcements    string // listener for announcements of targets
+	Administration   string // listener for health and metrics; empty for none
+	Balancer         string // through which the agent reaches any entry
+	Worker           string // base URL of the worker
+	Store            string // base URL of the store, for objects; optional
+	Key              Secret // shared key of the handshake
+	ReadToken        Secret // token for metrics; optional
+	TLS              *TLS   // absent for plain TCP
+	KillDeadline     model.Duration
+}
+
+// LoadAgent reads and checks the settings file of an agent; the error is a *strict.FaultsError or that of reading.
+func LoadAgent(path string) (Agent, error) {
+	var a Agent
+	err := load(path, &a, func(c strict.Check, base string) { a.check(c, base) })
+	return a, err
+}
+
+// ParseAgent is LoadAgent for settings in memory; files are relative to base.
+func ParseAgent(b []byte, base string) (Agent, error) {
+	var a Agent
+	err := parse(b, &a, func(c strict.Check) { a.check(c, base) })
+	return a, err
+}
+
+func (a *Agent) check(c strict.Check, base string) {
+	model.CheckName(c.Field("Name"), a.Name)
+	model.CheckName(c.Field("AvailabilityZone"), a.AvailabilityZone)
+	model.CheckName(c.Field("Rack"), a.Rack)
+	checkListen(c.Field("Announcements"), a.Announcements, true)
+	checkListen(c.Field("Administration"), a.Administration, false)
+	checkListeners(c, []listener{{"Announcements", a.Announcements}, {"Administration", a.Administration}})
+	checkDial(c.Field("Balancer"), a.Balancer, true)
+	checkURL(c.Field("Worker"), a.Worker, true)
+	checkURL(c.Field("Store"), a.Store, false)
+	a.Key.check(c.Field("Key"), base, true)
+	a.ReadToken.check(c.Field("ReadToken"), base, false)
+	a.TLS.check(c.Field("TLS"), base)
+	checkKillDeadline(c.Field("KillDeadline"), &a.KillDeadline)
+}
--- /dev/null
+++ b/internal/conf/setup/tls.go
@@ -0,0 +1,92 @@
+package setup
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoilramp.org/trefoilramp/internal/conf/strict"
+)
+
+// TLS names the files, in PEM form, with which a process proves its identity to others.
+type TLS struct {
+	Certificate string
+	Key         string
+	Authority   string // certificates that peers must be signed by
+	ServerName  string // name in the certificates of peers that the process connects to
+
+	config *tls.Config
+}
+
+// Config returns the TLS configuration for both directions of a session, or nil for plain TCP.
+func (t *TLS) Config() *tls.Config {
+	if t == nil {
+		return nil
+	}
+	return t.config.Clone()
+}
+
+func (t *TLS) check(c strict.Check, base string) {
+	if t == nil {
+		return
+	}
+	ok := true
+	for _, f := range []struct{ name, path string }{
+		{"Certificate", t.Certificate}, {"Key", t.Key}, {"Authority", t.Authority},
+	} {
+		ok = checkFile(c.Field(f.name), base, f.path) && ok
+	}
+	if t.ServerName == "" {
+		c.Field("ServerName").Missing("the name in the certificates of peers")
+	}
+	if !ok {
+		return
+	}
+	if err := t.load(base); err != nil {
+		c.Fail(t.Certificate, "a certificate, its key and authorities in PEM form (%v)", err)
+	}
+}
+
+func (t *TLS) load(base string) error {
+	pair, err := tls.LoadX509KeyPair(resolve(base, t.Certificate), resolve(base, t.Key))
+	if err != nil {
+		return fmt.Errorf("load key pair: %w", err)
+	}
+	pem, err := os.ReadFile(resolve(base, t.Authority))
+	if err != nil {
+		return fmt.Errorf("read authorities: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return errors.New("no certificate in the file of authorities")
+	}
+	t.config = &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{pair},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ServerName:   t.ServerName,
+	}
+	return nil
+}
+
+func checkFile(c strict.Check, base, path string) bool {
+	if path == "" {
+		c.Missing("the path of a PEM file")
+		return false
+	}
+	f, err := os.Open(resolve(base, path))
+	if err != nil {
+		c.Fail(path, "a readable file (%v)", reason(err))
+		return false
+	}
+	if err := f.Close(); err != nil {
+		c.Fail(path, "a readable file (%v)", reason(err))
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/conf/strict/fault.go
@@ -0,0 +1,163 @@
+package strict
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	shownValue     = 80 // bytes of a value that a fault shows
+	unknownField   = "unknown field"
+	duplicateField = "duplicate field"
+	hiddenValue    = "[hidden]"
+)
+
+// Fault is one thing that is wrong with a document.
+type Fault struct {
+	Path    string // JSON path (RFC 9535), for example $.Services[2].Name
+	Value   string // JSON of the value, shortened; empty when the value is missing
+	Allowed string // what is allowed at this path
+}
+
+// String returns the fault on one line.
+func (f Fault) String() string {
+	if f.Value == "" {
+		return f.Path + ": missing; allowed: " + f.Allowed
+	}
+	return f.Path + ": " + f.Value + " is not allowed; allowed: " + f.Allowed
+}
+
+// Faults lists what is wrong with a document.
+type Faults []Fault
+
+// FaultsError is a list of faults as an error.
+type FaultsError struct {
+	Faults Faults
+}
+
+// Error implements error on one line.
+func (e *FaultsError) Error() string {
+	parts := make([]string, len(e.Faults))
+	for i, fault := range e.Faults {
+		parts[i] = fault.String()
+	}
+	return strings.Join(parts, "; ")
+}
+
+// Err returns f as a *FaultsError, or nil when there is no fault.
+func (f Faults) Err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	return &FaultsError{Faults: f}
+}
+
+// FaultsOf returns the faults that err carries, or nil.
+func FaultsOf(err error) Faults {
+	if fe := (*FaultsError)(nil); errors.As(err, &fe) {
+		return fe.Faults
+	}
+	return nil
+}
+
+// Merge returns f and those faults of more that are not at or below a value that f names as unreadable. Such a value is
+// zero in the struct, and its range check would only repeat the fault.
+func (f Faults) Merge(more Faults) Faults {
+	merged := append(Faults(nil), f...)
+	for _, m := range more {
+		if !f.covers(m.Path) {
+			merged = append(merged, m)
+		}
+	}
+	return merged
+}
+
+func (f Faults) covers(path string) bool {
+	for _, have := range f {
+		if have.Value != unknownField && have.Value != duplicateField && within(path, have.Path) {
+			return true
+		}
+	}
+	return false
+}
+
+func within(path, parent string) bool {
+	rest, ok := strings.CutPrefix(path, parent)
+	return ok && (rest == "" || rest[0] == '.' || rest[0] == '[')
+}
+
+// Check collects faults below a path.
+type Check struct {
+	path   string
+	faults *Faults
+	hide   bool
+}
+
+// NewCheck returns a check of a whole document.
+func NewCheck() Check { return Check{path: "$", faults: new(Faults)} }
+
+// Field returns the check of a field of a struct.
+func (c Check) Field(name string) Check {
+	c.path += "." + name
+	return c
+}
+
+// Index returns the check of an element of a list.
+func (c Check) Index(i int) Check {
+	c.path += "[" + strconv.Itoa(i) + "]"
+	return c
+}
+
+// Hide returns a check whose faults do not show values, for secrets.
+func (c Check) Hide() Check {
+	c.hide = true
+	return c
+}
+
+// Path returns the JSON path of what is checked.
+func (c Check) Path() string { return c.path }
+
+// Faults returns the faults found so far, for the whole document.
+func (c Check) Faults() Faults { return *c.faults }
+
+// Fail records that v is not allowed here.
+func (c Check) Fail(v any, allowed string, args ...any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		b = []byte(fmt.Sprint(v))
+	}
+	c.add(shorten(string(b)), allowed, args...)
+}
+
+// Missing records that a value is missing here.
+func (c Check) Missing(allowed string, args ...any) { c.add("", allowed, args...) }
+
+func (c Check) add(value, allowed string, args ...any) {
+	if len(args) > 0 {
+		allowed = fmt.Sprintf(allowed, args...)
+	}
+	if c.hide && value != "" && value != unknownField && value != duplicateField {
+		value = hiddenValue
+	}
+	*c.faults = append(*c.faults, Fault{Path: c.path, Value: value, Allowed: allowed})
+}
+
+// Between fails unless low <= v <= high.
+func Between[T int | int64 | float64](c Check, v, low, high T) {
+	if v >= low && v <= high { // false for NaN too
+		return
+	}
+	c.Fail(v, "%v to %v", low, high)
+}
+
+func shorten(s string) string {
+	s = strings.ToValidUTF8(s, "?")
+	if len(s) <= shownValue {
+		return s
+	}
+	return strings.ToValidUTF8(s[:shownValue], "") + "..."
+}
