--- /dev/null
+++ b/internal/conf/head/part_test.go
@@ -0,0 +1,54 @@
+package head_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"trefoilramp.org/trefoilramp/internal/conf/head"
+	"trefoilramp.org/trefoilramp/internal/conf/model"
+	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+)
+
+// Guards against an agent that gets services it does not need or a share of slots that starves short or long work.
+func TestAgentConfig(t *testing.T) {
+	d := model.Default()
+	d.Services = append(d.Services, model.DefaultService("other"))
+	c := &head.Current{Revision: head.Revision{Version: 4}, Document: d}
+	part := c.AgentConfig(sizes.Resources{Slots: 7}, []string{"hello", "undeclared"})
+	if len(part.Services) != 1 || part.Services[0].Name != "hello" || part.Services[0].LongSlots != 3 {
+		t.Errorf("services are %+v", part.Services)
+	}
+	if part.Version != 4 || part.AgentLease != int64(d.Policies.AgentLease) || len(part.Classes) != 1 {
+		t.Errorf("part is %+v", part)
+	}
+	if got := c.AgentConfig(sizes.Resources{Slots: 1}, []string{"hello"}).Services[0].LongSlots; got != 1 {
+		t.Errorf("long work has %d of 1 slots", got)
+	}
+}
+
+// Guards against a version that counts as in force while a process of the zone still applies a lower one.
+func TestTracker(t *testing.T) {
+	tr := head.NewTracker()
+	entry := head.Member{Role: wire.RoleEntry, Name: "e", Zone: "a"}
+	agent := head.Member{Role: wire.RoleAgent, Name: "w", Zone: "a"}
+	tr.Applied(entry, 3)
+	tr.Applied(agent, 3)
+	tr.Applied(agent, 2) // overtaken message
+	if !tr.IsInForce(3) {
+		t.Error("an overtaken message lowered the version")
+	}
+	tr.Applied(entry, 5)
+	want := []head.ZoneVersions{{Zone: "a", Entries: 1, Agents: 1, Lowest: 3, Highest: 5}}
+	if diff := cmp.Diff(want, tr.Zones()); diff != "" {
+		t.Errorf("zones differ (-want +got):\n%s", diff)
+	}
+	if tr.IsInForce(5) || tr.Lowest("a") != 3 || tr.Lowest("b") != 0 {
+		t.Error("version 5 counts as in force while an agent applies 3")
+	}
+	tr.Forget(agent)
+	if !tr.IsInForce(5) {
+		t.Error("a process that is gone holds up the version in force")
+	}
+}
--- a/internal/conf/model/service.go
+++ b/internal/conf/model/service.go
@@ -26,7 +26,7 @@
 	Routes          []Route  `json:",omitempty"` // idempotency where the method's rule in RFC 9110 does not fit
 	MaxBody         int64    // bytes of a request body
 	MaxConnections  int64    // open connections to one target
-	LongSlotShare   float64  // share of a target's slots that long requests may hold, 0 to 1
+	LongSlotShare   float64  // share of a worker's slots that long requests may hold, 0 to 1
 	LongRun         Duration // requests expected to run longer than this are long
 	StreamGrace     Duration // time that open streams get when their target leaves
 }
--- a/internal/link/wire/config.go
+++ b/internal/link/wire/config.go
@@ -19,17 +19,27 @@
 // AgentService is the part of a service's configuration that an agent needs.
 type AgentService struct {
 	Name           string
-	LongSlots      int64 // slots that long requests may hold
+	LongSlots      int64 // slots of the worker that long requests may hold
 	MaxBody        int64 // bytes
 	MaxRun         int64 // longest run of a request, ns
 	StreamGrace    int64 // time that open streams get when the target leaves, ns
 	MaxConnections int64
 }
 
+// AgentClass is the part of a job class that an agent needs.
+type AgentClass struct {
+	Name            string
+	MaxRunTime      int64 // ns; a task that runs longer is stopped and fails
+	CheckpointGrace int64 // time that an evicted task gets for its checkpoint, ns
+}
+
 // AgentConfig is the part of the configuration that one agent needs; it replaces the one sent before.
 type AgentConfig struct {
-	Version  uint64
-	Services []AgentService
+	Version      uint64
+	Services     []AgentService
+	Classes      []AgentClass
+	AgentLease   int64 // ns
+	AgentRenewal int64 // interval of heartbeats that renew leases, ns
 }
 
 // ConfigApplied tells an entry that the agent applies a version.
