Add the worker stand-in and the worker's client

The agent needs a worker that enforces lease deadlines by itself. The stand-in computes progress from the time that has passed, so a worker process that was suspended counts no progress after the deadline. Stop of an attempt that never arrived marks it as seen, so that a start delayed on the way cannot run after the agent has reported it as refused. plat/remote holds the HTTP exchange that both platform clients use to prove that a request was not sent.

--- a/internal/plat/table/client.go
+++ b/internal/plat/table/client.go
@@ -1,15 +1,11 @@
 package table
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -17,47 +13,36 @@
 	"go.uber.org/zap"
 
 	"trefoilramp.org/trefoilramp/internal/core/event"
-)
-
-// Limits of the client.
-const (
-	DefaultTimeout = 3 * time.Second // of one request
-	maxConnections = 32              // idle connections kept to the store
-	maxResponse    = 256 << 20       // bytes of a response; a snapshot of a partition is far smaller
+	"trefoilramp.org/trefoilramp/internal/plat/remote"
 )
 
 // Options describes the store to a client.
 type Options struct {
 	URL     string        // http://host:port
-	Name    string        // sent as ClientHeader
-	Timeout time.Duration // of one request; 0 for DefaultTimeout
+	Name    string        // sent as remote.ClientHeader
+	Timeout time.Duration // of one request; 0 for remote.DefaultTimeout
 	Log     *zap.Logger   // nil for none
 }
 
 // Client is a Store over HTTP; it is safe for concurrent use.
 type Client struct {
-	o    Options
-	http *http.Client
-	down atomic.Bool // the last request found the store unavailable
+	remote *remote.Client
+	log    *zap.Logger
+	down   atomic.Bool // the last request found the store unavailable
 }
 
 var _ Store = (*Client)(nil)
 
 // NewClient returns a client of the store at o.URL.
 func NewClient(o Options) *Client {
-	if o.Timeout == 0 {
-		o.Timeout = DefaultTimeout
-	}
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	o.URL = strings.TrimRight(o.URL, "/")
-	t := &http.Transport{MaxIdleConnsPerHost: maxConnections, IdleConnTimeout: time.Minute}
-	return &Client{o: o, http: &http.Client{Transport: t}}
+	return &Client{remote: remote.New(remote.Options{URL: o.URL, Name: o.Name, Timeout: o.Timeout}), log: o.Log}
 }
 
 // Close closes idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() { c.remote.Close() }
 
 // Transact implements Store.
 func (c *Client) Transact(ctx context.Context, t Transaction) (Result, error) {
@@ -124,31 +109,16 @@
 }
 
 func (c *Client) exchange(ctx context.Context, method, path string, lost error, body []byte) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.o.Timeout)
-	defer cancel()
-	var connected atomic.Bool // false proves that no byte of the request was written
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
-	req, err := http.NewRequestWithContext(ctx, method, c.o.URL+path, bytes.NewReader(body))
-	if err != nil {
+	res, err := c.remote.Do(ctx, method, path, body)
+	switch {
+	case errors.Is(err, remote.ErrNotSent):
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	case errors.Is(err, remote.ErrInvalid):
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
-	}
-	req.Header.Set("Content-Type", "application/json")
-	if c.o.Name != "" {
-		req.Header.Set(ClientHeader, c.o.Name)
-	}
-	res, err := c.http.Do(req)
-	if err != nil {
-		if !connected.Load() {
-			return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
-		}
-		return nil, fmt.Errorf("%w: %w", lost, err)
-	}
-	defer res.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(res.Body, maxResponse))
-	if err != nil {
+	case err != nil:
 		return nil, fmt.Errorf("%w: %w", lost, err)
 	}
-	return b, statusError(res.StatusCode, b, lost)
+	return res.Body, statusError(res.Status, res.Body, lost)
 }
 
 // statusError returns the error that a status means; a 429 or 503 without the statement that the request has no effect
@@ -179,8 +149,8 @@
 		return
 	}
 	if failed {
-		event.Log(c.o.Log, event.StoreUnavailable, zap.Error(err))
+		event.Log(c.log, event.StoreUnavailable, zap.Error(err))
 		return
 	}
-	event.Log(c.o.Log, event.StoreAvailable)
+	event.Log(c.log, event.StoreAvailable)
 }
--- a/internal/plat/table/message.go
+++ b/internal/plat/table/message.go
@@ -1,8 +1,5 @@
 package table
 
-// ClientHeader names the HTTP request header in which a client of the store gives its name.
-const ClientHeader = "Trefoilramp-Client"
-
 // RowVersion is the version of a written row.
 type RowVersion struct {
 	Key     string
--- a/internal/stand/store/server.go
+++ b/internal/stand/store/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"trefoilramp.org/trefoilramp/internal/plat/remote"
 	"trefoilramp.org/trefoilramp/internal/plat/table"
 	"trefoilramp.org/trefoilramp/internal/stand/script"
 )
@@ -33,7 +34,7 @@
 }
 
 func (s *Store) client(r *http.Request) table.Store {
-	return s.Client(r.Header.Get(table.ClientHeader))
+	return s.Client(r.Header.Get(remote.ClientHeader))
 }
 
 func (s *Store) serveTransact(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/internal/stand/worker/command.go
@@ -0,0 +1,136 @@
+package worker
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/plat/worker"
+)
+
+// command is a parsed command; doc.go describes its words.
+type command struct {
+	run          time.Duration
+	factor       float64
+	every        uint32
+	fails        bool
+	failAt       time.Duration
+	failAttempts ident.Attempt
+	failOn       []string
+	memory       int64 // -1 for the declared amount
+	processors   int64 // -1 for the declared amount
+}
+
+func parseCommand(s string) (command, error) {
+	c := command{factor: 1, every: 1, memory: -1, processors: -1}
+	for _, word := range strings.Fields(s) {
+		name, value, _ := strings.Cut(word, "=")
+		if err := c.set(name, value); err != nil {
+			return c, fmt.Errorf("word %q of the command: %w", word, err)
+		}
+	}
+	if c.run <= 0 {
+		return c, errors.New("the command has no run time")
+	}
+	return c, nil
+}
+
+func (c *command) set(name, value string) (err error) {
+	switch name {
+	case "run":
+		c.run, err = time.ParseDuration(value)
+	case "straggler":
+		err = c.setStraggler(value)
+	case "fail":
+		c.fails = true
+		if value != "" {
+			c.failAt, err = time.ParseDuration(value)
+		}
+	case "fail-attempts":
+		var n uint64
+		n, err = strconv.ParseUint(value, 10, 32)
+		c.failAttempts = ident.Attempt(n)
+	case "fail-on":
+		c.failOn = strings.Split(value, ",")
+	case "memory":
+		c.memory, err = parseBytes(value)
+	case "processors":
+		c.processors, err = strconv.ParseInt(value, 10, 64)
+	default:
+		err = errors.New("unknown word")
+	}
+	return err
+}
+
+func (c *command) setStraggler(value string) error {
+	factor, every, ok := strings.Cut(value, "/")
+	if ok {
+		n, err := strconv.ParseUint(every, 10, 32)
+		if err != nil || n == 0 {
+			return errors.New("EVERY is not a positive integer")
+		}
+		c.every = uint32(n)
+	}
+	f, err := strconv.ParseFloat(factor, 64)
+	if err != nil || f <= 0 {
+		return errors.New("FACTOR is not a positive number")
+	}
+	c.factor = f
+	return nil
+}
+
+func parseBytes(s string) (int64, error) {
+	shift := 0
+	for i, suffix := range []string{"Ki", "Mi", "Gi"} {
+		if digits, ok := strings.CutSuffix(s, suffix); ok {
+			s, shift = digits, 10*(i+1)
+		}
+	}
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || n < 0 {
+		return 0, errors.New("not a number of bytes")
+	}
+	return n << shift, nil
+}
+
+// work returns the run time of an attempt at full speed and whether it fails at its end.
+func (c *command) work(r worker.Ref, on ident.Worker) (time.Duration, bool) {
+	total := c.run
+	if r.Task.Index%c.every == 0 {
+		total = time.Duration(float64(total) * c.factor)
+	}
+	if !c.isFailing(r, on) {
+		return total, false
+	}
+	if c.failAt > 0 {
+		total = min(total, c.failAt)
+	}
+	return total, true
+}
+
+func (c *command) isFailing(r worker.Ref, on ident.Worker) bool {
+	if len(c.failOn) > 0 && !slices.Contains(c.failOn, string(on)) {
+		return false
+	}
+	if c.failAttempts > 0 && r.Attempt > c.failAttempts {
+		return false
+	}
+	return c.fails || c.failAttempts > 0 || len(c.failOn) > 0
+}
+
+// usage returns what a task with the declared size really uses while it runs.
+func (c *command) usage(size sizes.Resources) sizes.Resources {
+	if c.memory >= 0 {
+		size.Memory = c.memory
+	}
+	if c.processors >= 0 {
+		size.Processors = c.processors
+	}
+	return size
+}
