--- a/internal/core/event/serving.go
+++ b/internal/core/event/serving.go
@@ -4,9 +4,32 @@
 
 // Events of serving.
 const (
-	ServingStarted Number = 301
+	ServingStarted   Number = 301
+	ClaimNotRecorded Number = 302
+	ClaimNotReleased Number = 303
+	AnswerBroken     Number = 304
+	TargetFailed     Number = 305
+	DrainCutStreams  Number = 306
+	RelayRefused     Number = 307
 )
 
 var servingEvents = []Entry{
 	{ServingStarted, zapcore.InfoLevel, "callers' listener opened", "The entry accepts requests.", "None."},
+	{ClaimNotRecorded, zapcore.WarnLevel, "response of a claimed key not recorded",
+		"The request ran, but the store did not confirm the record. Repeated requests with the key get Unknown.",
+		"Check the store."},
+	{ClaimNotReleased, zapcore.WarnLevel, "claim of a key not released",
+		"The request did not run, but its claim remains. Repeated requests with the key are refused until it expires.",
+		"Check the store."},
+	{AnswerBroken, zapcore.WarnLevel, "answer cut off",
+		"A response broke off after its status line was sent; the caller's connection was aborted.",
+		"Check the target and its agent."},
+	{TargetFailed, zapcore.WarnLevel, "target failed a request",
+		"The connection to a target failed after the request was passed on; its outcome is Unknown.",
+		"Check the target."},
+	{DrainCutStreams, zapcore.WarnLevel, "requests cut off at the drain deadline",
+		"Requests or streams were still open when the stated grace period ended.",
+		"Raise the grace period when this hits requests that are not endless streams."},
+	{RelayRefused, zapcore.WarnLevel, "malformed request from an entry",
+		"A stream did not begin with a valid request head.", "Check the versions of both processes."},
 }
