--- a/internal/conf/head/accept.go
+++ b/internal/conf/head/accept.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -18,12 +16,6 @@
 	"trefoilramp.org/trefoilramp/internal/plat/table"
 )
 
-// Pauses between repetitions of a transaction.
-const (
-	minPause = 20 * time.Millisecond
-	maxPause = time.Second
-)
-
 // Change is a document that an operator submits.
 type Change struct {
 	Author   string
@@ -133,36 +125,17 @@
 	return fmt.Sprintf("version %d, SHA-256 %s", r.Version, r.Hash)
 }
 
-// commit repeats the same transaction until its outcome is known. A repetition cannot take effect twice, because the
-// first effect changes the version of the head row. The document row shows whose effect it was: unlike the head row, no
-// other operator replaces it.
+// commit makes p durable. The document row resolves a lost response: unlike the head row, no other operator replaces it.
 func (h *Holder) commit(ctx context.Context, p proposal) error {
-	unsure := false // whether an earlier try may have taken effect
-	for pause := minPause; ; pause = min(2*pause, maxPause) {
-		result, err := h.store.Transact(ctx, p.transaction)
-		if err == nil {
-			return p.outcome(result)
-		}
-		unsure = unsure || errors.Is(err, table.ErrUnknown)
-		if !unsure && !errors.Is(err, table.ErrOverBudget) {
-			return fmt.Errorf("write configuration: %w", err)
-		}
-		if !sleep(ctx, pause/2+rand.N(pause/2)) {
-			if unsure {
-				err = table.ErrUnknown
-			}
-			return fmt.Errorf("write configuration: %w", err)
-		}
+	result, err := table.Resolve(ctx, h.store, p.transaction, docKey(p.current.Version))
+	if err != nil {
+		return fmt.Errorf("write configuration: %w", err)
 	}
-}
-
-// outcome returns nil when r, or an earlier try whose response was lost, committed the proposal.
-func (p proposal) outcome(r table.Result) error {
-	if r.Committed {
+	if result.Committed {
 		return nil
 	}
 	conflict := &ConflictError{Base: p.base}
-	for _, row := range r.Conflicts {
+	for _, row := range result.Conflicts {
 		var v headRow
 		if row.Version == 0 {
 			continue
@@ -170,24 +143,9 @@
 		if err := json.Unmarshal(row.Value, &v); err != nil {
 			return fmt.Errorf("decode %s: %w", row.Key, err)
 		}
-		if row.Key == docKey(p.current.Version) && v.Txn == p.transaction.Txn {
-			return nil
-		}
 		if v.Version > conflict.Actual.Version {
 			conflict.Actual = v.Revision
 		}
 	}
 	return conflict
 }
-
-// sleep waits for d and reports false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/conf/head/holder.go
+++ b/internal/conf/head/holder.go
@@ -1,6 +1,7 @@
 package head
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -161,6 +162,16 @@
 	return nil
 }
 
+// Load returns an accepted version from the store, the newest for version 0, or table.ErrNotFound.
+func (h *Holder) Load(ctx context.Context, version uint64) (*Current, error) {
+	return Load(ctx, h.store, version)
+}
+
+// History returns at most limit revisions below before, newest first; before 0 means the newest.
+func (h *Holder) History(ctx context.Context, before uint64, limit int) ([]Revision, error) {
+	return History(ctx, h.store, before, limit)
+}
+
 // Answer returns the reply to a ConfigFetch message and the body that follows it.
 func (h *Holder) Answer(f wire.ConfigFetch) (wire.ConfigDoc, []byte) {
 	c := h.Current()
--- /dev/null
+++ b/internal/ops/admin/token.go
@@ -0,0 +1,75 @@
+package admin
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+)
+
+//go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type Role -trimprefix Role -output role_string.go
+
+// Role is what a token allows.
+type Role uint8
+
+// Roles of tokens, each with the rights of those before it.
+const (
+	RoleNone Role = iota
+	RoleRead
+	RoleChange
+)
+
+// Tokens holds the tokens of the roles as hashes, so that comparison takes the same time for tokens of any length.
+type Tokens struct {
+	read   [sha256.Size]byte
+	change [sha256.Size]byte
+	isSet  bool
+}
+
+// NewTokens returns the tokens of the reading and of the changing role.
+func NewTokens(read, change []byte) Tokens {
+	return Tokens{read: sha256.Sum256(read), change: sha256.Sum256(change), isSet: len(read) > 0 && len(change) > 0}
+}
+
+// Role returns the role of a token, in constant time.
+func (t Tokens) Role(token string) Role {
+	sum := sha256.Sum256([]byte(token))
+	read := subtle.ConstantTimeCompare(sum[:], t.read[:])
+	change := subtle.ConstantTimeCompare(sum[:], t.change[:])
+	switch {
+	case !t.isSet || token == "":
+		return RoleNone
+	case change == 1:
+		return RoleChange
+	case read == 1:
+		return RoleRead
+	}
+	return RoleNone
+}
+
+// OperatorHeader names the operator for the audit log. It is what the holder of a token states, not a proven identity.
+const OperatorHeader = "Trefoilramp-Operator"
+
+// DefaultOperator is recorded when a request names no operator.
+const DefaultOperator = "unnamed"
+
+func bearer(r *http.Request) string {
+	scheme, token, ok := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(token)
+}
+
+func operator(r *http.Request) (string, *Problem) {
+	name := r.Header.Get(OperatorHeader)
+	switch {
+	case name == "":
+		return DefaultOperator, nil
+	case !ident.IsName(name):
+		return "", problem(http.StatusBadRequest, OperatorHeader+" is not a name of 1 to 63 letters, digits, dots, underscores and hyphens")
+	}
+	return name, nil
+}
--- a/internal/ops/audit/action_string.go
+++ b/internal/ops/audit/action_string.go
@@ -9,14 +9,13 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[ActionAccept-1]
-	_ = x[ActionSubmit-2]
-	_ = x[ActionCancel-3]
-	_ = x[ActionDrain-4]
+	_ = x[ActionCancel-2]
+	_ = x[ActionDrain-3]
 }
 
-const _Action_name = "AcceptSubmitCancelDrain"
+const _Action_name = "AcceptCancelDrain"
 
-var _Action_index = [...]uint8{0, 6, 12, 18, 23}
+var _Action_index = [...]uint8{0, 6, 12, 17}
 
 func (i Action) String() string {
 	idx := int(i) - 1
--- a/internal/ops/audit/record.go
+++ b/internal/ops/audit/record.go
@@ -18,7 +18,6 @@
 // Actions that are recorded.
 const (
 	ActionAccept Action = iota + 1 // of a configuration
-	ActionSubmit                   // of a job
 	ActionCancel                   // of a job
 	ActionDrain                    // of a worker
 )
--- /dev/null
+++ b/internal/ops/metric/catalogue.go
@@ -0,0 +1,83 @@
+package metric
+
+import "time"
+
+//go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type Kind -output kind_string.go
+
+// Kind is the kind of a metric.
+type Kind uint8
+
+// Kinds of metrics.
+const (
+	Counter Kind = iota + 1
+	Gauge
+	Histogram // of durations
+)
+
+// Name identifies a metric.
+type Name string
+
+// Entry describes a metric in the catalogue.
+type Entry struct {
+	Name    Name
+	Kind    Kind
+	Tags    []string
+	Meaning string // with the unit
+}
+
+// Metrics.
+const (
+	Requests       Name = "serve_requests"
+	RequestSeconds Name = "serve_request_seconds"
+	InFlight       Name = "serve_in_flight"
+	Retries        Name = "serve_retries"
+	Relayed        Name = "serve_relayed"
+	Targets        Name = "serve_targets"
+	Sessions       Name = "sessions"
+	TaskStarts     Name = "batch_task_starts"
+	TaskEnds       Name = "batch_task_ends"
+	TasksQueued    Name = "batch_tasks_queued"
+	TasksRunning   Name = "batch_tasks_running"
+	Evictions      Name = "batch_evictions"
+	Takeovers      Name = "batch_takeovers"
+	Quarantined    Name = "batch_quarantined_workers"
+	StoreCalls     Name = "store_calls"
+	StoreSeconds   Name = "store_call_seconds"
+	ConfigVersion  Name = "config_version"
+	ConfigLowest   Name = "config_lowest_version"
+	ConfigChanges  Name = "config_changes"
+	AdminRequests  Name = "admin_requests"
+)
+
+var catalogue = []Entry{
+	{Requests, Counter, []string{"service", "outcome"}, "Requests of callers that ended, by Trefoilramp-Outcome."},
+	{RequestSeconds, Histogram, []string{"service"}, "Time from the arrival of a request to the end of its response, in seconds."},
+	{InFlight, Gauge, []string{"service"}, "Requests of callers in progress."},
+	{Retries, Counter, []string{"service"}, "Requests that were sent to another target after the first try."},
+	{Relayed, Counter, []string{"service"}, "Requests that were relayed to an entry of another zone."},
+	{Targets, Gauge, []string{"service"}, "Targets that take new work."},
+	{Sessions, Gauge, []string{"role"}, "Open sessions by role of the peer."},
+	{TaskStarts, Counter, nil, "Attempts that were made durable."},
+	{TaskEnds, Counter, []string{"state"}, "Attempts that ended, by final state."},
+	{TasksQueued, Gauge, nil, "Tasks that wait in the partitions of this entry."},
+	{TasksRunning, Gauge, nil, "Tasks that run, of the partitions of this entry."},
+	{Evictions, Counter, nil, "Tasks that went back to the queue with a checkpoint."},
+	{Takeovers, Counter, nil, "Partitions that this entry took over."},
+	{Quarantined, Gauge, []string{"zone"}, "Workers in quarantine."},
+	{StoreCalls, Counter, []string{"call", "outcome"}, "Requests to the store."},
+	{StoreSeconds, Histogram, []string{"call"}, "Time of a request to the store, in seconds."},
+	{ConfigVersion, Gauge, nil, "Version of the configuration in force in this process."},
+	{ConfigLowest, Gauge, []string{"zone"}, "Version that every known process of a zone applies."},
+	{ConfigChanges, Counter, []string{"outcome"}, "Submitted configurations, by HTTP status of the answer."},
+	{AdminRequests, Counter, []string{"method", "status"}, "Requests to the administration API."},
+}
+
+// Catalogue returns all metrics in the order of the documentation.
+func Catalogue() []Entry { return append([]Entry(nil), catalogue...) }
+
+// bounds are the upper bounds of histograms; they are dense below the deadlines of waiting callers.
+var bounds = []time.Duration{
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
+	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second,
+	2 * time.Second, 5 * time.Second, 10 * time.Second, 30 * time.Second, time.Minute,
+}
--- /dev/null
+++ b/internal/ops/metric/doc.go
@@ -0,0 +1,2 @@
+// Package metric holds the metrics of a process; docs/metrics.md is their catalogue.
+package metric
