Add the command line for operators

Wrong input ends with one line that says what to do next and exit code 2. config apply requires the version that the document was made from: reading it at submission would hide a race between operators.

--- /dev/null
+++ b/cmd/trefoilramp/config.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"trefoilramp.org/trefoilramp/internal/conf/model"
+	"trefoilramp.org/trefoilramp/internal/conf/strict"
+	"trefoilramp.org/trefoilramp/internal/ops/admin"
+)
+
+// configCommand works with the configuration document:
+//
+//	trefoilramp config check FILE             validate a document, without an entry
+//	trefoilramp config get [--version N]      print the accepted document; its version goes to standard error
+//	trefoilramp config diff FILE              compare a document with the accepted one
+//	trefoilramp config apply --base N FILE    submit a document that was made from version N
+//	trefoilramp config history [--limit N]    list accepted versions, newest first
+func configCommand() *cli.Command {
+	return group("config", "check, read, compare and submit the configuration document",
+		&cli.Command{
+			Name: "check", Usage: "validate a document, without an entry", ArgsUsage: "FILE",
+			Flags: []cli.Flag{jsonFlag()}, OnUsageError: usageError, Action: checkConfig,
+		},
+		remote("get", "print the accepted document", "", []cli.Flag{
+			&cli.Uint64Flag{Name: "version", Usage: "print version `N` instead of the newest"},
+		}, getConfig),
+		remote("diff", "compare a document with the accepted one", "FILE", nil, diffConfig),
+		remote("apply", "submit a document", "FILE", []cli.Flag{
+			&cli.Uint64Flag{Name: "base", Usage: "version `N` that the document was made from; 0 when there is none"},
+		}, applyConfig),
+		remote("history", "list accepted versions, newest first", "", []cli.Flag{
+			&cli.IntFlag{Name: "limit", Usage: "list at most `N` versions", Value: 20},
+		}, listHistory),
+	)
+}
+
+// readDocument returns a valid document or the error to end with, after it has printed every fault.
+func readDocument(c *cli.Command) (model.Document, error) {
+	path := c.Args().First()
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return model.Document{}, inputError("%v; name a readable file", err)
+	}
+	d, err := model.Parse(b)
+	if err == nil {
+		return d, nil
+	}
+	faults := strict.FaultsOf(err)
+	if c.Bool("json") {
+		err = printJSON(out(c), struct{ Faults []strict.Fault }{faults})
+	} else {
+		for _, f := range faults {
+			fmt.Fprintln(out(c), f)
+		}
+		err = nil
+	}
+	if err != nil {
+		return d, explain(err)
+	}
+	return d, inputError("%s has %d faults; correct them and run trefoilramp config check %s", path, len(faults), path)
+}
+
+func checkConfig(_ context.Context, c *cli.Command) error {
+	if err := checkArgs(c, "FILE"); err != nil {
+		return err
+	}
+	d, err := readDocument(c)
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return explain(printJSON(out(c), struct{ Faults []strict.Fault }{[]strict.Fault{}}))
+	}
+	fmt.Fprintf(out(c), "valid: %d services, %d job classes, %d teams, %d zones\n", len(d.Services), len(d.JobClasses),
+		len(d.Teams), len(d.AvailabilityZones))
+	return nil
+}
+
+// versioned is a document with its version, the JSON form of config get.
+type versioned struct {
+	Version  uint64
+	Document model.Document
+}
+
+func getConfig(ctx context.Context, c *cli.Command, api *admin.Client) error {
+	d, version, err := api.Config(ctx, c.Uint64("version"))
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return printJSON(out(c), versioned{version, d})
+	}
+	b, err := d.Encode()
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.Root().ErrWriter, "version %d; submit a changed copy with: trefoilramp config apply --base %d FILE\n",
+		version, version)
+	_, err = out(c).Write(b)
+	return errors.Wrap(err, "write output")
+}
+
+func diffConfig(ctx context.Context, c *cli.Command, api *admin.Client) error {
+	mine, err := readDocument(c)
+	if err != nil {
+		return err
+	}
+	accepted, version, err := api.Config(ctx, 0)
+	if err != nil {
+		return err
+	}
+	list, err := model.Diff(accepted, mine)
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return printJSON(out(c), struct {
+			Version     uint64
+			Differences []model.Difference
+		}{version, list})
+	}
+	for _, d := range list {
+		fmt.Fprintln(out(c), d)
+	}
+	fmt.Fprintf(out(c), "%d differences from version %d\n", len(list), version)
+	return nil
+}
+
+func applyConfig(ctx context.Context, c *cli.Command, api *admin.Client) error {
+	if !c.IsSet("base") {
+		return inputError("apply needs --base N, the version that the document was made from; config get prints it")
+	}
+	d, err := readDocument(c)
+	if err != nil {
+		return err
+	}
+	b, err := d.Encode()
+	if err != nil {
+		return err
+	}
+	a, err := api.Apply(ctx, c.Uint64("base"), b)
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return printJSON(out(c), a)
+	}
+	fmt.Fprintf(out(c), "version %d is accepted\n", a.Version)
+	return nil
+}
+
+func listHistory(ctx context.Context, c *cli.Command, api *admin.Client) error {
+	list, err := api.History(ctx, c.Int("limit"))
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return printJSON(out(c), list)
+	}
+	rows := make([][]string, len(list))
+	for i, r := range list {
+		rows[i] = []string{strconv.FormatUint(r.Version, 10), r.Accepted.Format(time.RFC3339), r.Author, r.Hash[:12]}
+	}
+	return printTable(out(c), []string{"VERSION", "ACCEPTED", "AUTHOR", "SHA-256"}, rows)
+}
--- a/cmd/trefoilramp/main.go
+++ b/cmd/trefoilramp/main.go
@@ -5,15 +5,10 @@
 	"context"
 	"fmt"
 	"os"
-
-	"github.com/urfave/cli/v3"
 )
 
 func main() {
-	app := &cli.Command{
-		Name:  "trefoilramp",
-		Usage: "schedule latency-critical and batch work that share instances",
-	}
+	app := group("trefoilramp", "schedule latency-critical and batch work that share instances", operateCommands()...)
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "trefoilramp: "+err.Error())
 		os.Exit(2)
--- /dev/null
+++ b/cmd/trefoilramp/operate.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/ops/admin"
+)
+
+// Exit codes.
+const (
+	exitFailure = 1
+	exitInput   = 2 // wrong input
+)
+
+// operateCommands returns the commands that operators use against the administration API.
+func operateCommands() []*cli.Command {
+	return []*cli.Command{configCommand(), jobCommand(), workerCommand(), statusCommand(), auditCommand(),
+		versionCommand()}
+}
+
+// inputError ends the program with exit code 2; the text says what to do next.
+func inputError(format string, args ...any) error {
+	return cli.Exit("trefoilramp: "+fmt.Sprintf(format, args...), exitInput)
+}
+
+// group returns a command that only has subcommands.
+func group(name, usage string, commands ...*cli.Command) *cli.Command {
+	return &cli.Command{
+		Name:         name,
+		Usage:        usage,
+		Commands:     commands,
+		OnUsageError: usageError,
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Present() {
+				return inputError("unknown command %q of %s; use one of %s", c.Args().First(), name, commandNames(c))
+			}
+			return inputError("%s needs a command; use one of %s", name, commandNames(c))
+		},
+	}
+}
+
+func commandNames(c *cli.Command) string {
+	var names []string
+	for _, sub := range c.VisibleCommands() {
+		names = append(names, sub.Name)
+	}
+	return strings.Join(names, ", ")
+}
+
+func usageError(_ context.Context, c *cli.Command, err error, _ bool) error {
+	return inputError("%v; see %s --help", err, c.FullName())
+}
+
+// remote returns a command that calls the administration API; args names its arguments.
+func remote(name, usage, args string, flags []cli.Flag, run func(ctx context.Context, c *cli.Command, api *admin.Client) error) *cli.Command {
+	return &cli.Command{
+		Name:      name,
+		Usage:     usage,
+		ArgsUsage: args,
+		Flags: append([]cli.Flag{
+			&cli.StringFlag{Name: "address", Usage: "administration `URL` of an entry", Sources: cli.EnvVars("TREFOILRAMP_ADDRESS")},
+			&cli.StringFlag{Name: "token-file", Usage: "`FILE` with the token", Sources: cli.EnvVars("TREFOILRAMP_TOKEN_FILE")},
+			&cli.StringFlag{Name: "operator", Usage: "your `NAME` for the audit log", Sources: cli.EnvVars("TREFOILRAMP_OPERATOR", "USER")},
+			jsonFlag(),
+		}, flags...),
+		OnUsageError: usageError,
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if err := checkArgs(c, args); err != nil {
+				return err
+			}
+			api, err := newClient(c)
+			if err != nil {
+				return err
+			}
+			return explain(run(ctx, c, api))
+		},
+	}
+}
+
+func jsonFlag() cli.Flag { return &cli.BoolFlag{Name: "json", Usage: "print JSON"} }
+
+func checkArgs(c *cli.Command, args string) error {
+	want := len(strings.Fields(args))
+	if c.Args().Len() == want {
+		return nil
+	}
+	if want == 0 {
+		return inputError("%s takes no arguments, but got %q; leave them out", c.FullName(), c.Args().Slice())
+	}
+	return inputError("%s needs %s; see %s --help", c.FullName(), args, c.FullName())
+}
+
+func newClient(c *cli.Command) (*admin.Client, error) {
+	address := c.String("address")
+	if address == "" {
+		return nil, inputError("no address; give --address URL or set TREFOILRAMP_ADDRESS")
+	}
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	if u, err := url.Parse(address); err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return nil, inputError("address %q is no URL; give one such as http://127.0.0.1:7003", c.String("address"))
+	}
+	file := c.String("token-file")
+	if file == "" {
+		return nil, inputError("no token; give --token-file FILE or set TREFOILRAMP_TOKEN_FILE")
+	}
+	token, err := os.ReadFile(file)
+	if err != nil {
+		return nil, inputError("token file: %v; name a readable file", err)
+	}
+	operator := c.String("operator")
+	if operator != "" && !ident.IsName(operator) {
+		return nil, inputError("operator %q is no name; use letters, digits, dots, underscores and hyphens", operator)
+	}
+	return admin.NewClient(address, strings.TrimSpace(string(token)), operator), nil
+}
+
+// advice says what to do next after an answer that wrong input has caused.
+var advice = map[int]string{
+	http.StatusUnauthorized:          "check the token file",
+	http.StatusForbidden:             "use the token of the changing role",
+	http.StatusNotFound:              "check the name",
+	http.StatusBadRequest:            "correct it and try again",
+	http.StatusRequestEntityTooLarge: "make it smaller",
+	http.StatusUnprocessableEntity:   "correct it and try again",
+}
+
+// explain turns an error into the one line that the user sees, with the exit code.
+func explain(err error) error {
+	if err == nil {
+		return nil
+	}
+	if ec := cli.ExitCoder(nil); errors.As(err, &ec) {
+		return err
+	}
+	pe := (*admin.ProblemError)(nil)
+	if !errors.As(err, &pe) {
+		return cli.Exit("trefoilramp: "+err.Error(), exitFailure)
+	}
+	if next, ok := advice[pe.Problem.Status]; ok {
+		detail := pe.Error()
+		if n := len(pe.Problem.Faults); n > 1 {
+			detail = fmt.Sprintf("%d faults, the first is %v", n, pe.Problem.Faults[0])
+		}
+		return inputError("%s; %s", detail, next)
+	}
+	return cli.Exit("trefoilramp: "+pe.Error(), exitFailure)
+}
+
+// printJSON writes v as indented JSON.
+func printJSON(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(v); err != nil {
+		return fmt.Errorf("write output: %w", err)
+	}
+	return nil
+}
+
+// printTable writes rows in columns below a heading.
+func printTable(w io.Writer, heading []string, rows [][]string) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, strings.Join(heading, "\t"))
+	for _, row := range rows {
+		fmt.Fprintln(t, strings.Join(row, "\t"))
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("write output: %w", err)
+	}
+	return nil
+}
+
+func out(c *cli.Command) io.Writer { return c.Root().Writer }
--- /dev/null
+++ b/cmd/trefoilramp/worker.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"trefoilramp.org/trefoilramp/internal/ops/admin"
+)
+
+// workerCommand works with workers:
+//
+//	trefoilramp worker drain NAME    let a worker finish what it has and take no new work
+func workerCommand() *cli.Command {
+	return group("worker", "drain workers",
+		remote("drain", "let a worker finish what it has and take no new work", "NAME", nil,
+			func(ctx context.Context, c *cli.Command, api *admin.Client) error {
+				d, err := api.Drain(ctx, c.Args().First())
+				if err != nil {
+					return err
+				}
+				if c.Bool("json") {
+					return printJSON(out(c), d)
+				}
+				fmt.Fprintf(out(c), "worker %s takes no new work\n", d.Worker)
+				return nil
+			}))
+}
