--- /dev/null
+++ b/internal/conf/model/schema.go
@@ -0,0 +1,75 @@
+package model
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+)
+
+// schema is the part of JSON Schema (draft 2020-12) that describes the document. Ranges and rules across fields are not
+// in it; trefoilramp config check knows them.
+type schema struct {
+	Schema     string             `json:"$schema,omitempty"`
+	Title      string             `json:"title,omitempty"`
+	Type       string             `json:"type"`
+	Pattern    string             `json:"pattern,omitempty"`
+	Items      *schema            `json:"items,omitempty"`
+	Properties map[string]*schema `json:"properties,omitempty"`
+	Required   []string           `json:"required,omitempty"`
+	Additional *bool              `json:"additionalProperties,omitempty"`
+}
+
+// durationPattern is the form that time.ParseDuration reads, without a sign.
+const durationPattern = `^(0|([0-9]+(\.[0-9]*)?|\.[0-9]+)(ns|us|µs|ms|s|m|h))(([0-9]+(\.[0-9]*)?|\.[0-9]+)(ns|us|µs|ms|s|m|h))*$`
+
+const namePattern = `^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$` // ident.IsName
+
+// Schema returns the JSON Schema of the document, which is published as docs/config.schema.json.
+func Schema() ([]byte, error) {
+	s := schemaOf(reflect.TypeFor[Document]())
+	s.Schema = "https://json-schema.org/draft/2020-12/schema"
+	s.Title = "trefoilramp configuration document"
+	b, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return nil, fmt.Errorf("encode schema: %w", err)
+	}
+	return append(b, '\n'), nil
+}
+
+func schemaOf(t reflect.Type) *schema {
+	if t == reflect.TypeFor[Duration]() {
+		return &schema{Type: "string", Pattern: durationPattern}
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		return structSchema(t)
+	case reflect.Slice:
+		return &schema{Type: "array", Items: schemaOf(t.Elem())}
+	case reflect.String:
+		return &schema{Type: "string"}
+	case reflect.Bool:
+		return &schema{Type: "boolean"}
+	case reflect.Float64:
+		return &schema{Type: "number"}
+	default:
+		return &schema{Type: "integer"}
+	}
+}
+
+func structSchema(t reflect.Type) *schema {
+	closed := false
+	s := &schema{Type: "object", Properties: make(map[string]*schema, t.NumField()), Additional: &closed}
+	for i := range t.NumField() {
+		f := t.Field(i)
+		p := schemaOf(f.Type)
+		if f.Name == "Name" || f.Name == "Region" {
+			p.Pattern = namePattern
+			s.Required = append(s.Required, f.Name)
+		} else if f.Type.Kind() == reflect.Struct && !strings.Contains(f.Tag.Get("json"), "omit") {
+			s.Required = append(s.Required, f.Name)
+		}
+		s.Properties[f.Name] = p
+	}
+	return s
+}
--- /dev/null
+++ b/internal/core/event/event_test.go
@@ -0,0 +1,99 @@
+package event_test
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	gocmp "github.com/google/go-cmp/cmp"
+
+	"trefoilramp.org/trefoilramp/internal/core/event"
+)
+
+var update = flag.Bool("update", false, "write docs/events.md")
+
+var areas = []string{"", "Processes", "Sessions", "Serving", "Batch work", "Configuration", "Operations",
+	"Workers and targets", "Store"}
+
+func page() string {
+	list := event.Catalogue()
+	slices.SortFunc(list, func(a, b event.Entry) int { return cmp.Compare(a.Number, b.Number) })
+	var b strings.Builder
+	b.WriteString("# Log events\n\nEvery log line of the system carries the field `Event` with one of these numbers. " +
+		"Numbers are never reused. This page is\ngenerated from the code: `go test ./internal/core/event -update`.\n")
+	area := 0
+	for _, e := range list {
+		if n := int(e.Number) / 100; n != area {
+			area = n
+			fmt.Fprintf(&b, "\n## %s\n\n| Number | Level | Message | Meaning | Action |\n|---|---|---|---|---|\n", areas[area])
+		}
+		fmt.Fprintf(&b, "| %v | %v | %s | %s | %s |\n", e.Number, e.Level, e.Message, e.Meaning, e.Action)
+	}
+	return b.String()
+}
+
+// Guards against an event that the catalogue in docs/events.md lacks or describes differently.
+func TestCatalogueIsPublished(t *testing.T) {
+	const path = "../../../docs/events.md"
+	want := page()
+	if *update {
+		if err := os.WriteFile(path, []byte(want), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := gocmp.Diff(want, string(got)); diff != "" {
+		t.Errorf("run go test ./internal/core/event -update (-code +published):\n%s", diff)
+	}
+}
+
+// Guards against a constant without an entry, whose log line would be replaced by an error, and a vague entry.
+func TestEveryNumberHasAnEntry(t *testing.T) {
+	files, err := filepath.Glob("*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	constants := 0
+	for _, name := range files {
+		f, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, d := range f.Decls {
+			if g, ok := d.(*ast.GenDecl); ok && g.Tok == token.CONST {
+				for _, s := range g.Specs {
+					constants += exported(s.(*ast.ValueSpec).Names)
+				}
+			}
+		}
+	}
+	if got := len(event.Catalogue()); got != constants {
+		t.Errorf("%d constants but %d entries", constants, got)
+	}
+	for _, e := range event.Catalogue() {
+		if e.Message == "" || e.Meaning == "" || e.Action == "" || int(e.Number)/100 >= len(areas) {
+			t.Errorf("entry of %v is incomplete", e.Number)
+		}
+	}
+}
+
+func exported(names []*ast.Ident) int {
+	n := 0
+	for _, name := range names {
+		if name.IsExported() {
+			n++
+		}
+	}
+	return n
+}
