Add the agent's runner of batch tasks

Cause: an agent has to start, renew, stop and report attempts for owners that come and go, without ever running what an owner has moved elsewhere. Ruled out: deriving the partition of a task from its job after an agent restart; shares of a job lie in several partitions, so the worker now keeps a label for its caller (plat/worker Start.Label). Each of these changes makes one fail: renewal without Reconcile, no epoch check in stopTask, an empty ledger after a restart, no stop of superseded attempts, no check of the agent's incarnation. Without the agent's own check of the lease deadline they still pass, because the worker refuses too. Conclusion: the fences of design.md section 8 hold on the agent's side.

--- /dev/null
+++ b/internal/host/runner/control.go
@@ -0,0 +1,231 @@
+package runner
+
+import (
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/point"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/plat/worker"
+)
+
+// received is a message from an owner.
+type received struct {
+	owner Owner
+	m     wire.Message
+}
+
+func (in received) apply(r *Runner) {
+	switch m := in.m.(type) {
+	case *wire.Adopt:
+		r.adopt(in.owner, m)
+	case *wire.Reconcile:
+		r.reconcile(in.owner, m)
+	case *wire.StartTask:
+		r.startTask(in.owner, m)
+	case *wire.StopTask:
+		r.stopTask(in.owner, m)
+	case *wire.ThrottleTask:
+		r.throttleTask(m)
+	case *wire.TaskReportAck:
+		r.acknowledge(m)
+	case *wire.HeartbeatAck:
+		r.grant(in.owner, m)
+	}
+}
+
+// closed is the end of a session with an owner.
+type closed struct{ owner Owner }
+
+func (in closed) apply(r *Runner) {
+	for _, p := range r.partitions {
+		if p.owner == in.owner {
+			p.owner, p.reconciled = nil, false
+		}
+	}
+}
+
+// adopt binds a partition to the sender; an older epoch than the one known is refused by an inventory that names the
+// newer one, which tells a deposed owner.
+func (r *Runner) adopt(o Owner, m *wire.Adopt) {
+	p := r.partition(m.Partition)
+	if m.Epoch < p.epoch {
+		r.send(o, &wire.Inventory{Partition: m.Partition, Epoch: p.epoch})
+		return
+	}
+	p.epoch, p.owner, p.reconciled = m.Epoch, o, false
+	inventory := &wire.Inventory{Partition: m.Partition, Epoch: m.Epoch}
+	for _, t := range r.tasks {
+		if t.partition == m.Partition {
+			inventory.Held = append(inventory.Held, t.held())
+		}
+	}
+	r.send(o, inventory)
+	for _, t := range r.tasks {
+		if t.partition == m.Partition {
+			r.sendReport(t)
+		}
+	}
+}
+
+func (r *Runner) partition(name ident.Partition) *partition {
+	p, ok := r.partitions[name]
+	if !ok {
+		p = &partition{}
+		r.partitions[name] = p
+	}
+	return p
+}
+
+// reconcile stops what the owner has moved elsewhere and allows renewal of the rest.
+func (r *Runner) reconcile(o Owner, m *wire.Reconcile) {
+	p := r.partition(m.Partition)
+	if p.epoch != m.Epoch || p.owner != o {
+		return
+	}
+	for _, h := range m.Drop {
+		t, ok := r.tasks[h.Task]
+		if !ok || t.ref.Attempt != h.Attempt {
+			continue
+		}
+		if t.final != nil {
+			t.acked = true
+			r.next(t)
+			continue
+		}
+		r.stop(t, wire.StopSuperseded)
+	}
+	p.reconciled = true
+}
+
+// startTask reserves the resources of a task and starts it, or refuses it for good.
+func (r *Runner) startTask(o Owner, m *wire.StartTask) {
+	t := &task{
+		partition: m.Partition,
+		ref:       worker.Ref{Task: m.Task, Attempt: m.Attempt},
+		size:      m.Size,
+		phase:     phaseStarting,
+	}
+	if old, ok := r.tasks[m.Task]; ok && old.ref.Attempt >= m.Attempt {
+		return // a repeated start; reports of the attempt held tell its state
+	}
+	if detail := r.refusal(o, m); detail != "" {
+		r.send(o, t.report(wire.TaskRefused, detail))
+		return
+	}
+	p := r.partition(m.Partition)
+	p.until = max(p.until, m.Until)
+	t.start = worker.Start{
+		Ref:        t.ref,
+		Command:    m.Command,
+		Size:       m.Size,
+		Checkpoint: m.Checkpoint,
+		Label:      m.Partition.String(),
+	}
+	r.tasks[m.Task] = t
+	r.at(point.StartReserved, m.Task)
+	r.next(t)
+}
+
+// refusal returns why a start is refused, or an empty string after the resources are reserved.
+func (r *Runner) refusal(o Owner, m *wire.StartTask) string {
+	p := r.partition(m.Partition)
+	if p.epoch == 0 && m.Epoch != 0 {
+		p.epoch, p.owner, p.reconciled = m.Epoch, o, true
+	}
+	switch {
+	case m.Epoch != p.epoch || p.owner != o:
+		return "partition is owned under another epoch"
+	case m.Incarnation != r.cfg.Incarnation:
+		return "attempt is meant for another incarnation of the agent"
+	case m.Until <= r.Now():
+		return "lease deadline has passed"
+	case r.leaving:
+		return "agent is leaving"
+	case len(r.tasks) >= maxTasks:
+		return "agent holds too many tasks"
+	case r.tasks[m.Task] != nil:
+		return "an earlier attempt has not ended here"
+	case m.Size.Slots != 0 || m.Size.Connections != 0:
+		return "a task may not hold slots or connections"
+	}
+	t := task{ref: worker.Ref{Task: m.Task}}
+	if !r.cfg.Ledger.Reserve(t.holder(), m.Size) {
+		return "task does not fit beside what the worker runs"
+	}
+	return ""
+}
+
+func (r *Runner) stopTask(o Owner, m *wire.StopTask) {
+	p := r.partition(m.Partition)
+	if m.Epoch != p.epoch || p.owner != o {
+		return
+	}
+	t, ok := r.tasks[m.Task]
+	if !ok || t.ref.Attempt != m.Attempt {
+		absent := task{partition: m.Partition, ref: worker.Ref{Task: m.Task, Attempt: m.Attempt}}
+		r.send(o, absent.report(wire.TaskStopped, "agent does not hold the attempt"))
+		return
+	}
+	if t.final != nil {
+		r.sendReport(t)
+		return
+	}
+	r.stop(t, m.Reason)
+}
+
+// stop asks for the end of an attempt; cancellation and supersession go before eviction, which needs a checkpoint.
+func (r *Runner) stop(t *task, reason wire.StopReason) {
+	if t.final != nil {
+		return
+	}
+	if t.stopping == 0 || t.stopping == wire.StopEvict {
+		t.stopping = reason
+	}
+	r.next(t)
+}
+
+func (r *Runner) throttleTask(m *wire.ThrottleTask) {
+	t, ok := r.tasks[m.Task]
+	if !ok || t.ref.Attempt != m.Attempt || t.final != nil {
+		return
+	}
+	r.calls.TryPut(call{kind: callThrottle, ref: t.ref, processors: m.Processors})
+}
+
+func (r *Runner) acknowledge(m *wire.TaskReportAck) {
+	t, ok := r.tasks[m.Task]
+	if !ok || t.ref.Attempt != m.Attempt || t.final == nil {
+		return
+	}
+	t.acked = true
+	r.next(t)
+}
+
+// grant moves lease deadlines forward and renews the tasks at the worker.
+func (r *Runner) grant(o Owner, m *wire.HeartbeatAck) {
+	for _, g := range m.Granted {
+		p, ok := r.partitions[g.Partition]
+		if ok && p.owner == o && p.epoch == g.Epoch && p.reconciled {
+			p.until = max(p.until, m.Until)
+		}
+	}
+	r.renew()
+}
+
+// send queues a message; a failure means that the session ends, after which Adopt starts anew.
+func (r *Runner) send(o Owner, m wire.Message) {
+	if err := o.Send(m); err != nil {
+		r.cfg.Log.Debug("message to an owner was not queued", zap.Stringer("Kind", m.Kind()), zap.Error(err))
+	}
+}
+
+// sendReport sends the final report of an attempt, if it has one that is not acknowledged.
+func (r *Runner) sendReport(t *task) {
+	if t.final == nil || t.acked {
+		return
+	}
+	if p := r.partitions[t.partition]; p != nil && p.owner != nil {
+		r.send(p.owner, t.final)
+	}
+}
--- /dev/null
+++ b/internal/host/runner/runner_test.go
@@ -0,0 +1,291 @@
+package runner_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/host/ledger"
+	"trefoilramp.org/trefoilramp/internal/host/runner"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/plat/worker"
+	"trefoilramp.org/trefoilramp/internal/stand/store"
+	standin "trefoilramp.org/trefoilramp/internal/stand/worker"
+)
+
+const agentLease = 20 * time.Second
+
+var (
+	means     = sizes.Resources{Processors: 4000, Memory: 1000}
+	partition = ident.Partition{Zone: "agadir", Number: 1}
+	plan      = ident.Task{Job: "plan", Index: 1}
+)
+
+// owner records what an agent sends to it.
+type owner struct {
+	mu       sync.Mutex
+	messages []wire.Message
+}
+
+func (o *owner) Send(m wire.Message) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.messages = append(o.messages, m)
+	return nil
+}
+
+func (o *owner) states() []wire.TaskState {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var list []wire.TaskState
+	for _, m := range o.messages {
+		if r, ok := m.(*wire.TaskReport); ok && (len(list) == 0 || list[len(list)-1] != r.State) {
+			list = append(list, r.State)
+		}
+	}
+	return list
+}
+
+func (o *owner) inventory() *wire.Inventory {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var last *wire.Inventory
+	for _, m := range o.messages {
+		if i, ok := m.(*wire.Inventory); ok {
+			last = i
+		}
+	}
+	return last
+}
+
+// fixture is a worker with its agent; restart replaces the agent only.
+type fixture struct {
+	t      *testing.T
+	worker *standin.Worker
+	ledger *ledger.Ledger
+	runner *runner.Runner
+	self   ident.Incarnation
+	stop   func()
+}
+
+func newFixture(t *testing.T) *fixture {
+	objects := store.New(store.Options{})
+	f := &fixture{t: t, worker: standin.New(standin.Options{Worker: "w1", Total: means, Objects: objects})}
+	t.Cleanup(f.worker.Close)
+	f.restart("first")
+	t.Cleanup(func() { f.stop() })
+	return f
+}
+
+func (f *fixture) restart(self ident.Incarnation) {
+	if f.stop != nil {
+		f.stop()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	f.self = self
+	f.ledger = ledger.New(means)
+	f.runner = runner.New(runner.Config{Incarnation: self, Worker: f.worker, Ledger: f.ledger, Log: zap.NewNop()})
+	if err := f.runner.Restore(ctx); err != nil {
+		f.t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		f.runner.Run(ctx)
+		close(done)
+	}()
+	f.stop = func() {
+		cancel()
+		<-done
+	}
+}
+
+func (f *fixture) send(o *owner, m wire.Message) {
+	if !f.runner.HandleMessage(o, m) {
+		f.t.Fatal("the runner is overloaded")
+	}
+	synctest.Wait()
+}
+
+// startTask starts the first attempt of the plan under epoch 1.
+func (f *fixture) startTask(o *owner, command string) {
+	f.send(o, &wire.StartTask{
+		Partition: partition, Epoch: 1, Task: plan, Attempt: 1, Incarnation: f.self, Command: command,
+		Size: sizes.Resources{Processors: 1000, Memory: 400}, Until: f.runner.Now() + int64(agentLease),
+	})
+}
+
+func (f *fixture) grant(o *owner, epoch ident.Epoch) {
+	f.send(o, &wire.HeartbeatAck{
+		Until:   f.runner.Now() + int64(agentLease),
+		Granted: []wire.PartitionEpoch{{Partition: partition, Epoch: epoch}},
+	})
+}
+
+// renewFor grants leases every 5 s for d.
+func (f *fixture) renewFor(o *owner, epoch ident.Epoch, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		f.grant(o, epoch)
+		time.Sleep(5 * time.Second)
+	}
+}
+
+func (f *fixture) wantStates(o *owner, want ...wire.TaskState) {
+	f.t.Helper()
+	synctest.Wait()
+	got := o.states()
+	if len(got) != len(want) {
+		f.t.Fatalf("reported states %v, want %v", got, want)
+	}
+	for i := range want {
+		if got[i] != want[i] {
+			f.t.Fatalf("reported states %v, want %v", got, want)
+		}
+	}
+}
+
+// Guards against a task that is not reported, reported once only, or keeps its resources after its end.
+func TestTaskRunsToItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, o := newFixture(t), &owner{}
+		f.send(o, &wire.Adopt{Partition: partition, Epoch: 1})
+		f.send(o, &wire.Reconcile{Partition: partition, Epoch: 1})
+		f.startTask(o, "run=60s")
+		if got := f.ledger.Given().Memory; got != 400 {
+			t.Errorf("%d bytes reserved, want 400", got)
+		}
+		f.renewFor(o, 1, 70*time.Second)
+		f.wantStates(o, wire.TaskRunning, wire.TaskFinished)
+		f.send(o, &wire.TaskReportAck{Task: plan, Attempt: 1})
+		time.Sleep(time.Second)
+		if n := f.runner.Unreported(); n != 0 {
+			t.Errorf("%d attempts held after the acknowledgement", n)
+		}
+		if got := f.ledger.Given(); got != (sizes.Resources{}) {
+			t.Errorf("%v still reserved", got)
+		}
+	})
+}
+
+// Guards against starts that the owner can no longer answer for: each must be refused before the worker sees it.
+func TestStartIsRefused(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(f *fixture, m *wire.StartTask)
+	}{
+		{"older epoch", func(_ *fixture, m *wire.StartTask) { m.Epoch = 1 }},
+		{"incarnation before a restart", func(_ *fixture, m *wire.StartTask) { m.Incarnation = "before" }},
+		{"lapsed lease", func(f *fixture, m *wire.StartTask) { m.Until = f.runner.Now() }},
+		{"too large", func(_ *fixture, m *wire.StartTask) { m.Size.Memory = 1001 }},
+		{"leaving", func(f *fixture, _ *wire.StartTask) { f.runner.SetLeaving() }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, o := newFixture(t), &owner{}
+				f.send(o, &wire.Adopt{Partition: partition, Epoch: 2})
+				m := &wire.StartTask{Partition: partition, Epoch: 2, Task: plan, Attempt: 1, Incarnation: f.self,
+					Command: "run=1s", Until: f.runner.Now() + int64(agentLease)}
+				c.change(f, m)
+				f.send(o, m)
+				f.wantStates(o, wire.TaskRefused)
+				if h := f.worker.History(); len(h) != 0 {
+					t.Errorf("the worker ran %v", h)
+				}
+			})
+		})
+	}
+}
+
+// Guards against work lost by a lapsed lease: without renewal the task pauses in place, and goes on after the owner has
+// seen the inventory again.
+func TestLapsedLeasePausesAndResumes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, o := newFixture(t), &owner{}
+		f.startTask(o, "run=30s")
+		time.Sleep(60 * time.Second)
+		f.wantStates(o, wire.TaskRunning)
+		f.send(o, &wire.Adopt{Partition: partition, Epoch: 2})
+		if i := o.inventory(); len(i.Held) != 1 || i.Held[0].State != wire.TaskPaused {
+			t.Fatalf("inventory %+v, want one paused attempt", i)
+		}
+		f.grant(o, 2)
+		time.Sleep(20 * time.Second)
+		f.wantStates(o, wire.TaskRunning) // a grant before Reconcile renews nothing
+		f.send(o, &wire.Reconcile{Partition: partition, Epoch: 2})
+		f.renewFor(o, 2, 20*time.Second)
+		f.wantStates(o, wire.TaskRunning, wire.TaskFinished)
+	})
+}
+
+// Guards against an agent that forgets after its restart what its worker runs, or lets a deposed owner act on it.
+func TestRestartedAgentKeepsTasksAndFences(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, before, after := newFixture(t), &owner{}, &owner{}
+		f.startTask(before, "run=10s")
+		f.restart("second")
+		if got := f.ledger.Given().Memory; got != 400 {
+			t.Errorf("%d bytes reserved after the restart, want 400", got)
+		}
+		f.send(after, &wire.Adopt{Partition: partition, Epoch: 2})
+		if i := after.inventory(); i == nil || len(i.Held) != 1 {
+			t.Fatalf("inventory %+v, want the running attempt", i)
+		}
+		f.send(before, &wire.StopTask{Partition: partition, Epoch: 1, Task: plan, Attempt: 1, Reason: wire.StopCancel})
+		f.send(before, &wire.Adopt{Partition: partition, Epoch: 1})
+		if i := before.inventory(); i == nil || i.Epoch != 2 {
+			t.Errorf("the deposed owner got inventory %+v, want one that names epoch 2", i)
+		}
+		f.send(after, &wire.Reconcile{Partition: partition, Epoch: 2})
+		f.renewFor(after, 2, 15*time.Second)
+		f.wantStates(after, wire.TaskFinished)
+	})
+}
+
+// Guards against an eviction that loses progress or leaves the attempt running.
+func TestEvictionLeavesCheckpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, o := newFixture(t), &owner{}
+		f.startTask(o, "run=60s")
+		time.Sleep(5 * time.Second)
+		f.send(o, &wire.StopTask{Partition: partition, Epoch: 1, Task: plan, Attempt: 1, Reason: wire.StopEvict})
+		f.wantStates(o, wire.TaskRunning, wire.TaskEvicted)
+		last, ok := o.messages[len(o.messages)-1].(*wire.TaskReport)
+		if !ok || last.Checkpoint == "" {
+			t.Fatalf("last message %+v, want a report with a checkpoint", o.messages[len(o.messages)-1])
+		}
+		f.send(o, &wire.TaskReportAck{Task: plan, Attempt: 1})
+		f.send(o, &wire.StartTask{Partition: partition, Epoch: 1, Task: plan, Attempt: 2, Incarnation: f.self,
+			Command: "run=60s", Checkpoint: last.Checkpoint, Until: f.runner.Now() + int64(agentLease)})
+		f.renewFor(o, 1, 60*time.Second)
+		f.wantStates(o, wire.TaskRunning, wire.TaskEvicted, wire.TaskRunning, wire.TaskFinished)
+	})
+}
+
+// Guards against a task that the owner has moved elsewhere and that goes on here.
+func TestReconcileStopsSuperseded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, o := newFixture(t), &owner{}
+		f.startTask(o, "run=60s")
+		f.send(o, &wire.Adopt{Partition: partition, Epoch: 2})
+		f.send(o, &wire.Reconcile{Partition: partition, Epoch: 2, Drop: o.inventory().Held})
+		f.renewFor(o, 2, 10*time.Second)
+		list, err := f.worker.Tasks(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, s := range list {
+			if s.State != worker.Stopped {
+				t.Errorf("attempt %v is %v, want Stopped", s.Ref, s.State)
+			}
+		}
+		if f.ledger.Given() != (sizes.Resources{}) {
+			t.Errorf("%v still reserved", f.ledger.Given())
+		}
+	})
+}
--- /dev/null
+++ b/internal/host/runner/task.go
@@ -0,0 +1,88 @@
+package runner
+
+import (
+	"time"
+
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/host/ledger"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/plat/worker"
+)
+
+type phase int
+
+const (
+	phaseStarting phase = iota + 1 // the worker has not confirmed the start
+	phaseRunning                   // the worker has confirmed the start; the task may be paused
+)
+
+// task is an attempt on this worker, from its start until its end is acknowledged.
+type task struct {
+	partition ident.Partition
+	ref       worker.Ref
+	size      sizes.Resources
+	start     worker.Start
+	phase     phase
+	given     bool            // a start was sent to the worker, so that it may hold the attempt
+	calling   bool            // a call to the worker is in progress
+	stopping  wire.StopReason // 0 while the attempt may go on
+	fence     bool            // the worker lost the attempt; a Stop makes sure that it never runs
+	startedAt time.Time       // when the worker confirmed the start
+	status    worker.Status   // as of the last poll
+	final     *wire.TaskReport
+	acked     bool
+}
+
+func (t *task) holder() ledger.Holder { return ledger.Holder("task/" + t.ref.Task.String()) }
+
+// end records the final report of the attempt.
+func (t *task) end(m *wire.TaskReport) { t.final = m }
+
+// held describes the attempt for an inventory.
+func (t *task) held() wire.Held {
+	h := wire.Held{Task: t.ref.Task, Attempt: t.ref.Attempt, State: wire.TaskRunning, Size: t.size}
+	switch {
+	case t.final != nil:
+		h.State = t.final.State
+	case t.status.State == worker.Paused:
+		h.State = wire.TaskPaused
+	}
+	return h
+}
+
+// report returns a report of the attempt in the given state.
+func (t *task) report(s wire.TaskState, detail string) *wire.TaskReport {
+	return &wire.TaskReport{
+		Partition: t.partition,
+		Task:      t.ref.Task,
+		Attempt:   t.ref.Attempt,
+		State:     s,
+		Detail:    detail,
+		Used:      t.status.Peak,
+		RunTime:   int64(t.status.RunTime),
+	}
+}
+
+// reportOf translates the status of an ended attempt into its final report.
+func reportOf(t *task, s worker.Status) *wire.TaskReport {
+	t.status = s
+	switch s.State {
+	case worker.Done:
+		m := t.report(wire.TaskFinished, "")
+		m.Result = s.Result
+		return m
+	case worker.Failed:
+		return t.report(wire.TaskFailed, s.Detail)
+	default:
+		if t.stopping == wire.StopCancel || t.stopping == wire.StopSuperseded {
+			return t.report(wire.TaskStopped, s.Detail)
+		}
+		m := t.report(wire.TaskEvicted, s.Detail)
+		m.Checkpoint = s.Checkpoint
+		return m
+	}
+}
+
+// isEnding reports whether the attempt must not go on; an eviction lets it go on until its checkpoint is written.
+func (t *task) isEnding() bool { return t.stopping != 0 && t.stopping != wire.StopEvict }
--- a/internal/plat/worker/worker.go
+++ b/internal/plat/worker/worker.go
@@ -73,6 +73,7 @@
 	Command    string
 	Size       sizes.Resources
 	Checkpoint string    // object to resume from; empty for none
+	Label      string    // kept for the caller, who cannot tell otherwise after a restart why it started the task
 	Deadline   time.Time // end of the lease, wall clock
 }
 
@@ -86,6 +87,7 @@
 type Status struct {
 	Ref
 	State      State
+	Label      string          // as in Start
 	Size       sizes.Resources // as in Start
 	Deadline   time.Time
 	Limit      int64           // processors, as in Throttle
--- a/internal/stand/worker/calls.go
+++ b/internal/stand/worker/calls.go
@@ -91,7 +91,9 @@
 	if err := w.admit(s, now); err != nil {
 		return err
 	}
-	r := &run{Status: worker.Status{Ref: s.Ref, State: worker.Loading, Size: s.Size, Deadline: s.Deadline}, order: w.starts}
+	r := &run{Status: worker.Status{
+		Ref: s.Ref, State: worker.Loading, Label: s.Label, Size: s.Size, Deadline: s.Deadline,
+	}, order: w.starts}
 	w.starts++
 	w.seen[s.Task] = s.Attempt
 	w.runs[s.Ref] = r
