--- /dev/null
+++ b/internal/plat/notice/notice.go
@@ -0,0 +1,94 @@
+package notice
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/plat/remote"
+)
+
+// Path of the announcement, by POST.
+const Path = "/v1/announce"
+
+// Period is the time between two announcements of a target.
+const Period = 500 * time.Millisecond
+
+// RequestHeader names the HTTP request header with the identity of a request, which a target may record.
+const RequestHeader = "Trefoilramp-Request"
+
+//go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type State -output state_string.go
+
+// State is the state that a target announces.
+type State int
+
+// States of targets.
+const (
+	Ready   State = iota + 1
+	Leaving       // takes no new work
+)
+
+// MarshalText returns the state's name.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText reads a state's name.
+func (s *State) UnmarshalText(b []byte) error {
+	for c := Ready; c <= Leaving; c++ {
+		if c.String() == string(b) {
+			*s = c
+			return nil
+		}
+	}
+	return errors.Newf("state %q is neither Ready nor Leaving", b)
+}
+
+// Announcement is the body of POST /v1/announce.
+type Announcement struct {
+	Target      string
+	Service     string
+	Address     string // host:port where the target accepts requests
+	Slots       int64  // requests that it runs at one time
+	Connections int64  // open connections, including streams that hold no slot
+	State       State
+}
+
+// Validate returns the first fault.
+func (a Announcement) Validate() error {
+	switch {
+	case !ident.IsName(a.Target):
+		return errors.Newf("Target %q is no name", a.Target)
+	case !ident.IsName(a.Service):
+		return errors.Newf("Service %q is no name", a.Service)
+	case a.Slots <= 0 || a.Connections < a.Slots:
+		return errors.Newf("Slots %d is not positive or exceeds Connections %d", a.Slots, a.Connections)
+	case a.State != Ready && a.State != Leaving:
+		return errors.Newf("State is neither Ready nor Leaving")
+	}
+	host, port, err := net.SplitHostPort(a.Address)
+	if err != nil || host == "" || port == "" || port == "0" {
+		return errors.Newf("Address %q is not of the form HOST:PORT", a.Address)
+	}
+	return nil
+}
+
+// Send announces a target through a client of its agent; the error says whether the agent refused or was not reached.
+func Send(ctx context.Context, c *remote.Client, a Announcement) error {
+	b, err := json.Marshal(a)
+	if err != nil {
+		return fmt.Errorf("encode announcement: %w", err)
+	}
+	res, err := c.Do(ctx, http.MethodPost, Path, b)
+	if err != nil {
+		return fmt.Errorf("announce: %w", err)
+	}
+	if res.Status >= http.StatusMultipleChoices {
+		return errors.Newf("announce: the agent responded with status %d", res.Status)
+	}
+	return nil
+}
--- a/internal/stand/script/action.go
+++ b/internal/stand/script/action.go
@@ -1,10 +1,6 @@
 package script
 
-import (
-	"fmt"
-
-	"github.com/cockroachdb/errors"
-)
+import "github.com/cockroachdb/errors"
 
 //go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type Action -output action_string.go
 
@@ -32,16 +28,8 @@
 			return nil
 		}
 	}
-	return errors.Newf("action %q is none of Down, Slow, LoseBefore, LoseAfter, LoseLate", b)
+	return errors.Newf("action %q is none of %s", b, a.Allowed())
 }
 
-// LosesResponse reports whether the caller gets no response.
-func (a Action) LosesResponse() bool { return a == LoseBefore || a == LoseAfter || a == LoseLate }
-
-// Validate reports an action that does nothing.
-func (a Action) Validate() error {
-	if a <= None || a > LoseLate {
-		return fmt.Errorf("action %v does nothing", a)
-	}
-	return nil
-}
+// Allowed implements strict.Allower.
+func (*Action) Allowed() string { return "Down, Slow, LoseBefore, LoseAfter or LoseLate" }
--- a/internal/stand/script/script.go
+++ b/internal/stand/script/script.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"trefoilramp.org/trefoilramp/internal/conf/model"
+	"trefoilramp.org/trefoilramp/internal/conf/strict"
 )
 
 // Rule is one fault of a script; it applies to matching calls only.
@@ -14,26 +18,38 @@
 	Action Action
 	Kind   string   `json:",omitempty"` // kind of call, named by the stand-in; empty for all kinds
 	Client string   `json:",omitempty"` // name of the client; empty for all clients
-	First  uint64   `json:",omitempty"` // first matching call that is affected, counted from 1 at Set; 0 is the same as 1
-	Count  uint64   `json:",omitempty"` // number of calls affected; 0 for no bound
+	First  int64    `json:",omitempty"` // first matching call that is affected, counted from 1 at Set; 0 is the same as 1
+	Count  int64    `json:",omitempty"` // number of calls affected; 0 for no bound
 	For    Duration `json:",omitempty"` // time since Set for which the rule applies; 0 until it is cleared
 	Delay  Duration `json:",omitempty"` // of Slow and the lost responses
 }
 
-// Validate reports the first fault of the rule.
-func (r Rule) Validate() error {
-	if err := r.Action.Validate(); err != nil {
-		return err
+// Duration is the form of a length of time in scripts.
+type Duration = model.Duration
+
+// Check records every fault of the rules.
+func Check(c strict.Check, rules []Rule) {
+	for i, r := range rules {
+		r.check(c.Index(i))
 	}
-	if r.For < 0 || r.Delay < 0 {
-		return errors.New("For and Delay are not negative")
+}
+
+func (r Rule) check(c strict.Check) {
+	if r.Action <= None || r.Action > LoseLate {
+		c.Field("Action").Fail(r.Action, "%s", (*Action)(nil).Allowed())
 	}
+	strict.Between(c.Field("First"), r.First, 0, math.MaxInt64)
+	strict.Between(c.Field("Count"), r.Count, 0, math.MaxInt64)
+	model.CheckDuration(c.Field("For"), r.For, 0, maxTime)
+	model.CheckDuration(c.Field("Delay"), r.Delay, 0, maxTime)
 	if r.Action == Slow && r.Delay == 0 {
-		return errors.New("a Slow rule needs a Delay")
+		c.Field("Delay").Missing("a duration above 0s")
 	}
-	return nil
 }
 
+// maxTime bounds the durations of a rule.
+const maxTime = 24 * time.Hour
+
 // Fault is what happens to one call.
 type Fault struct {
 	Action Action
@@ -49,17 +65,19 @@
 type active struct {
 	Rule
 	until time.Time // zero for no end
-	calls uint64
+	calls int64
 }
 
 // Set replaces all rules; an empty list clears the script.
 func (s *Script) Set(rules ...Rule) error {
+	c := strict.NewCheck()
+	Check(c.Field("Rules"), rules)
+	if err := c.Faults().Err(); err != nil {
+		return fmt.Errorf("fault script: %w", err)
+	}
 	list := make([]*active, 0, len(rules))
 	now := time.Now()
-	for i, r := range rules {
-		if err := r.Validate(); err != nil {
-			return fmt.Errorf("rule %d: %w", i, err)
-		}
+	for _, r := range rules {
 		a := &active{Rule: r}
 		if r.For > 0 {
 			a.until = now.Add(time.Duration(r.For))
