Add the standin subcommand

One command runs each stand-in as a process from a settings file. main.go lists the command, since an unlisted one would fail the unused check.

--- a/cmd/trefoilramp/main.go
+++ b/cmd/trefoilramp/main.go
@@ -13,6 +13,9 @@
 	app := &cli.Command{
 		Name:  "trefoilramp",
 		Usage: "schedule latency-critical and batch work that share instances",
+		Commands: []*cli.Command{
+			standinCommand(),
+		},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "trefoilramp: "+err.Error())
--- /dev/null
+++ b/cmd/trefoilramp/standin.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"trefoilramp.org/trefoilramp/internal/conf/strict"
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/plat/table"
+	"trefoilramp.org/trefoilramp/internal/stand/host"
+	"trefoilramp.org/trefoilramp/internal/stand/store"
+	"trefoilramp.org/trefoilramp/internal/stand/target"
+	"trefoilramp.org/trefoilramp/internal/stand/worker"
+)
+
+const standinUsage = `trefoilramp standin store|worker|target --settings FILE [--check] [--json]
+
+Runs a stand-in for a service of the platform, for tests and demonstrations. The settings file is one JSON object in
+Pascal case; --check reads it, reports every fault with its path, and exits. SIGTERM or SIGINT stops the stand-in; a
+target announces Leaving first and finishes its requests. The log goes to standard error as JSON.`
+
+// standinDrain is the time that a store or worker gives to requests in progress at its end.
+const standinDrain = 5 * time.Second
+
+func standinCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "standin",
+		Usage:       "run a stand-in for a service of the platform",
+		Description: standinUsage,
+		Action: func(_ context.Context, c *cli.Command) error {
+			return fmt.Errorf("standin needs store, worker or target, got %q", c.Args().First())
+		},
+		OnUsageError: oneLine,
+		Commands: []*cli.Command{
+			standinKind("store", "the transactional table service and object store", &store.Settings{}, runStore),
+			standinKind("worker", "a worker that runs simulated tasks", &worker.Settings{}, runWorker),
+			standinKind("target", "a back end of a service", &target.Settings{}, runTarget),
+		},
+	}
+}
+
+// standinKind returns the command of one kind of stand-in with settings of type S.
+func standinKind[S host.Settings](name, usage string, s S, run func(context.Context, S, *zap.Logger) error) *cli.Command {
+	return &cli.Command{
+		Name:  name,
+		Usage: usage,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`, required"},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+			&cli.BoolFlag{Name: "json", Usage: "write the outcome of --check as JSON"},
+		},
+		OnUsageError: oneLine,
+		Action: func(ctx context.Context, c *cli.Command) error {
+			switch {
+			case c.Args().Present():
+				return fmt.Errorf("standin %s takes no argument, got %q", name, c.Args().First())
+			case c.String("settings") == "":
+				return fmt.Errorf("standin %s needs --settings FILE", name)
+			}
+			err := host.Load(c.String("settings"), s)
+			if c.Bool("check") {
+				return reportCheck(c.Root().Writer, c.Bool("json"), err)
+			}
+			if err != nil {
+				return err
+			}
+			log, err := standinLog(name)
+			if err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			return run(ctx, s, log)
+		},
+	}
+}
+
+// oneLine returns an error of usage without the help text that the library would print.
+func oneLine(_ context.Context, _ *cli.Command, err error, _ bool) error { return err }
+
+// standinLog returns a log in JSON on standard error, with its fields in Pascal case.
+func standinLog(name string) (*zap.Logger, error) {
+	cfg := zap.NewProductionConfig()
+	cfg.DisableCaller = true
+	cfg.DisableStacktrace = true
+	cfg.EncoderConfig.TimeKey = "Time"
+	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.EncoderConfig.LevelKey = "Level"
+	cfg.EncoderConfig.MessageKey = "Message"
+	log, err := cfg.Build(zap.Fields(zap.String("StandIn", name)))
+	if err != nil {
+		return nil, fmt.Errorf("open log: %w", err)
+	}
+	return log, nil
+}
+
+// checkOutcome is the form of --check --json.
+type checkOutcome struct {
+	Valid  bool
+	Faults strict.Faults
+}
+
+func reportCheck(w io.Writer, asJSON bool, err error) error {
+	if asJSON {
+		if e := json.NewEncoder(w).Encode(checkOutcome{err == nil, strict.FaultsOf(err)}); e != nil {
+			return fmt.Errorf("write outcome: %w", e)
+		}
+		return err
+	}
+	if err == nil {
+		fmt.Fprintln(w, "settings are valid")
+	}
+	return err
+}
+
+func runStore(ctx context.Context, s *store.Settings, log *zap.Logger) error {
+	st := store.New(store.Options{
+		WritesPerSecond: s.WritesPerSecond, ReadsPerSecond: s.ReadsPerSecond, Latency: s.Latency.Std(),
+	})
+	if err := st.Faults().Set(s.Faults...); err != nil {
+		return err
+	}
+	l, err := host.Listen(ctx, s.Address)
+	if err != nil {
+		return err
+	}
+	return host.Serve(ctx, l, st.Handler(), standinDrain, log)
+}
+
+func runWorker(ctx context.Context, s *worker.Settings, log *zap.Logger) error {
+	objects := table.NewClient(table.Options{URL: s.Store, Name: s.Worker, Log: log})
+	defer objects.Close()
+	w := worker.New(worker.Options{
+		Worker: ident.Worker(s.Worker), Zone: ident.AvailabilityZone(s.AvailabilityZone), Rack: s.Rack,
+		Total: s.Total, Lag: s.Lag.Std(), Objects: objects,
+	})
+	defer w.Close()
+	w.SetFailing(s.FailStarts)
+	if err := w.Faults().Set(s.Faults...); err != nil {
+		return err
+	}
+	l, err := host.Listen(ctx, s.Address)
+	if err != nil {
+		return err
+	}
+	return host.Serve(ctx, l, w.Handler(), standinDrain, log)
+}
+
+func runTarget(ctx context.Context, s *target.Settings, log *zap.Logger) error {
+	t := target.New(target.Options{
+		Target: s.Target, Service: s.Service, Slots: s.Slots, Connections: s.Connections,
+		Times: s.Times.Times(), Seed: uint64(s.Seed), Log: log,
+	})
+	if err := t.Faults().Set(s.Faults...); err != nil {
+		return err
+	}
+	l, err := host.Listen(ctx, s.Address)
+	if err != nil {
+		return err
+	}
+	return t.Run(ctx, l, target.Process{Agent: s.Agent, Leave: s.Leave.Std(), Drain: s.Drain.Std()})
+}
