--- /dev/null
+++ b/internal/batch/commit/commit_test.go
@@ -0,0 +1,197 @@
+package commit_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/batch/commit"
+	"trefoilramp.org/trefoilramp/internal/batch/lease"
+	"trefoilramp.org/trefoilramp/internal/batch/part"
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/plat/table"
+	"trefoilramp.org/trefoilramp/internal/stand/script"
+	"trefoilramp.org/trefoilramp/internal/stand/store"
+)
+
+var partition = ident.Partition{Zone: "konya", Number: 1}
+
+// owner is the writer of a partition.
+type owner struct {
+	t     *testing.T
+	taken commit.Taken
+	state *part.State
+	j     *commit.Journal
+	jobs  int
+}
+
+func take(t *testing.T, s table.Store, name ident.Entry) *owner {
+	t.Helper()
+	ctx := t.Context()
+	heads, err := commit.ReadHeads(ctx, s, partition.Zone)
+	if err != nil {
+		t.Fatal(err)
+	}
+	taken, err := commit.Take(ctx, s, partition, commit.Self{Name: name, Incarnation: "1"}, heads[partition])
+	if err != nil {
+		t.Fatal(err)
+	}
+	state, tail, err := commit.Load(ctx, s, taken)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := commit.Config{Store: s, Terms: lease.Default(), Spacing: 10 * time.Millisecond, Log: zap.NewNop()}
+	o := &owner{t: t, taken: taken, state: state}
+	o.j = commit.NewJournal(cfg, taken, tail, lease.NewOwner(cfg.Terms, taken.Sent))
+	return o
+}
+
+// run starts the journal and returns a function that stops it and returns its error.
+func (o *owner) run() func() error {
+	ctx, cancel := context.WithCancel(o.t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- o.j.Run(ctx) }()
+	return func() error {
+		cancel()
+		return <-ended
+	}
+}
+
+// accept appends one job and returns its mark.
+func (o *owner) accept(name string) uint64 {
+	o.t.Helper()
+	o.jobs++
+	spec := &wire.JobSpec{Job: ident.Job(name), Tasks: 1}
+	e := &part.Event{Kind: part.JobAccepted, Job: spec.Job, Spec: spec,
+		Shares: []part.Placed{{Partition: partition, Range: wire.Range{To: 1}}}}
+	if err := o.state.Apply(o.taken.Head.Epoch, e); err != nil {
+		o.t.Fatal(err)
+	}
+	return o.j.Append(false, e)
+}
+
+func (o *owner) await(mark uint64) {
+	for o.j.Durable() < mark {
+		<-o.j.News()
+		o.snapshot()
+	}
+}
+
+func (o *owner) snapshot() {
+	if !o.j.IsSnapshotDue() {
+		return
+	}
+	b, err := o.state.Snapshot()
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	o.j.Offer(o.t.Context(), b)
+}
+
+func jobsOf(s *part.State) int {
+	n := 0
+	for range s.Jobs() {
+		n++
+	}
+	return n
+}
+
+// Guards against events that are lost, doubled or reordered when responses are lost before, after or long before the
+// effect, when the store is down or over its budget, and when the journal ring wraps around.
+func TestJournalSurvivesFaults(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rnd := rand.New(rand.NewPCG(seed, 1))
+				s := store.New(store.Options{Latency: 3 * time.Millisecond, WritesPerSecond: 60})
+				o := take(t, s, "a")
+				stop := o.run()
+				actions := []script.Action{script.Down, script.LoseBefore, script.LoseAfter, script.LoseLate, script.Slow}
+				for i := range 700 {
+					if i%20 == 0 {
+						err := s.Faults().Set(script.Rule{Action: actions[rnd.IntN(len(actions))], Count: rnd.Uint64N(4) + 1,
+							Delay: script.Duration(rnd.Int64N(int64(9*time.Second)) + 1)})
+						if err != nil {
+							t.Fatal(err)
+						}
+					}
+					mark := o.accept(fmt.Sprintf("j%d", i))
+					if rnd.IntN(2) == 0 {
+						o.await(mark)
+					}
+				}
+				s.Faults().Clear()
+				o.await(o.j.Mark())
+				if err := stop(); !errors.Is(err, context.Canceled) {
+					t.Errorf("journal ended with %v", err)
+				}
+				if got := jobsOf(take(t, s, "b").state); got != 700 {
+					t.Errorf("recovered %d jobs, want 700", got)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a deposed owner that adds a row or takes itself for the owner, and against a late effect of its last
+// transaction.
+func TestDeposedOwnerCannotCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(store.Options{})
+		a := take(t, s, "a")
+		a.accept("before")
+		if err := s.Faults().Set(script.Rule{Action: script.LoseLate, Kind: store.KindTransact, Count: 1,
+			Delay: script.Duration(time.Minute)}); err != nil {
+			t.Fatal(err)
+		}
+		stop := a.run()
+		time.Sleep(10 * time.Millisecond) // the transaction is lost and will take effect in a minute
+		b := take(t, s, "b")
+		time.Sleep(2 * time.Minute)
+		if err := stop(); !errors.Is(err, commit.ErrDeposed) {
+			t.Errorf("journal of the deposed owner ended with %v, want ErrDeposed", err)
+		}
+		if a.j.Durable() != 0 {
+			t.Error("the deposed owner counts its event as durable")
+		}
+		if got := jobsOf(take(t, s, "c").state); got != jobsOf(b.state) {
+			t.Errorf("recovered %d jobs, the owner had %d", got, jobsOf(b.state))
+		}
+	})
+}
+
+// Guards against a takeover that two entries win and against a handover that the next owner cannot tell from a death.
+func TestTakeAndHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(store.Options{})
+		if err := s.Faults().Set(script.Rule{Action: script.LoseAfter, Kind: store.KindTransact, Count: 1}); err != nil {
+			t.Fatal(err)
+		}
+		a := take(t, s, "a")
+		if a.taken.Head.Epoch != 1 || !a.taken.HandedOver {
+			t.Errorf("first owner: epoch %d, handed over %v", a.taken.Head.Epoch, a.taken.HandedOver)
+		}
+		_, err := commit.Take(t.Context(), s, partition, commit.Self{Name: "b"}, commit.Versioned{})
+		if !errors.Is(err, commit.ErrDeposed) {
+			t.Errorf("second entry got %v, want ErrDeposed", err)
+		}
+		a.accept("job")
+		a.j.Close()
+		if err := a.j.Run(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if err := a.j.HandOver(t.Context(), true); err != nil {
+			t.Fatal(err)
+		}
+		if b := take(t, s, "b"); !b.taken.HandedOver || b.taken.Head.Epoch != 2 || jobsOf(b.state) != 1 {
+			t.Errorf("next owner: %+v, %d jobs", b.taken, jobsOf(b.state))
+		}
+	})
+}
--- /dev/null
+++ b/internal/batch/commit/take.go
@@ -0,0 +1,121 @@
+package commit
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"trefoilramp.org/trefoilramp/internal/batch/part"
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/plat/table"
+)
+
+// ErrDeposed means that another owner has taken the partition; ErrCorrupt that its rows contradict each other.
+var (
+	ErrDeposed = errors.New("partition has another owner")
+	ErrCorrupt = errors.New("journal is corrupt")
+)
+
+// Self identifies the entry that owns partitions.
+type Self struct {
+	Name        ident.Entry
+	Incarnation ident.Incarnation
+}
+
+// Taken is the outcome of a takeover.
+type Taken struct {
+	Partition  ident.Partition
+	Head       Versioned // the new head row
+	Previous   Head
+	Sent       time.Time // when the request that proved the takeover was sent
+	Swapped    time.Time // a time after the compare-and-swap
+	HandedOver bool      // the previous owner had stopped granting, or there was none
+}
+
+// Take writes the head row with the next epoch, on condition that it is as given. It repeats the same transaction until
+// the outcome is known and returns ErrDeposed when another entry was faster.
+func Take(ctx context.Context, s table.Store, p ident.Partition, self Self, prev Versioned) (Taken, error) {
+	head := prev.Head
+	head.Owner, head.Incarnation, head.HandedOver = self.Name, self.Incarnation, false
+	head.Epoch++
+	head.Txn = ident.NewTxn()
+	t := table.Transaction{
+		Txn:        head.Txn,
+		Conditions: []table.Condition{{Key: headKey(p), Version: prev.Version}},
+		Puts:       []table.Put{{Key: headKey(p), Value: encode(head)}},
+	}
+	out, err := settle(ctx, s, t)
+	if err != nil {
+		return Taken{}, fmt.Errorf("take partition %s: %w", p, err)
+	}
+	return Taken{
+		Partition: p, Head: Versioned{head, out.version}, Previous: prev.Head, Sent: out.sent, Swapped: time.Now(),
+		HandedOver: prev.HandedOver || prev.Version == 0,
+	}, nil
+}
+
+// Tail is where the journal of a loaded partition goes on.
+type Tail struct {
+	Seq      uint64            // of the last row
+	versions [RingSlots]uint64 // of the slots' rows
+}
+
+// Load reads snapshot and journal. It must follow Take: from then on no earlier owner can add a row, since every row is
+// written on condition of the head row's version.
+func Load(ctx context.Context, s table.Store, t Taken) (*part.State, *Tail, error) {
+	state, tail := part.New(), &Tail{Seq: t.Head.SnapshotSeq}
+	if t.Head.Snapshot != "" {
+		b, err := s.GetObject(ctx, t.Head.Snapshot)
+		if err != nil {
+			return nil, nil, fmt.Errorf("snapshot %s: %w", t.Head.Snapshot, err)
+		}
+		if state, err = part.Restore(b); err != nil {
+			return nil, nil, err
+		}
+	}
+	from := "log/" + t.Partition.String() + "/"
+	rows, err := s.Range(ctx, from, from+"\xff", RingSlots)
+	if err != nil {
+		return nil, nil, fmt.Errorf("journal of %s: %w", t.Partition, err)
+	}
+	var later []row
+	for _, r := range rows {
+		var v row
+		if err := json.Unmarshal(r.Value, &v); err != nil {
+			return nil, nil, fmt.Errorf("journal row %s: %w", r.Key, err)
+		}
+		tail.versions[v.Seq%RingSlots] = r.Version
+		if v.Seq > t.Head.SnapshotSeq {
+			later = append(later, v)
+		}
+	}
+	slices.SortFunc(later, func(a, b row) int { return int(int64(a.Seq) - int64(b.Seq)) })
+	for _, r := range later {
+		if r.Seq != tail.Seq+1 {
+			return nil, nil, fmt.Errorf("%w: row %d of %s follows %d", ErrCorrupt, r.Seq, t.Partition, tail.Seq)
+		}
+		if err := replay(state, r); err != nil {
+			return nil, nil, fmt.Errorf("row %d of %s: %w", r.Seq, t.Partition, err)
+		}
+		tail.Seq = r.Seq
+	}
+	return state, tail, nil
+}
+
+func replay(state *part.State, r row) error {
+	var events []*part.Event
+	if err := msgpack.Unmarshal(r.Events, &events); err != nil {
+		return fmt.Errorf("decode events: %w", err)
+	}
+	for _, e := range events {
+		if err := state.Apply(r.Epoch, e); err != nil {
+			return fmt.Errorf("%w: %v is refused: %w", ErrCorrupt, e.Kind, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/batch/lease/lease.go
@@ -0,0 +1,73 @@
+package lease
+
+import (
+	"sync"
+	"time"
+)
+
+// Terms are the lengths of the leases, equal in all processes of a deployment.
+type Terms struct {
+	Owner time.Duration // from the send time of the last store request that confirmed the head row
+	Agent time.Duration // from the time at which the agent sent the heartbeat that was answered
+}
+
+// Default returns the usual terms.
+func Default() Terms { return Terms{Owner: 15 * time.Minute, Agent: 20 * time.Second} }
+
+// marginShare is the part of a wait that is added for clocks that run at different rates. 1% is far above the 500 ppm to
+// which operating systems slew a clock.
+const marginShare = 100
+
+func withMargin(d time.Duration) time.Duration { return d + d/marginShare }
+
+// GrantedUntil returns the deadline of a grant on the agent's clock, for a heartbeat that the agent sent at sentAt.
+func (t Terms) GrantedUntil(sentAt int64) int64 { return sentAt + int64(t.Agent) }
+
+// AfterGrant returns when a grant that was answered at the given time has certainly ended.
+func (t Terms) AfterGrant(answered time.Time) time.Time { return answered.Add(withMargin(t.Agent)) }
+
+// AfterTakeover returns when all grants of the previous owner have certainly ended. swapped is a time after the
+// compare-and-swap of the head row; handedOver tells that the previous owner had stopped granting before.
+func (t Terms) AfterTakeover(swapped time.Time, handedOver bool) time.Time {
+	if handedOver {
+		return swapped.Add(withMargin(t.Agent))
+	}
+	return swapped.Add(withMargin(t.Owner + t.Agent))
+}
+
+// Owner is the lease under which an owner grants agent leases; it is safe for concurrent use.
+type Owner struct {
+	length time.Duration
+
+	mu    sync.Mutex
+	until time.Time
+	ended bool
+}
+
+// NewOwner returns a lease that was confirmed by a store request sent at the given time.
+func NewOwner(t Terms, sent time.Time) *Owner {
+	return &Owner{length: t.Owner, until: sent.Add(t.Owner)}
+}
+
+// Confirm extends the lease after a response to a request sent at the given time that proved ownership.
+func (o *Owner) Confirm(sent time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if u := sent.Add(o.length); u.After(o.until) {
+		o.until = u
+	}
+}
+
+// End ends the lease for good; no grant follows.
+func (o *Owner) End() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ended = true
+}
+
+// IsValid reports whether the owner may grant at the given time.
+func (o *Owner) IsValid(now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.ended && now.Before(o.until)
+}
--- a/internal/batch/part/part_test.go
+++ b/internal/batch/part/part_test.go
@@ -24,7 +24,7 @@
 		Index:   rapid.Uint32Range(0, 4).Draw(t, "index"),
 		Attempt: ident.Attempt(rapid.Uint32Range(0, 4).Draw(t, "attempt")),
 		Worker:  rapid.SampledFrom([]ident.Worker{"w1", "w2"}).Draw(t, "worker"),
-		Object:  rapid.SampledFrom([]string{"", "odd", "checkpoint/a/0/1"}).Draw(t, "object"),
+		Object:  rapid.SampledFrom([]string{"", "odd", "checkpoint/a/0/1/1"}).Draw(t, "object"),
 		Final:   rapid.Bool().Draw(t, "final"),
 		Spec:    spec, Shares: []part.Placed{share}, Share: &share, Counts: &wire.Counts{Done: 4}, At: 9,
 	}
--- a/internal/batch/part/state.go
+++ b/internal/batch/part/state.go
@@ -315,6 +315,28 @@
 	}
 }
 
+// Holders returns the workers that hold tasks; a worker may come once for each incarnation of its agent.
+func (s *State) Holders() iter.Seq[ident.Worker] {
+	return func(yield func(ident.Worker) bool) {
+		for h := range s.holders.index {
+			if !yield(h.Worker) {
+				return
+			}
+		}
+	}
+}
+
+// HeldBy returns the tasks that a worker holds.
+func (s *State) HeldBy(w ident.Worker) []Task {
+	var list []Task
+	for t := range s.Held() {
+		if t.Worker == w {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
 // MarkInherited marks all attempts that are held now as started by an earlier owner.
 func (s *State) MarkInherited() {
 	for _, sh := range s.shares {
--- a/internal/batch/part/task.go
+++ b/internal/batch/part/task.go
@@ -45,9 +45,9 @@
 	Inherited  bool   // the attempt was started by an earlier owner
 }
 
-// CheckpointName returns the usual name of the checkpoint object that an attempt writes.
+// CheckpointName returns the usual name of the checkpoint object of an attempt: that of its first checkpoint.
 func CheckpointName(t ident.Task, n ident.Attempt) string {
-	return fmt.Sprintf("checkpoint/%s/%d/%d", t.Job, t.Index, n)
+	return fmt.Sprintf("checkpoint/%s/%d/%d/1", t.Job, t.Index, n)
 }
 
 // ResultName returns the usual name of the result object of an attempt.
