batch/owner, batch/place: own partitions on an entry

Owner takes over, serves and hands over partitions, accepts jobs, places and starts tasks, grants leases, records results and releases tasks of lost workers. The state of a partition has one writer; events are applied when they are queued and take effect outside (StartTask, TaskReportAck, replies) once durable.

Ruled out: repeating an unanswered StartTask. An agent that had refused the first one could accept the second one while the refusal moves the task elsewhere. The owner sends Adopt again instead, and the Inventory tells.

Attempts of an earlier owner that did not hand over wait for that owner's leases even after this owner has adopted the agent: a restarted agent has forgotten the epoch and may first reach the deposed owner.

Shares: ShareAck is sent again with new counts, so that JobStatus shows the progress of remote shares. JobQuery lists are cut to a frame (After, More).

Tests use the real runner and ledger, the worker stand-in and the store stand-in on virtual time: 1,000 tasks with a lost worker and a lost entry; a paused entry and a restarted agent interrupt no task.

--- /dev/null
+++ b/internal/batch/owner/manage.go
@@ -0,0 +1,146 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/batch/commit"
+	"trefoilramp.org/trefoilramp/internal/batch/lease"
+	"trefoilramp.org/trefoilramp/internal/batch/part"
+	"trefoilramp.org/trefoilramp/internal/core/event"
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/point"
+)
+
+const drainPoll = 50 * time.Millisecond
+
+// sleep waits and reports false when ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Run takes over and hands over partitions until ctx ends; it returns when all work of the owner has stopped.
+func (o *Owner) Run(ctx context.Context) {
+	defer o.running.Wait()
+	for {
+		o.review(ctx)
+		if !sleep(ctx, headInterval) {
+			return
+		}
+	}
+}
+
+// review compares the head rows of the candidate partitions with what this entry should own.
+func (o *Owner) review(ctx context.Context) {
+	zones := map[ident.AvailabilityZone][]ident.Partition{}
+	for _, p := range o.cfg.Members.Candidates() {
+		zones[p.Zone] = append(zones[p.Zone], p)
+	}
+	for zone, list := range zones {
+		call, cancel := context.WithTimeout(ctx, headInterval)
+		heads, err := commit.ReadHeads(call, o.cfg.Store, zone)
+		cancel()
+		if err != nil {
+			o.cfg.Log.Debug("head rows not read", zap.Error(err))
+			continue
+		}
+		for _, id := range list {
+			o.reviewOne(ctx, id, heads[id])
+		}
+	}
+}
+
+func (o *Owner) reviewOne(ctx context.Context, id ident.Partition, head commit.Versioned) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	should := o.cfg.Members.ShouldOwn(id) && !o.draining
+	p := o.parts[id]
+	switch {
+	case p != nil && !should:
+		p.inbox.TryPut(p.handOver)
+	case p == nil && should && !o.taking[id] && o.isFree(head):
+		o.taking[id] = true
+		o.running.Add(1)
+		go o.own(ctx, id, head)
+	}
+}
+
+// isFree reports whether a partition may be taken over: it never had an owner, its owner left it, its owner is not alive,
+// or its owner is this process, which failed to load it or lost it.
+func (o *Owner) isFree(head commit.Versioned) bool {
+	return head.Version == 0 || head.Owner == "" || !o.cfg.Members.IsAlive(head.Owner, head.Incarnation) ||
+		(head.Owner == o.cfg.Self.Name && head.Incarnation == o.cfg.Self.Incarnation)
+}
+
+// own takes a partition over and serves it until it is handed over or lost.
+func (o *Owner) own(ctx context.Context, id ident.Partition, head commit.Versioned) {
+	defer o.running.Done()
+	defer func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		delete(o.parts, id)
+		delete(o.taking, id)
+	}()
+	taken, err := commit.Take(ctx, o.cfg.Store, id, o.cfg.Self, head)
+	if err != nil {
+		return // another entry was faster, or ctx ended
+	}
+	if o.cfg.Hook.At(point.TakeoverSwapped, id.String()) != nil {
+		return
+	}
+	state, tail, err := o.load(ctx, taken)
+	if err != nil {
+		return
+	}
+	if o.cfg.Hook.At(point.TakeoverReplayed, id.String()) != nil {
+		return
+	}
+	p := o.enter(taken, state, tail)
+	o.log(event.PartitionTaken, zap.Stringer("Partition", id), zap.Uint64("Epoch", uint64(p.epoch)),
+		zap.Bool("HandedOver", taken.HandedOver))
+	err = p.run(ctx)
+	if err == nil {
+		o.log(event.PartitionHandedOver, zap.Stringer("Partition", id), zap.Uint64("Epoch", uint64(p.epoch)))
+		return
+	}
+	o.log(event.PartitionDeposed, zap.Stringer("Partition", id), zap.Uint64("Epoch", uint64(p.epoch)), zap.Error(err))
+}
+
+// load reads the state, again after a failure, for as long as the entry should own the partition.
+func (o *Owner) load(ctx context.Context, t commit.Taken) (*part.State, *commit.Tail, error) {
+	for {
+		state, tail, err := commit.Load(ctx, o.cfg.Store, t)
+		if err == nil {
+			return state, tail, nil
+		}
+		o.log(event.PartitionUnreadable, zap.Stringer("Partition", t.Partition), zap.Error(err))
+		if errors.Is(err, commit.ErrCorrupt) || !o.cfg.Members.ShouldOwn(t.Partition) || !sleep(ctx, headInterval) {
+			return nil, nil, err
+		}
+	}
+}
+
+// enter makes a loaded partition known to the sessions.
+func (o *Owner) enter(t commit.Taken, state *part.State, tail *commit.Tail) *partition {
+	l := lease.NewOwner(o.cfg.Terms, t.Sent)
+	p := newPartition(o, t, state, l, commit.NewJournal(commit.Config{
+		Store: o.cfg.Store, Terms: o.cfg.Terms, Spacing: o.cfg.spacing(), Log: o.cfg.Log,
+	}, t, tail, l))
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.parts[t.Partition] = p
+	for _, s := range o.sessions {
+		p.sessionUp(s)
+	}
+	return p
+}
--- /dev/null
+++ b/internal/batch/owner/owner.go
@@ -0,0 +1,228 @@
+package owner
+
+import (
+	"context"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/batch/place"
+	"trefoilramp.org/trefoilramp/internal/core/event"
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/point"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+)
+
+// Owner owns the partitions of one entry. Its methods are safe for concurrent use and do not block unless they take a
+// context.
+type Owner struct {
+	cfg   Config
+	board *place.Board
+
+	mu       sync.RWMutex
+	parts    map[ident.Partition]*partition
+	taking   map[ident.Partition]bool
+	sessions map[ident.Worker]*session
+	draining bool
+	running  sync.WaitGroup
+}
+
+// New returns an owner that owns nothing until Run.
+func New(cfg Config) *Owner {
+	return &Owner{
+		cfg: cfg, board: place.NewBoard(), parts: map[ident.Partition]*partition{},
+		taking: map[ident.Partition]bool{}, sessions: map[ident.Worker]*session{},
+	}
+}
+
+// SessionUp tells that a session with an agent has opened.
+func (o *Owner) SessionUp(a Agent) {
+	s := newSession(a)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sessions[s.info.Worker] = s
+	o.board.Up(place.Worker{Name: s.info.Worker, Zone: s.info.Zone, Rack: s.info.Rack, Means: s.info.Means})
+	for _, p := range o.parts {
+		p.sessionUp(s)
+	}
+}
+
+// SessionDown tells that a session has closed. A session that was replaced by a newer one changes nothing.
+func (o *Owner) SessionDown(a Agent) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	w := a.Info().Worker
+	s := o.sessions[w]
+	if s == nil || s.agent != a {
+		return
+	}
+	delete(o.sessions, w)
+	o.board.Down(w)
+	for _, p := range o.parts {
+		p.book.down(s)
+	}
+}
+
+// sessionOf returns the live session of a, or nil.
+func (o *Owner) sessionOf(a Agent) *session {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	if s := o.sessions[a.Info().Worker]; s != nil && s.agent == a {
+		return s
+	}
+	return nil
+}
+
+func (o *Owner) partition(id ident.Partition) *partition {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	return o.parts[id]
+}
+
+func (o *Owner) owned() []*partition {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	list := make([]*partition, 0, len(o.parts))
+	for _, p := range o.parts {
+		list = append(list, p)
+	}
+	return list
+}
+
+// Owns reports whether this entry owns the partition now.
+func (o *Owner) Owns(p ident.Partition) bool { return o.partition(p) != nil }
+
+// Partitions returns the partitions that this entry owns now, with their epochs.
+func (o *Owner) Partitions() []wire.PartitionEpoch {
+	var list []wire.PartitionEpoch
+	for _, p := range o.owned() {
+		list = append(list, wire.PartitionEpoch{Partition: p.id, Epoch: p.epoch})
+	}
+	return list
+}
+
+// HandleAgent handles a message from an agent and reports whether it is one of batch work.
+func (o *Owner) HandleAgent(a Agent, m wire.Message) bool {
+	s := o.sessionOf(a)
+	switch m := m.(type) {
+	case *wire.Heartbeat:
+		if s != nil {
+			o.heartbeat(s, m)
+		}
+	case *wire.Inventory:
+		o.forward(s, m.Partition, func(p *partition) { p.inventory(s, m) })
+	case *wire.TaskReport:
+		o.forward(s, m.Partition, func(p *partition) { p.report(s, m) })
+	default:
+		return false
+	}
+	return true
+}
+
+// forward passes a message to the writer of a partition. A message that finds no room is dropped; its sender repeats it.
+func (o *Owner) forward(s *session, id ident.Partition, f func(*partition)) {
+	if p := o.partition(id); p != nil && s != nil {
+		p.inbox.TryPut(func() { f(p) })
+	}
+}
+
+// heartbeat renews leases and notes the worker's room.
+func (o *Owner) heartbeat(s *session, hb *wire.Heartbeat) {
+	s.hear(hb.SentAt)
+	ack := &wire.HeartbeatAck{Seq: hb.Seq, Until: o.cfg.Terms.GrantedUntil(hb.SentAt)}
+	for _, r := range hb.Renew {
+		if p := o.partition(r.Partition); p != nil && p.epoch == r.Epoch && p.book.grant(s) {
+			ack.Granted = append(ack.Granted, r)
+		}
+	}
+	if o.cfg.Hook.At(point.RenewGranted, string(s.info.Worker)) == nil {
+		o.sendAgent(s, ack)
+	}
+	o.board.Hint(s.info.Worker, hb.Free, hb.Leaving)
+	o.roomChanged(s.info.Zone)
+}
+
+// roomChanged wakes the partitions of a zone that have tasks to place.
+func (o *Owner) roomChanged(zone ident.AvailabilityZone) {
+	for _, p := range o.owned() {
+		if p.id.Zone == zone {
+			signal(p.room)
+		}
+	}
+}
+
+// sendAgent sends a message that is repeated later if it is lost; an error means that the session is ending.
+func (o *Owner) sendAgent(s *session, m wire.Message) {
+	if err := s.agent.Send(m); err != nil {
+		o.cfg.Log.Debug("message to an agent not sent", zap.Error(err), zap.Stringer("Kind", m.Kind()))
+	}
+}
+
+// HandlePeer handles a message from the owner of another partition and reports whether it is one of batch work.
+func (o *Owner) HandlePeer(m wire.Message) bool {
+	var id ident.Partition
+	var f func(p *partition)
+	switch m := m.(type) {
+	case *wire.ShareOffer:
+		id, f = m.Partition, func(p *partition) { p.shareOffered(m) }
+	case *wire.ShareAck:
+		id, f = m.Home, func(p *partition) { p.shareAcknowledged(m) }
+	case *wire.ShareDone:
+		id, f = m.Home, func(p *partition) { p.shareDone(m) }
+	case *wire.ShareDoneAck:
+		id, f = m.Partition, func(p *partition) { p.shareDoneAcknowledged(m) }
+	default:
+		return false
+	}
+	if p := o.partition(id); p != nil {
+		p.inbox.TryPut(func() { f(p) })
+	}
+	return true
+}
+
+// sendPeer sends a message to the owner of a partition, which may be this entry; it is repeated later if it is lost.
+func (o *Owner) sendPeer(id ident.Partition, m wire.Message) {
+	if o.Owns(id) {
+		o.HandlePeer(m)
+		return
+	}
+	if err := o.cfg.Peers.Send(id, m); err != nil {
+		o.cfg.Log.Debug("message to a peer not sent", zap.Error(err), zap.Stringer("Kind", m.Kind()))
+	}
+}
+
+// Evict asks the agent of a running task to write a checkpoint and stop it; the task is queued again once the agent
+// has reported the eviction.
+func (o *Owner) Evict(id ident.Partition, t ident.Task) {
+	if p := o.partition(id); p != nil {
+		p.inbox.TryPut(func() { p.stop(t, wire.StopEvict) })
+	}
+}
+
+func (o *Owner) log(n event.Number, fields ...zap.Field) { event.Log(o.cfg.Log, n, fields...) }
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// Drain hands all partitions over and takes no more; it returns once none is left or ctx ends.
+func (o *Owner) Drain(ctx context.Context) error {
+	o.mu.Lock()
+	o.draining = true
+	o.mu.Unlock()
+	for {
+		list := o.owned()
+		if len(list) == 0 {
+			return nil
+		}
+		for _, p := range list {
+			p.inbox.TryPut(p.handOver)
+		}
+		if !sleep(ctx, drainPoll) {
+			return context.Cause(ctx)
+		}
+	}
+}
--- /dev/null
+++ b/internal/batch/owner/world_test.go
@@ -0,0 +1,356 @@
+package owner_test
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/batch/commit"
+	"trefoilramp.org/trefoilramp/internal/batch/lease"
+	"trefoilramp.org/trefoilramp/internal/batch/owner"
+	"trefoilramp.org/trefoilramp/internal/batch/part"
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/point"
+	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/plat/table"
+	"trefoilramp.org/trefoilramp/internal/stand/store"
+	standin "trefoilramp.org/trefoilramp/internal/stand/worker"
+)
+
+const (
+	zone        = ident.AvailabilityZone("agadir")
+	detectAfter = 8 * time.Second // before a silent entry counts as dead
+	wireDelay   = 3 * time.Millisecond
+)
+
+var (
+	means    = sizes.Resources{Processors: 16000, Memory: 64 << 30}
+	taskSize = sizes.Resources{Processors: 1000, Memory: 1 << 30}
+	errDead  = errors.New("the process is dead")
+)
+
+// gate stops everything that a process does towards others while it is paused, and for good once it is dead.
+type gate struct {
+	mu     sync.Mutex
+	paused chan struct{} // closed on resume; nil while not paused
+	since  time.Time     // of the pause or death
+	dead   bool
+}
+
+// pass waits while the process is paused and reports false once it is dead.
+func (g *gate) pass() bool {
+	for {
+		g.mu.Lock()
+		c, dead := g.paused, g.dead
+		g.mu.Unlock()
+		if dead || c == nil {
+			return !dead
+		}
+		<-c
+	}
+}
+
+func (g *gate) pause(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.paused != nil || g.dead {
+		return
+	}
+	c := make(chan struct{})
+	g.paused, g.since = c, time.Now()
+	time.AfterFunc(d, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.paused = nil
+		close(c)
+	})
+}
+
+func (g *gate) kill() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.dead && g.paused == nil {
+		g.since = time.Now()
+	}
+	g.dead = true
+}
+
+// silentFor returns for how long the process has not been heard.
+func (g *gate) silentFor() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.dead || g.paused != nil {
+		return time.Since(g.since)
+	}
+	return 0
+}
+
+// gatedStore is the store as one entry reaches it.
+type gatedStore struct {
+	table.Store
+	gate *gate
+}
+
+func (s gatedStore) Transact(ctx context.Context, t table.Transaction) (table.Result, error) {
+	if !s.gate.pass() {
+		return table.Result{}, errDead
+	}
+	res, err := s.Store.Transact(ctx, t)
+	if !s.gate.pass() {
+		return table.Result{}, errDead
+	}
+	return res, err
+}
+
+func (s gatedStore) Range(ctx context.Context, from, to string, limit int) ([]table.Row, error) {
+	if !s.gate.pass() {
+		return nil, errDead
+	}
+	rows, err := s.Store.Range(ctx, from, to, limit)
+	s.gate.pass()
+	return rows, err
+}
+
+// world is a deployment of one zone on virtual time: entries with their owners, and workers with their agents.
+type world struct {
+	t       testing.TB
+	ctx     context.Context
+	store   *store.Store
+	parts   []ident.Partition
+	terms   lease.Terms
+	writes  float64
+	hook    func(e *entry, s point.Step, detail string) error
+	verdict func(m wire.Message) verdict // of the fault script on a message; nil for none
+
+	mu      sync.Mutex
+	entries map[ident.Entry]*entry
+	agents  map[ident.Worker]*agent
+	workers []*standin.Worker
+	wg      sync.WaitGroup
+}
+
+func newWorld(t testing.TB, o store.Options, partitions int) *world {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &world{
+		t: t, ctx: ctx, store: store.New(o), terms: lease.Default(), writes: 300,
+		entries: map[ident.Entry]*entry{}, agents: map[ident.Worker]*agent{},
+	}
+	for n := range partitions {
+		w.parts = append(w.parts, ident.Partition{Zone: zone, Number: uint16(n)})
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, s := range w.workers {
+			s.Close()
+		}
+		for _, e := range w.entries {
+			e.gate.kill()
+		}
+		w.wg.Wait()
+	})
+	return w
+}
+
+// entry is one entry process.
+type entry struct {
+	w      *world
+	self   commit.Self
+	owner  *owner.Owner
+	gate   *gate
+	cancel context.CancelFunc
+}
+
+func (w *world) addEntry(name ident.Entry) *entry {
+	e := &entry{w: w, self: commit.Self{Name: name, Incarnation: ident.NewIncarnation()}, gate: &gate{}}
+	e.owner = owner.New(owner.Config{
+		Self: e.self, Store: gatedStore{w.store.Client(string(name)), e.gate}, Members: e, Peers: e, Terms: w.terms,
+		Writes: w.writes, Log: zap.NewNop(),
+		Hook: func(s point.Step, detail string) error {
+			if w.hook != nil {
+				if err := w.hook(e, s, detail); err != nil {
+					return err
+				}
+			}
+			if !e.gate.pass() {
+				return errDead
+			}
+			return nil
+		},
+	})
+	ctx, cancel := context.WithCancel(w.ctx)
+	e.cancel = cancel
+	w.mu.Lock()
+	w.entries[name] = e
+	w.mu.Unlock()
+	w.wg.Go(func() { e.owner.Run(ctx) })
+	return e
+}
+
+// kill ends the process without a handover.
+func (e *entry) kill() {
+	e.gate.kill()
+	e.cancel()
+	for _, a := range e.w.allAgents() {
+		a.cut(e, 0)
+	}
+}
+
+func (w *world) live() []*entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []*entry
+	for _, e := range w.entries {
+		if e.gate.silentFor() < detectAfter {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+func (w *world) allAgents() []*agent {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []*agent
+	for _, a := range w.agents {
+		list = append(list, a)
+	}
+	return list
+}
+
+// choice returns the live entry that rendezvous hashing selects for a partition.
+func (w *world) choice(p ident.Partition) *entry {
+	return slices.MaxFunc(append(w.live(), nil), func(a, b *entry) int {
+		rank := func(e *entry) uint64 {
+			if e == nil {
+				return 0
+			}
+			return xxhash.Sum64String(string(e.self.Name) + p.String())
+		}
+		if rank(a) < rank(b) {
+			return -1
+		}
+		return 1
+	})
+}
+
+// Partitions and the methods below implement owner.Members and owner.Peers.
+func (e *entry) Partitions() []ident.Partition { return e.w.parts }
+
+func (e *entry) Candidates() []ident.Partition { return e.w.parts }
+
+func (e *entry) ShouldOwn(p ident.Partition) bool { return e.w.choice(p) == e }
+
+func (e *entry) IsAlive(name ident.Entry, inc ident.Incarnation) bool {
+	return slices.ContainsFunc(e.w.live(), func(o *entry) bool {
+		return o.self.Name == name && o.self.Incarnation == inc
+	})
+}
+
+func (e *entry) Free(ident.AvailabilityZone) sizes.Resources { return means }
+
+func (e *entry) Policy(ident.Team) (float64, sizes.Resources) { return 1, sizes.Resources{} }
+
+func (e *entry) Send(p ident.Partition, m wire.Message) error {
+	w := e.w
+	if o := w.choice(p); o != nil {
+		time.AfterFunc(wireDelay, func() {
+			if e.gate.pass() && o.gate.pass() {
+				o.owner.HandlePeer(w.copy(m))
+			}
+		})
+	}
+	return nil
+}
+
+// copy sends a message through its wire form.
+func (w *world) copy(m wire.Message) wire.Message {
+	b, err := wire.Pack(m)
+	if err == nil {
+		m, err = wire.Decode(m.Kind(), b)
+	}
+	if err != nil {
+		w.t.Error(err)
+	}
+	return m
+}
+
+// ownerOf returns the owner of a partition, waiting for one.
+func (w *world) ownerOf(p ident.Partition) *owner.Owner {
+	for {
+		for _, e := range w.live() {
+			if e.owner.Owns(p) && e.gate.silentFor() == 0 {
+				return e.owner
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// submit repeats a submission until it is accepted.
+func (w *world) submit(spec wire.JobSpec) {
+	w.t.Helper()
+	w.call(spec.Job, func(ctx context.Context, o *owner.Owner, home ident.Partition) *wire.JobReply {
+		return o.Submit(ctx, &wire.JobSubmit{Home: home, Spec: spec})
+	})
+}
+
+// call repeats a call for a job until its outcome is known.
+func (w *world) call(job ident.Job, f func(context.Context, *owner.Owner, ident.Partition) *wire.JobReply) *wire.JobReply {
+	w.t.Helper()
+	home := part.Home(job, w.parts)
+	for {
+		ctx, cancel := context.WithTimeout(w.ctx, 5*time.Second)
+		r := f(ctx, w.ownerOf(home), home)
+		cancel()
+		if r.Status < 500 {
+			return r
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+// status returns the progress of a job.
+func (w *world) status(job ident.Job) wire.JobStatus {
+	w.t.Helper()
+	r := w.call(job, func(ctx context.Context, o *owner.Owner, home ident.Partition) *wire.JobReply {
+		return o.Query(ctx, &wire.JobQuery{Home: home, Job: job})
+	})
+	if len(r.Jobs) != 1 {
+		w.t.Fatalf("query of %s: %+v", job, r)
+	}
+	return r.Jobs[0]
+}
+
+// finish waits until a job is finished.
+func (w *world) finish(job ident.Job, within time.Duration) wire.JobStatus {
+	w.t.Helper()
+	for end := time.Now().Add(within); ; time.Sleep(time.Second) {
+		st := w.status(job)
+		if st.Finished {
+			return st
+		}
+		if time.Now().After(end) {
+			w.t.Fatalf("job %s is not finished after %v: %+v", job, within, st)
+		}
+	}
+}
+
+func spec(job ident.Job, tasks uint32, command string) wire.JobSpec {
+	return wire.JobSpec{Job: job, Team: "plans", Tasks: tasks, Command: command, Size: taskSize}
+}
+
+// intervals returns when every attempt ran on any worker.
+func (w *world) intervals() []standin.Interval {
+	var list []standin.Interval
+	for _, s := range w.workers {
+		list = append(list, s.History()...)
+	}
+	return list
+}
--- a/internal/link/wire/job.go
+++ b/internal/link/wire/job.go
@@ -77,10 +77,12 @@
 	Spec JobSpec
 }
 
-// JobQuery heads a stream that asks an entry for one job, or for all jobs whose home it owns when Job is empty.
+// JobQuery heads a stream that asks an entry for one job or, when Job is empty, for the jobs at home in the partition, in
+// order of their ids.
 type JobQuery struct {
-	Home ident.Partition
-	Job  ident.Job
+	Home  ident.Partition
+	Job   ident.Job
+	After ident.Job // last job of the previous reply, when that had More
 }
 
 // JobCancel heads a stream that cancels a job.
@@ -108,6 +110,7 @@
 	Status int    // HTTP status that fits the outcome
 	Detail string // what went wrong
 	Jobs   []JobStatus
+	More   bool // the list goes on; it is cut so that the message fits into a frame
 }
 
 // Kind implements Message.
