--- a/internal/batch/commit/commit_test.go
+++ b/internal/batch/commit/commit_test.go
@@ -116,7 +116,7 @@
 				actions := []script.Action{script.Down, script.LoseBefore, script.LoseAfter, script.LoseLate, script.Slow}
 				for i := range 700 {
 					if i%20 == 0 {
-						err := s.Faults().Set(script.Rule{Action: actions[rnd.IntN(len(actions))], Count: rnd.Uint64N(4) + 1,
+						err := s.Faults().Set(script.Rule{Action: actions[rnd.IntN(len(actions))], Count: rnd.Int64N(4) + 1,
 							Delay: script.Duration(rnd.Int64N(int64(9*time.Second)) + 1)})
 						if err != nil {
 							t.Fatal(err)
