--- a/cmd/trefoilramp/main.go
+++ b/cmd/trefoilramp/main.go
@@ -5,10 +5,13 @@
 	"context"
 	"fmt"
 	"os"
+
+	"github.com/urfave/cli/v3"
 )
 
 func main() {
-	app := group("trefoilramp", "schedule latency-critical and batch work that share instances", operateCommands()...)
+	app := group("trefoilramp", "schedule latency-critical and batch work that share instances",
+		append([]*cli.Command{standinCommand()}, operateCommands()...)...)
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "trefoilramp: "+err.Error())
 		os.Exit(2)
