--- a/internal/ops/admin/token.go
+++ b/internal/ops/admin/token.go
@@ -73,3 +73,6 @@
 	}
 	return name, nil
 }
+
+// Fingerprint returns bytes that change when either token does.
+func (t Tokens) Fingerprint() []byte { return append(t.read[:], t.change[:]...) }
--- /dev/null
+++ b/internal/ops/cons/edit.go
@@ -0,0 +1,349 @@
+package cons
+
+import (
+	"fmt"
+	"net/http"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoilramp.org/trefoilramp/internal/conf/head"
+	"trefoilramp.org/trefoilramp/internal/conf/model"
+	"trefoilramp.org/trefoilramp/internal/conf/strict"
+	"trefoilramp.org/trefoilramp/internal/plat/table"
+)
+
+// tab is one section of the document in the navigation of the editor.
+type tab struct {
+	Path   string
+	Label  string
+	Faults int
+	Open   bool
+}
+
+// row is one element in a list.
+type row struct {
+	Path   string
+	Name   string
+	Faults int
+}
+
+// editor is the data of the editor's page.
+type editor struct {
+	Tabs   []tab
+	Path   string
+	Label  string
+	IsList bool
+	Rows   []row   // of a list
+	Fields []field // of an element or section
+	Faults []string
+	Total  int // faults in the document
+}
+
+// getConfig starts to edit what is in force.
+func (c *Console) getConfig(w http.ResponseWriter, r *http.Request, s session) {
+	message := ""
+	checkErr := c.Config.Check(r.Context())
+	doc, base := model.Default(), uint64(0)
+	if current := c.Config.Current(); current != nil {
+		doc, base = current.Document, current.Version
+	} else if checkErr != nil {
+		c.render(w, http.StatusServiceUnavailable, "message.html", view{Title: "Store unavailable", Page: "config", Session: s,
+			Message: "The configuration cannot be read now. Try again later."})
+		return
+	} else {
+		message = "No configuration is accepted yet. This is a proposal to start from."
+	}
+	d, err := newDraft(base, doc)
+	if err != nil {
+		c.render(w, http.StatusInternalServerError, "message.html", view{Title: "Error", Session: s, Message: err.Error()})
+		return
+	}
+	d.show(r.URL.Query().Get("View"))
+	c.renderEditor(w, http.StatusOK, s, d, message)
+}
+
+// postConfig takes the fields of a page into the draft and does what the pressed button says.
+func (c *Console) postConfig(w http.ResponseWriter, r *http.Request, s session) {
+	d, err := readDraft(r.PostForm)
+	if err != nil {
+		c.render(w, http.StatusBadRequest, "message.html", view{Title: "Form not readable", Session: s, Message: err.Error()})
+		return
+	}
+	verb, argument, _ := strings.Cut(r.PostForm.Get("Action"), ":")
+	switch verb {
+	case "review":
+		c.review(w, r, s, d, "")
+		return
+	case "submit":
+		c.submit(w, r, s, d)
+		return
+	case "download":
+		c.download(w, r, s, d)
+		return
+	case "merge", "overwrite":
+		c.rebase(w, r, s, d, verb == "merge")
+		return
+	case "view":
+		d.show(argument)
+	case "add":
+		err = d.add(argument)
+	case "remove":
+		err = d.remove(argument)
+	}
+	if err != nil {
+		c.render(w, http.StatusBadRequest, "message.html", view{Title: "Form not readable", Session: s, Message: err.Error()})
+		return
+	}
+	c.renderEditor(w, http.StatusOK, s, d, "")
+}
+
+func (c *Console) renderEditor(w http.ResponseWriter, status int, s session, d *draft, message string) {
+	_, faults, err := d.read()
+	if err != nil {
+		c.render(w, http.StatusInternalServerError, "message.html", view{Title: "Error", Session: s, Message: err.Error()})
+		return
+	}
+	e, err := newEditor(d, faults)
+	if err != nil {
+		c.render(w, http.StatusBadRequest, "message.html", view{Title: "Error", Session: s, Message: err.Error()})
+		return
+	}
+	c.render(w, status, "edit.html", view{Title: e.Label, Page: "config", Session: s, Draft: d, Message: message, Data: e})
+}
+
+func newEditor(d *draft, faults strict.Faults) (editor, error) {
+	p, err := parsePath(d.View)
+	if err != nil {
+		return editor{}, err
+	}
+	t, ok := typeAt(p)
+	if !ok {
+		return editor{}, errors.Newf("the document has nothing at %s", d.View)
+	}
+	f := form{tree: d.tree, faults: faults}
+	e := editor{Path: d.View, Label: words(p[0].field), IsList: t.Kind() == reflect.Slice, Total: len(faults),
+		Faults: f.faultsAt(p, false)}
+	for sf := range documentFields() {
+		at := path{{field: sf}}
+		e.Tabs = append(e.Tabs, tab{Path: at.String(), Label: words(sf), Faults: countBelow(faults, at), Open: sf == p[0].field})
+	}
+	if !e.IsList {
+		e.Fields = f.structFields(p, t)
+		if name, _ := get(d.tree, p.with(step{field: "Name"})).(string); name != "" {
+			e.Label += ": " + name
+		}
+		return e, nil
+	}
+	items, _ := get(d.tree, p).([]any)
+	for i := range items {
+		at := p.with(step{index: i})
+		name, _ := get(items[i], path{{field: "Name"}}).(string)
+		if name == "" {
+			name = "without a name, number " + strconv.Itoa(i+1)
+		}
+		e.Rows = append(e.Rows, row{Path: at.String(), Name: name, Faults: countBelow(faults, at)})
+	}
+	return e, nil
+}
+
+// documentFields yields the names of the sections in the order of the document.
+func documentFields() func(func(string) bool) {
+	t := reflect.TypeFor[model.Document]()
+	return func(yield func(string) bool) {
+		for i := range t.NumField() {
+			if !yield(t.Field(i).Name) {
+				return
+			}
+		}
+	}
+}
+
+func countBelow(faults strict.Faults, p path) int {
+	n, at := 0, p.String()
+	for _, f := range faults {
+		if rest, ok := strings.CutPrefix(f.Path, at); ok && (rest == "" || rest[0] == '.' || rest[0] == '[') {
+			n++
+		}
+	}
+	return n
+}
+
+// review is the data of the review page.
+type review struct {
+	Version     uint64 // accepted version
+	Differences []model.Difference
+	Faults      []reviewFault
+	Race        *race // when another version than the draft's base is accepted
+	CanSubmit   bool
+}
+
+// reviewFault is a fault with the page where it can be corrected.
+type reviewFault struct {
+	strict.Fault
+	View string
+}
+
+// race shows the loser both versions.
+type race struct {
+	Base   uint64
+	Actual head.Revision
+	Theirs []model.Difference // from the base to the accepted version
+	Mine   []model.Difference // from the base to the draft
+	Merge  bool               // whether the base is known, so that the changes can be put together
+}
+
+func (c *Console) review(w http.ResponseWriter, r *http.Request, s session, d *draft, message string) {
+	status := http.StatusOK
+	data, err := c.newReview(r, s, d)
+	if err != nil {
+		status, message = http.StatusServiceUnavailable, "The accepted version cannot be read now; your input is kept: "+err.Error()
+	}
+	if data.Race != nil && message != "" {
+		status = http.StatusConflict
+	}
+	c.render(w, status, "review.html", view{Title: "Review", Page: "config", Session: s, Draft: d, Message: message, Data: data})
+}
+
+func (c *Console) newReview(r *http.Request, s session, d *draft) (review, error) {
+	doc, faults, err := d.read()
+	if err != nil {
+		return review{}, err
+	}
+	var data review
+	for _, f := range faults {
+		data.Faults = append(data.Faults, reviewFault{f, pageOf(f.Path)})
+	}
+	if err := c.Config.Check(r.Context()); err != nil {
+		return data, err
+	}
+	accepted := c.accepted()
+	data.Version = accepted.Version
+	if data.Differences, err = model.Diff(accepted.Document, doc); err != nil {
+		return data, err
+	}
+	if accepted.Version != d.Base {
+		data.Race, err = c.newRace(r, d, doc, accepted)
+		return data, err
+	}
+	data.CanSubmit = s.CanChange() && len(faults) == 0 && len(data.Differences) > 0
+	return data, nil
+}
+
+// accepted returns the version that this entry knows, with an empty document when there is none.
+func (c *Console) accepted() *head.Current {
+	if current := c.Config.Current(); current != nil {
+		return current
+	}
+	return &head.Current{}
+}
+
+func (c *Console) newRace(r *http.Request, d *draft, mine model.Document, accepted *head.Current) (*race, error) {
+	v := &race{Base: d.Base, Actual: accepted.Revision}
+	base, err := c.base(r, d.Base)
+	if errors.Is(err, table.ErrNotFound) {
+		return v, nil // too old to be kept
+	}
+	if err != nil {
+		return v, err
+	}
+	v.Merge = true
+	if v.Theirs, err = model.Diff(base, accepted.Document); err != nil {
+		return v, err
+	}
+	v.Mine, err = model.Diff(base, mine)
+	return v, err
+}
+
+func (c *Console) base(r *http.Request, version uint64) (model.Document, error) {
+	if version == 0 {
+		return model.Document{}, nil
+	}
+	current, err := c.Config.Load(r.Context(), version)
+	if err != nil {
+		return model.Document{}, fmt.Errorf("read version %d: %w", version, err)
+	}
+	return current.Document, nil
+}
+
+// pageOf returns the page on which the value at a fault's path is edited.
+func pageOf(at string) string {
+	p, err := parsePath(at)
+	if err != nil || len(p) == 0 {
+		return defaultView
+	}
+	if len(p) > 1 && p[1].field == "" {
+		return p[:2].String()
+	}
+	return p[:1].String()
+}
+
+func (c *Console) submit(w http.ResponseWriter, r *http.Request, s session, d *draft) {
+	doc, faults, err := d.read()
+	if err != nil || len(faults) > 0 {
+		c.review(w, r, s, d, "The document has faults and was not submitted.")
+		return
+	}
+	if !s.CanChange() {
+		c.review(w, r, s, d, "Your token may only read. Download the document for an operator who may change it.")
+		return
+	}
+	accepted, err := c.Config.Accept(r.Context(), head.Change{Author: s.Operator, Base: d.Base, Document: doc})
+	conflict := (*head.ConflictError)(nil)
+	switch {
+	case err == nil:
+		c.render(w, http.StatusOK, "message.html", view{Title: "Accepted", Page: "config", Session: s,
+			Message: fmt.Sprintf("Version %d is accepted and comes into force in every zone within seconds.", accepted.Version)})
+	case errors.As(err, &conflict):
+		c.review(w, r, s, d, "Another operator was faster. Nothing of your input is lost; compare both versions below.")
+	case errors.Is(err, table.ErrUnknown):
+		c.review(w, r, s, d, "The store did not say whether the change took effect. Review it again before you submit it again.")
+	default:
+		c.review(w, r, s, d, "The change was not accepted; your input is kept: "+err.Error())
+	}
+}
+
+// rebase puts the draft on top of the accepted version, with or without the changes of others.
+func (c *Console) rebase(w http.ResponseWriter, r *http.Request, s session, d *draft, withTheirs bool) {
+	accepted := c.accepted()
+	var clashes []string
+	if withTheirs {
+		base, err := c.base(r, d.Base)
+		if err != nil {
+			c.review(w, r, s, d, "Your changes cannot be put on top now; your input is kept: "+err.Error())
+			return
+		}
+		b, err1 := newDraft(0, base)
+		t, err2 := newDraft(0, accepted.Document)
+		if err := errors.CombineErrors(err1, err2); err != nil {
+			c.review(w, r, s, d, err.Error())
+			return
+		}
+		d.tree = merge("$", b.tree, t.tree, d.tree, &clashes)
+	}
+	d.Base = accepted.Version
+	message := fmt.Sprintf("The document is now based on version %d.", d.Base)
+	if len(clashes) > 0 {
+		message += " Both of you changed these; your values were kept: " + strings.Join(slices.Compact(clashes), ", ")
+	}
+	c.review(w, r, s, d, message)
+}
+
+func (c *Console) download(w http.ResponseWriter, r *http.Request, s session, d *draft) {
+	doc, faults, err := d.read()
+	if err != nil || len(faults) > 0 {
+		c.review(w, r, s, d, "The document has faults. Correct them before you download it.")
+		return
+	}
+	b, err := doc.Encode()
+	if err != nil {
+		c.review(w, r, s, d, err.Error())
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Disposition", fmt.Sprintf(`attachment; filename="trefoilramp-based-on-%d.json"`, d.Base))
+	w.Write(b)
+}
--- /dev/null
+++ b/internal/ops/cons/input.go
@@ -0,0 +1,115 @@
+package cons
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"reflect"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"trefoilramp.org/trefoilramp/internal/conf/model"
+)
+
+// isLeaf reports whether a value of type t is one input of a form.
+func isLeaf(t reflect.Type) bool {
+	if t.Kind() == reflect.Slice {
+		return t.Elem().Kind() == reflect.String
+	}
+	return t.Kind() != reflect.Struct
+}
+
+// inBytes names the fields that are shown and may be entered with a unit.
+var inBytes = []string{"Memory", "MaxBody"}
+
+var bytesForm = regexp.MustCompile(`^([0-9]+) *([KMGT])iB$`)
+
+const units = "KMGT"
+
+// parseInput returns the JSON value of a text. What is no value of type t stays a text, which validation then refuses
+// and the form shows again.
+func parseInput(p path, t reflect.Type, text string) any {
+	text = strings.TrimSpace(text)
+	switch {
+	case t == reflect.TypeFor[model.Duration](), t.Kind() == reflect.String:
+		return text
+	case t.Kind() == reflect.Bool:
+		return text == "true"
+	case t.Kind() == reflect.Slice:
+		return parseNames(text)
+	case t.Kind() == reflect.Float64:
+		if f, err := strconv.ParseFloat(text, 64); err != nil || math.IsNaN(f) || !json.Valid([]byte(text)) {
+			return text
+		}
+		return json.Number(text)
+	}
+	if m := bytesForm.FindStringSubmatch(text); m != nil && slices.Contains(inBytes, p[len(p)-1].field) {
+		return parseBytes(text, m[1], m[2])
+	}
+	if n, err := strconv.ParseInt(text, 10, 64); err == nil {
+		return json.Number(strconv.FormatInt(n, 10))
+	}
+	return text
+}
+
+func parseBytes(text, digits, unit string) any {
+	shift := 10 * (strings.Index(units, unit) + 1)
+	n, err := strconv.ParseInt(digits, 10, 64)
+	if err != nil || n > math.MaxInt64>>shift {
+		return text
+	}
+	return json.Number(strconv.FormatInt(n<<shift, 10))
+}
+
+func parseNames(text string) any {
+	var names []any
+	for name := range strings.SplitSeq(text, ",") {
+		if name = strings.TrimSpace(name); name != "" {
+			names = append(names, name)
+		}
+	}
+	if names == nil {
+		return nil // removes the field, which is optional
+	}
+	return names
+}
+
+// showInput returns the text of a JSON value.
+func showInput(p path, v any) string {
+	switch v := v.(type) {
+	case nil:
+		return ""
+	case string:
+		return v
+	case json.Number:
+		if slices.Contains(inBytes, p[len(p)-1].field) {
+			return showBytes(v)
+		}
+		return v.String()
+	case []any:
+		texts := make([]string, len(v))
+		for i, item := range v {
+			texts[i] = fmt.Sprint(item)
+		}
+		return strings.Join(texts, ", ")
+	}
+	return fmt.Sprint(v)
+}
+
+// showBytes uses the largest unit of which v is a whole multiple.
+func showBytes(v json.Number) string {
+	n, err := v.Int64()
+	if err != nil || n == 0 {
+		return v.String()
+	}
+	unit := ""
+	for _, u := range units {
+		if n%1024 != 0 {
+			break
+		}
+		n, unit = n/1024, " "+string(u)+"iB"
+	}
+	return strconv.FormatInt(n, 10) + unit
+}
--- /dev/null
+++ b/internal/ops/cons/session.go
@@ -0,0 +1,178 @@
+package cons
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/core/event"
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/ops/admin"
+)
+
+const (
+	cookieName      = "trefoilramp-console"
+	sessionLifetime = 8 * time.Hour // a working day
+)
+
+// session is an operator who signed in; it travels in a signed cookie.
+type session struct {
+	Operator string
+	Role     admin.Role
+	Expires  int64  // s since 1970
+	Nonce    string // distinguishes sessions, for the token against cross-site requests
+}
+
+// CanChange reports whether the operator may submit a document.
+func (s session) CanChange() bool { return s.Role >= admin.RoleChange }
+
+// signer signs cookies. Its key depends on the tokens too, so that replacing a token ends all sessions.
+type signer struct {
+	key []byte
+}
+
+func newSigner(key []byte, tokens admin.Tokens) signer {
+	return signer{sum(key, "console session", tokens.Fingerprint())}
+}
+
+func sum(key []byte, label string, data []byte) []byte {
+	m := hmac.New(sha256.New, key)
+	m.Write([]byte(label))
+	m.Write([]byte{0})
+	m.Write(data)
+	return m.Sum(nil)
+}
+
+func (g signer) sign(s session) (string, error) {
+	b, err := json.Marshal(s)
+	if err != nil {
+		return "", fmt.Errorf("encode session: %w", err)
+	}
+	return encode(b) + "." + encode(sum(g.key, "cookie", b)), nil
+}
+
+func (g signer) verify(cookie string, now time.Time) (session, error) {
+	payload, mac, ok := strings.Cut(cookie, ".")
+	b, err := base64.RawURLEncoding.DecodeString(payload)
+	if !ok || err != nil {
+		return session{}, errors.New("cookie is malformed")
+	}
+	want, err := base64.RawURLEncoding.DecodeString(mac)
+	if err != nil || !hmac.Equal(want, sum(g.key, "cookie", b)) {
+		return session{}, errors.New("cookie has no valid signature")
+	}
+	var s session
+	if err := json.Unmarshal(b, &s); err != nil {
+		return session{}, fmt.Errorf("decode session: %w", err)
+	}
+	if now.Unix() >= s.Expires {
+		return session{}, errors.New("session has expired")
+	}
+	return s, nil
+}
+
+func (g signer) csrf(s session) string {
+	if s.Nonce == "" {
+		return ""
+	}
+	return encode(sum(g.key, "csrf", []byte(s.Nonce)))
+}
+
+func encode(b []byte) string { return base64.RawURLEncoding.EncodeToString(b) }
+
+// withSession passes on requests of operators who are signed in; a POST needs the token of the form too.
+func (c *Console) withSession(h func(http.ResponseWriter, *http.Request, session)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s, err := c.session(r)
+		if err != nil {
+			c.askSignIn(w, r)
+			return
+		}
+		if r.Method == http.MethodPost {
+			if err := r.ParseForm(); err != nil {
+				c.render(w, http.StatusBadRequest, "message.html", view{Title: "Form not readable", Session: s, Message: err.Error()})
+				return
+			}
+			if !hmac.Equal([]byte(r.PostForm.Get("Csrf")), []byte(c.signer.csrf(s))) {
+				c.render(w, http.StatusForbidden, "message.html", view{Title: "Form refused", Session: s,
+					Message: "The form belongs to another session. Go back, reload the page and send it again."})
+				return
+			}
+		}
+		h(w, r, s)
+	}
+}
+
+func (c *Console) session(r *http.Request) (session, error) {
+	cookie, err := r.Cookie(cookieName)
+	if err != nil {
+		return session{}, fmt.Errorf("read cookie: %w", err)
+	}
+	return c.signer.verify(cookie.Value, c.Now())
+}
+
+// askSignIn shows the sign-in form. When a session ended while an operator was editing, the form carries the draft.
+func (c *Console) askSignIn(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		http.Redirect(w, r, "/signin", http.StatusSeeOther)
+		return
+	}
+	v := view{Title: "Sign in", Message: "Your session has ended. Sign in again; what you entered is kept."}
+	if r.ParseForm() == nil {
+		if d, err := readDraft(r.PostForm); err == nil {
+			v.Draft = d
+		}
+	}
+	c.render(w, http.StatusUnauthorized, "signin.html", v)
+}
+
+func (c *Console) getSignIn(w http.ResponseWriter, _ *http.Request) {
+	c.render(w, http.StatusOK, "signin.html", view{Title: "Sign in"})
+}
+
+func (c *Console) postSignIn(w http.ResponseWriter, r *http.Request) {
+	if err := r.ParseForm(); err != nil {
+		c.render(w, http.StatusBadRequest, "signin.html", view{Title: "Sign in", Message: "The form could not be read."})
+		return
+	}
+	kept, err := readDraft(r.PostForm)
+	if err != nil {
+		kept = nil
+	}
+	operator := strings.TrimSpace(r.PostForm.Get("Operator"))
+	role := c.Tokens.Role(strings.TrimSpace(r.PostForm.Get("Token")))
+	if role == admin.RoleNone || !ident.IsName(operator) {
+		event.Log(c.Log, event.ConsoleSignFailed, zap.String("Remote", r.RemoteAddr))
+		c.render(w, http.StatusUnauthorized, "signin.html", view{Title: "Sign in", Draft: kept,
+			Message: "Not signed in: enter your name, of letters, digits, dots, underscores and hyphens, and a valid token."})
+		return
+	}
+	s := session{Operator: operator, Role: role, Expires: c.Now().Add(sessionLifetime).Unix(), Nonce: string(ident.NewTxn())}
+	cookie, err := c.signer.sign(s)
+	if err != nil {
+		c.render(w, http.StatusInternalServerError, "signin.html", view{Title: "Sign in", Draft: kept, Message: err.Error()})
+		return
+	}
+	event.Log(c.Log, event.ConsoleSignedIn, zap.String("Operator", operator), zap.Stringer("Role", role))
+	http.SetCookie(w, &http.Cookie{Name: cookieName, Value: cookie, Path: "/", HttpOnly: true, Secure: c.Secure,
+		SameSite: http.SameSiteStrictMode, MaxAge: int(sessionLifetime.Seconds())})
+	if kept != nil {
+		c.renderEditor(w, http.StatusOK, s, kept, "You are signed in again.")
+		return
+	}
+	http.Redirect(w, r, "/config", http.StatusSeeOther)
+}
+
+func (c *Console) postSignOut(w http.ResponseWriter, r *http.Request, _ session) {
+	http.SetCookie(w, &http.Cookie{Name: cookieName, Path: "/", MaxAge: -1, HttpOnly: true, Secure: c.Secure,
+		SameSite: http.SameSiteStrictMode})
+	http.Redirect(w, r, "/signin", http.StatusSeeOther)
+}
