--- a/cmd/trefoilramp/main.go
+++ b/cmd/trefoilramp/main.go
@@ -15,6 +15,7 @@
 		Usage: "schedule latency-critical and batch work that share instances",
 		Commands: []*cli.Command{
 			standinCommand(),
+			loadCommand(),
 		},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
--- a/cmd/trefoilramp/standin.go
+++ b/cmd/trefoilramp/standin.go
@@ -117,7 +117,7 @@
 		return err
 	}
 	if err == nil {
-		fmt.Fprintln(w, "settings are valid")
+		fmt.Fprintln(w, "valid")
 	}
 	return err
 }
--- a/internal/plat/table/client.go
+++ b/internal/plat/table/client.go
@@ -149,7 +149,7 @@
 		return
 	}
 	if failed {
-		event.Log(c.log, event.StoreUnavailable, zap.Error(err))
+		event.Log(c.log, event.StoreUnavailable, zap.NamedError("Error", err))
 		return
 	}
 	event.Log(c.log, event.StoreAvailable)
--- a/internal/stand/target/announce.go
+++ b/internal/stand/target/announce.go
@@ -26,7 +26,7 @@
 		case ctx.Err() != nil:
 			return
 		case err != nil && (first || last == nil):
-			event.Log(t.o.Log, event.AnnounceFailed, zap.String("Agent", agent), zap.Error(err))
+			event.Log(t.o.Log, event.AnnounceFailed, zap.String("Agent", agent), zap.NamedError("Error", err))
 		case err == nil && (first || last != nil):
 			event.Log(t.o.Log, event.AnnounceWorks, zap.String("Agent", agent))
 		}
