--- a/cmd/trefoilramp/main.go
+++ b/cmd/trefoilramp/main.go
@@ -10,8 +10,8 @@
 )
 
 func main() {
-	app := group("trefoilramp", "schedule latency-critical and batch work that share instances",
-		append([]*cli.Command{standinCommand()}, operateCommands()...)...)
+	commands := append([]*cli.Command{standinCommand(), loadCommand()}, operateCommands()...)
+	app := group("trefoilramp", "schedule latency-critical and batch work that share instances", commands...)
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "trefoilramp: "+err.Error())
 		os.Exit(2)
