Keep the leases of earlier versions and serve operators over TLS

A takeover that waits for the leases of the version in force could start a task that still runs under a longer lease of the version before. Each revision therefore lists the leases that may still be in use, and Current.Longest returns the longest of them for waits.

--- a/cmd/trefoilramp/operate.go
+++ b/cmd/trefoilramp/operate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -72,6 +73,7 @@
 		Flags: append([]cli.Flag{
 			&cli.StringFlag{Name: "address", Usage: "administration `URL` of an entry", Sources: cli.EnvVars("TREFOILRAMP_ADDRESS")},
 			&cli.StringFlag{Name: "token-file", Usage: "`FILE` with the token", Sources: cli.EnvVars("TREFOILRAMP_TOKEN_FILE")},
+			&cli.StringFlag{Name: "authority", Usage: "`FILE` with certificates that sign the entry's, in PEM form", Sources: cli.EnvVars("TREFOILRAMP_AUTHORITY")},
 			&cli.StringFlag{Name: "operator", Usage: "your `NAME` for the audit log", Sources: cli.EnvVars("TREFOILRAMP_OPERATOR", "USER")},
 			jsonFlag(),
 		}, flags...),
@@ -125,7 +127,26 @@
 	if operator != "" && !ident.IsName(operator) {
 		return nil, inputError("operator %q is no name; use letters, digits, dots, underscores and hyphens", operator)
 	}
-	return admin.NewClient(address, strings.TrimSpace(string(token)), operator), nil
+	authorities, err := readAuthorities(c.String("authority"))
+	if err != nil {
+		return nil, err
+	}
+	return admin.NewClient(address, strings.TrimSpace(string(token)), operator, authorities), nil
+}
+
+func readAuthorities(file string) (*x509.CertPool, error) {
+	if file == "" {
+		return nil, nil
+	}
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, inputError("authority file: %v; name a readable file", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(b) {
+		return nil, inputError("authority file %s has no certificate; name a file in PEM form", file)
+	}
+	return pool, nil
 }
 
 // advice says what to do next after an answer that wrong input has caused.
--- a/internal/conf/head/accept.go
+++ b/internal/conf/head/accept.go
@@ -56,7 +56,11 @@
 	if old.Version != c.Base {
 		return nil, &ConflictError{Base: c.Base, Actual: old.Revision}
 	}
-	p, err := h.propose(c, old.Revision, rowVersion)
+	leases, err := h.earlierLeases(ctx, mine, old.Revision)
+	if err != nil {
+		return nil, err
+	}
+	p, err := h.propose(c, old.Revision, rowVersion, leases)
 	if err != nil {
 		return nil, err
 	}
@@ -82,12 +86,13 @@
 	transaction table.Transaction
 }
 
-func (h *Holder) propose(c Change, old Revision, rowVersion uint64) (proposal, error) {
+func (h *Holder) propose(c Change, old Revision, rowVersion uint64, leases []Leases) (proposal, error) {
 	compact, err := compactOf(c.Document)
 	if err != nil {
 		return proposal{}, err
 	}
-	r := Revision{Version: old.Version + 1, Hash: model.Hash(compact), Author: c.Author, Accepted: h.now().UTC()}
+	r := Revision{Version: old.Version + 1, Hash: model.Hash(compact), Author: c.Author, Accepted: h.now().UTC(),
+		Leases: leases}
 	current, err := newCurrent(r, compact)
 	if err != nil {
 		return proposal{}, err
--- a/internal/conf/head/holder.go
+++ b/internal/conf/head/holder.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -152,7 +154,11 @@
 	if d.Version == 0 {
 		return errors.New("peer has no such version")
 	}
-	c, err := newCurrent(Revision{Version: d.Version, Hash: d.Hash}, body)
+	var r Revision
+	if err := json.Unmarshal(d.Revision, &r); err != nil {
+		return fmt.Errorf("decode revision from a peer: %w", err)
+	}
+	c, err := newCurrent(r, body)
 	if err != nil {
 		return err
 	}
@@ -178,5 +184,9 @@
 	if c == nil || c.Version < f.AtLeast {
 		return wire.ConfigDoc{}, nil
 	}
-	return wire.ConfigDoc{Version: c.Version, Hash: c.Hash}, c.Compact
+	r, err := json.Marshal(c.Revision)
+	if err != nil {
+		return wire.ConfigDoc{}, nil // as if it had none; the peer asks others
+	}
+	return wire.ConfigDoc{Version: c.Version, Revision: r}, c.Compact
 }
--- a/internal/conf/head/outage_test.go
+++ b/internal/conf/head/outage_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"trefoilramp.org/trefoilramp/internal/conf/head"
 	"trefoilramp.org/trefoilramp/internal/conf/model"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -121,6 +123,9 @@
 	if b.Version() != 3 || c.Version() != 3 {
 		t.Errorf("versions %d and %d in the outage, want 3", b.Version(), c.Version())
 	}
+	if diff := cmp.Diff(b.Current().Revision, c.Current().Revision); diff != "" {
+		t.Errorf("revision from a peer differs from the store's (-store +peer):\n%s", diff)
+	}
 
 	s.now.Store(backup) // which has version 1
 	time.Sleep(10 * testPoll)
--- a/internal/conf/head/part_test.go
+++ b/internal/conf/head/part_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -9,6 +10,7 @@
 	"trefoilramp.org/trefoilramp/internal/conf/model"
 	"trefoilramp.org/trefoilramp/internal/core/sizes"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/stand/store"
 )
 
 // Guards against an agent that gets services it does not need or a share of slots that starves short or long work.
@@ -52,3 +54,28 @@
 		t.Error("a process that is gone holds up the version in force")
 	}
 }
+
+// Guards against a takeover that waits for the shorter leases of a new version while an owner may still grant the longer
+// ones of the version before.
+func TestLongestLeases(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	begin := now
+	h := head.New(store.New(store.Options{}), head.Options{Now: func() time.Time { return now }})
+	d := model.Default()
+	for base, lease := range []time.Duration{20 * time.Second, 5 * time.Minute, 15 * time.Second, 16 * time.Second, 15 * time.Second} {
+		d.Policies.AgentLease = model.Duration(lease)
+		if _, err := h.Accept(t.Context(), head.Change{Author: "amina", Base: uint64(base), Document: d}); err != nil {
+			t.Fatal(err)
+		}
+		now = now.Add(time.Second)
+	}
+	if n := len(h.Current().Leases); n != 2 {
+		t.Errorf("%d earlier leases are kept, want 2: %+v", n, h.Current().Leases)
+	}
+	if agent, _ := h.Current().Longest(begin.Add(20 * time.Minute)); agent != 5*time.Minute {
+		t.Errorf("longest agent lease is %v soon after it was shortened", agent)
+	}
+	if agent, owner := h.Current().Longest(begin.Add(22 * time.Minute)); agent != 15*time.Second || owner != 15*time.Minute {
+		t.Errorf("longest leases are %v and %v long after they were shortened", agent, owner)
+	}
+}
--- a/internal/conf/head/rows.go
+++ b/internal/conf/head/rows.go
@@ -19,8 +19,8 @@
 	docPrefix = "config/doc/"
 )
 
-// keepVersions is the number of documents that stay in the store: at 13,000 changes a day and half a megabyte each, all
-// of them would take 6 GB a day.
+// keepVersions is the number of documents that stay in the store: at 13,000 changes a day and 242 KB each, all of them
+// would take 3 GB a day.
 const keepVersions = 500
 
 func docKey(version uint64) string { return fmt.Sprintf("%s%012d", docPrefix, version) }
@@ -31,6 +31,7 @@
 	Hash     string // model.Hash of the compact document
 	Author   string
 	Accepted time.Time
+	Leases   []Leases // of earlier versions that may still be in use
 }
 
 // Current is an accepted version with its document; it is never changed.
--- a/internal/conf/model/document.go
+++ b/internal/conf/model/document.go
@@ -9,7 +9,7 @@
 	"trefoilramp.org/trefoilramp/internal/conf/strict"
 )
 
-// MaxDocument is the largest document in bytes; 620 teams, 20 zones and some hundred services need about a quarter.
+// MaxDocument is the largest document in bytes; one with 620 teams, 20 zones and 300 services has 242 KB.
 const MaxDocument = 2 << 20
 
 // Document is the desired state that operators declare.
--- a/internal/conf/setup/agent.go
+++ b/internal/conf/setup/agent.go
@@ -17,7 +17,7 @@
 	Store            string // base URL of the store, for objects; optional
 	Key              Secret // shared key of the handshake
 	ReadToken        Secret // token for metrics; optional
-	TLS              *TLS   // absent for plain TCP
+	TLS              *TLS   // of sessions; absent for plain TCP
 	KillDeadline     model.Duration
 }
 
--- a/internal/conf/setup/entry.go
+++ b/internal/conf/setup/entry.go
@@ -18,18 +18,19 @@
 type Entry struct {
 	Name             string
 	AvailabilityZone string
-	Rack             string // optional
-	Callers          string // listener for callers
-	Administration   string // listener for the administration API
-	Console          string // listener for the console; empty for none
-	Sessions         string // listener for sessions of agents and other entries
-	Advertise        string // address of Sessions as others reach it; empty when that is Sessions itself
-	Balancer         string // through which agents reach any entry; optional
-	Store            string // base URL of the store
-	Key              Secret // shared key of the handshake
-	ReadToken        Secret // token of the reading role
-	ChangeToken      Secret // token of the changing role
-	TLS              *TLS   // absent for plain TCP
+	Rack             string     // optional
+	Callers          string     // listener for callers
+	Administration   string     // listener for the administration API
+	Console          string     // listener for the console; empty for none
+	Sessions         string     // listener for sessions of agents and other entries
+	Advertise        string     // address of Sessions as others reach it; empty when that is Sessions itself
+	Balancer         string     // through which agents reach any entry; optional
+	Store            string     // base URL of the store
+	Key              Secret     // shared key of the handshake
+	ReadToken        Secret     // token of the reading role
+	ChangeToken      Secret     // token of the changing role
+	TLS              *TLS       // of sessions; absent for plain TCP
+	OperatorTLS      *ServerTLS // of Administration and Console; absent for plain TCP
 	KillDeadline     model.Duration
 }
 
@@ -70,6 +71,7 @@
 		c.Field("ChangeToken").Fail(redacted, "another token than ReadToken")
 	}
 	e.TLS.check(c.Field("TLS"), base)
+	e.OperatorTLS.check(c.Field("OperatorTLS"), base)
 	checkKillDeadline(c.Field("KillDeadline"), &e.KillDeadline)
 }
 
--- a/internal/conf/setup/tls.go
+++ b/internal/conf/setup/tls.go
@@ -74,6 +74,38 @@
 	return nil
 }
 
+// ServerTLS names the files, in PEM form, with which listeners for operators prove the identity of the process.
+type ServerTLS struct {
+	Certificate string
+	Key         string
+
+	config *tls.Config
+}
+
+// Config returns the TLS configuration of a listener, or nil for plain TCP.
+func (t *ServerTLS) Config() *tls.Config {
+	if t == nil {
+		return nil
+	}
+	return t.config.Clone()
+}
+
+func (t *ServerTLS) check(c strict.Check, base string) {
+	if t == nil {
+		return
+	}
+	ok := checkFile(c.Field("Certificate"), base, t.Certificate)
+	if !checkFile(c.Field("Key"), base, t.Key) || !ok {
+		return
+	}
+	pair, err := tls.LoadX509KeyPair(resolve(base, t.Certificate), resolve(base, t.Key))
+	if err != nil {
+		c.Fail(t.Certificate, "a certificate and its key in PEM form (%v)", err)
+		return
+	}
+	t.config = &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{pair}}
+}
+
 func checkFile(c strict.Check, base, path string) bool {
 	if path == "" {
 		c.Missing("the path of a PEM file")
--- a/internal/conf/strict/fault.go
+++ b/internal/conf/strict/fault.go
@@ -25,8 +25,11 @@
 
 // String returns the fault on one line.
 func (f Fault) String() string {
-	if f.Value == "" {
+	switch f.Value {
+	case "":
 		return f.Path + ": missing; allowed: " + f.Allowed
+	case unknownField, duplicateField:
+		return f.Path + ": " + f.Value + "; allowed: " + f.Allowed
 	}
 	return f.Path + ": " + f.Value + " is not allowed; allowed: " + f.Allowed
 }
--- a/internal/link/wire/config.go
+++ b/internal/link/wire/config.go
@@ -12,8 +12,8 @@
 
 // ConfigDoc answers ConfigFetch; the document follows as the body of the stream.
 type ConfigDoc struct {
-	Version uint64 // 0 when the sender has no such version
-	Hash    string // SHA-256 of the document, hex
+	Version  uint64 // 0 when the sender has no such version
+	Revision []byte // JSON of head.Revision, as the store has it, with the hash of the document
 }
 
 // AgentService is the part of a service's configuration that an agent needs.
--- a/internal/ops/admin/client.go
+++ b/internal/ops/admin/client.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -26,13 +28,14 @@
 
 const clientTimeout = requestTimeout + 5*time.Second // the API answers first
 
-// NewClient returns a client of the API at a base URL.
-func NewClient(address, token, operator string) *Client {
+// NewClient returns a client of the API at a base URL; authorities may be nil for those of the system.
+func NewClient(address, token, operator string, authorities *x509.CertPool) *Client {
+	transport := &http.Transport{TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: authorities}}
 	return &Client{
 		address:  strings.TrimSuffix(address, "/"),
 		token:    token,
 		operator: operator,
-		http:     &http.Client{Timeout: clientTimeout},
+		http:     &http.Client{Timeout: clientTimeout, Transport: transport},
 	}
 }
 
--- a/internal/ops/cons/draft.go
+++ b/internal/ops/cons/draft.go
@@ -47,7 +47,7 @@
 	return tree, nil
 }
 
-// Packed returns the draft as a form carries it: gzip shrinks a document of half a megabyte to a twentieth.
+// Packed returns the draft as a form carries it, compressed, since quotes in a form take six bytes each.
 func (d *draft) Packed() (string, error) {
 	b, err := json.Marshal(d.tree)
 	if err != nil {
