--- a/cmd/trefoilramp/main.go
+++ b/cmd/trefoilramp/main.go
@@ -10,14 +10,8 @@
 )
 
 func main() {
-	app := &cli.Command{
-		Name:  "trefoilramp",
-		Usage: "schedule latency-critical and batch work that share instances",
-		Commands: []*cli.Command{
-			standinCommand(),
-			loadCommand(),
-		},
-	}
+	app := group("trefoilramp", "schedule latency-critical and batch work that share instances",
+		append([]*cli.Command{standinCommand(), loadCommand()}, operateCommands()...)...)
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "trefoilramp: "+err.Error())
 		os.Exit(2)
