--- a/cmd/trefoilramp/load.go
+++ b/cmd/trefoilramp/load.go
@@ -11,7 +11,6 @@
 	"syscall"
 	"text/tabwriter"
 
-	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
 	"trefoilramp.org/trefoilramp/internal/conf/strict"
@@ -41,9 +40,9 @@
 			&cli.StringFlag{Name: "out", Usage: "`PREFIX` of the report's files; the name of the experiment if absent"},
 			&cli.BoolFlag{Name: "check", Usage: "check the experiment and exit"},
 			&cli.BoolFlag{Name: "compare", Usage: "compare two reports"},
-			&cli.BoolFlag{Name: "json", Usage: "write JSON to standard output"},
+			jsonFlag(),
 		},
-		OnUsageError: oneLine,
+		OnUsageError: usageError,
 		Action:       runLoad,
 	}
 }
@@ -52,12 +51,12 @@
 	out := c.Root().Writer
 	if c.Bool("compare") {
 		if c.Args().Len() != 2 {
-			return errors.Newf("load --compare needs two reports, got %d", c.Args().Len())
+			return inputError("load --compare needs two reports, got %d", c.Args().Len())
 		}
 		return compareReports(out, c.Args().Get(0), c.Args().Get(1), c.Bool("json"))
 	}
 	if c.Args().Present() || c.String("experiment") == "" {
-		return errors.New("load needs --experiment FILE and takes no argument")
+		return inputError("load needs --experiment FILE and takes no argument")
 	}
 	e, err := loadExperiment(c)
 	if c.Bool("check") {
--- a/cmd/trefoilramp/standin.go
+++ b/cmd/trefoilramp/standin.go
@@ -32,20 +32,12 @@
 const standinDrain = 5 * time.Second
 
 func standinCommand() *cli.Command {
-	return &cli.Command{
-		Name:        "standin",
-		Usage:       "run a stand-in for a service of the platform",
-		Description: standinUsage,
-		Action: func(_ context.Context, c *cli.Command) error {
-			return fmt.Errorf("standin needs store, worker or target, got %q", c.Args().First())
-		},
-		OnUsageError: oneLine,
-		Commands: []*cli.Command{
-			standinKind("store", "the transactional table service and object store", &store.Settings{}, runStore),
-			standinKind("worker", "a worker that runs simulated tasks", &worker.Settings{}, runWorker),
-			standinKind("target", "a back end of a service", &target.Settings{}, runTarget),
-		},
-	}
+	c := group("standin", "run a stand-in for a service of the platform",
+		standinKind("store", "the transactional table service and object store", &store.Settings{}, runStore),
+		standinKind("worker", "a worker that runs simulated tasks", &worker.Settings{}, runWorker),
+		standinKind("target", "a back end of a service", &target.Settings{}, runTarget))
+	c.Description = standinUsage
+	return c
 }
 
 // standinKind returns the command of one kind of stand-in with settings of type S.
@@ -56,15 +48,15 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`, required"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
-			&cli.BoolFlag{Name: "json", Usage: "write the outcome of --check as JSON"},
+			jsonFlag(),
 		},
-		OnUsageError: oneLine,
+		OnUsageError: usageError,
 		Action: func(ctx context.Context, c *cli.Command) error {
-			switch {
-			case c.Args().Present():
-				return fmt.Errorf("standin %s takes no argument, got %q", name, c.Args().First())
-			case c.String("settings") == "":
-				return fmt.Errorf("standin %s needs --settings FILE", name)
+			if err := checkArgs(c, ""); err != nil {
+				return err
+			}
+			if c.String("settings") == "" {
+				return inputError("standin %s needs --settings FILE", name)
 			}
 			err := host.Load(c.String("settings"), s)
 			if c.Bool("check") {
@@ -84,9 +76,6 @@
 	}
 }
 
-// oneLine returns an error of usage without the help text that the library would print.
-func oneLine(_ context.Context, _ *cli.Command, err error, _ bool) error { return err }
-
 // standinLog returns a log in JSON on standard error, with its fields in Pascal case.
 func standinLog(name string) (*zap.Logger, error) {
 	cfg := zap.NewProductionConfig()
