--- a/internal/load/report/plot.go
+++ b/internal/load/report/plot.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"html/template"
 	"image/color"
+	"math"
+	"strconv"
 	"strings"
 
 	"gonum.org/v1/plot"
@@ -18,10 +20,23 @@
 	plotHeight = 7 * vg.Centimeter
 )
 
+// Widths of curves; the thick one stays visible under another curve.
+const (
+	thin  = vg.Length(1)
+	thick = vg.Length(3)
+)
+
+// Room above the curves for the legend.
+const (
+	logRoom    = 4
+	linearRoom = 1.4
+)
+
 // curve is one line of a plot.
 type curve struct {
 	name  string
 	color color.RGBA
+	width vg.Length
 	value func(Summary) float64 // NaN or a value that is not positive leaves a gap on a logarithmic axis
 }
 
@@ -34,17 +49,17 @@
 )
 
 var latencyCurves = []curve{
-	{"P50", green, func(s Summary) float64 { return s.LatencyMillis.P50 }},
-	{"P90", blue, func(s Summary) float64 { return s.LatencyMillis.P90 }},
-	{"P99", orange, func(s Summary) float64 { return s.LatencyMillis.P99 }},
-	{"max", vermillion, func(s Summary) float64 { return s.LatencyMillis.Max }},
+	{"P50", green, thin, func(s Summary) float64 { return s.LatencyMillis.P50 }},
+	{"P90", blue, thin, func(s Summary) float64 { return s.LatencyMillis.P90 }},
+	{"P99", orange, thin, func(s Summary) float64 { return s.LatencyMillis.P99 }},
+	{"max", vermillion, thin, func(s Summary) float64 { return s.LatencyMillis.Max }},
 }
 
 var rateCurves = []curve{
-	{"offered", blue, func(s Summary) float64 { return s.OfferedPerSecond }},
-	{"good", green, func(s Summary) float64 { return s.GoodPerSecond }},
-	{"refused", orange, func(s Summary) float64 { return s.perSecond(s.NotRun) }},
-	{"other", vermillion, func(s Summary) float64 { return s.perSecond(s.Offered - s.Complete - s.NotRun) }},
+	{"offered", blue, thick, func(s Summary) float64 { return s.OfferedPerSecond }},
+	{"good", green, thin, func(s Summary) float64 { return s.GoodPerSecond }},
+	{"refused", orange, thin, func(s Summary) float64 { return s.perSecond(s.NotRun) }},
+	{"other", vermillion, thin, func(s Summary) float64 { return s.perSecond(s.Offered - s.Complete - s.NotRun) }},
 }
 
 // perSecond converts a count into a rate over the time of the summary.
@@ -64,7 +79,8 @@
 		return "", err
 	}
 	p.Y.Scale = plot.LogScale{}
-	p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
+	p.Y.Tick.Marker = plot.TickerFunc(logTicks)
+	p.Y.Max *= logRoom
 	return render(p)
 }
 
@@ -72,16 +88,19 @@
 	p := plot.New()
 	p.Title.Text = "Requests"
 	p.Y.Label.Text = "1/s"
-	p.Y.Min = 0
 	if _, err := addCurves(p, series, rateCurves, false); err != nil {
 		return "", err
 	}
+	p.Y.Min = 0
+	p.Y.Max = max(1, p.Y.Max*linearRoom)
+	p.Y.Tick.Marker = plot.TickerFunc(linearTicks)
 	return render(p)
 }
 
 // addCurves reports whether there was anything to draw.
 func addCurves(p *plot.Plot, series []Point, curves []curve, positive bool) (bool, error) {
 	p.X.Label.Text = "s"
+	p.X.Tick.Marker = plot.TickerFunc(linearTicks)
 	p.Legend.Top = true
 	drawn := false
 	for _, c := range curves {
@@ -98,7 +117,7 @@
 		if err != nil {
 			return false, fmt.Errorf("plot %s: %w", c.name, err)
 		}
-		line.Color = c.color
+		line.Color, line.Width = c.color, c.width
 		p.Add(line)
 		p.Legend.Add(c.name, line)
 		drawn = true
@@ -106,6 +125,43 @@
 	return drawn, nil
 }
 
+// logTicks returns ticks at 1, 2 and 5 times the powers of ten.
+func logTicks(low, high float64) []plot.Tick {
+	if low <= 0 {
+		return nil
+	}
+	var list []plot.Tick
+	for decade := math.Pow(10, math.Floor(math.Log10(low))); decade <= high; decade *= 10 {
+		for _, n := range []float64{1, 2, 5} {
+			if v := n * decade; v >= low && v <= high {
+				list = append(list, plot.Tick{Value: v, Label: strconv.FormatFloat(v, 'g', 3, 64)})
+			}
+		}
+	}
+	return list
+}
+
+// linearTicks returns about six ticks whose distance is 1, 2 or 5 times a power of ten.
+func linearTicks(low, high float64) []plot.Tick {
+	const wanted = 6
+	if low >= high {
+		return nil
+	}
+	rough := (high - low) / wanted
+	step := math.Pow(10, math.Floor(math.Log10(rough)))
+	for _, n := range []float64{5, 2} {
+		if n*step <= rough {
+			step *= n
+			break
+		}
+	}
+	var list []plot.Tick
+	for i := math.Ceil(low / step); i*step <= high; i++ {
+		list = append(list, plot.Tick{Value: i * step, Label: strconv.FormatFloat(i*step, 'g', 6, 64)})
+	}
+	return list
+}
+
 // render returns a plot as an SVG element without the XML declaration, which HTML does not allow.
 func render(p *plot.Plot) (template.HTML, error) {
 	w, err := p.WriterTo(plotWidth, plotHeight, "svg")
--- a/internal/load/report/report_test.go
+++ b/internal/load/report/report_test.go
@@ -94,6 +94,23 @@
 	}
 }
 
+// Guards against a page that cannot be drawn for a run without answers or with a single one.
+func TestPageOfShortRuns(t *testing.T) {
+	whole := build(t, 1)
+	for _, samples := range [][]drive.Sample{nil, {{Outcome: drive.Complete, Latency: time.Millisecond}}, {{Outcome: drive.Timeout}}} {
+		e := whole.Experiment
+		e.Duration = seconds(1)
+		r, err := report.Build(e, drive.Run{Samples: samples})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var b bytes.Buffer
+		if err := r.WriteHTML(&b); err != nil || strings.Contains(b.String(), "NaN") {
+			t.Errorf("page of %d samples: %v", len(samples), err)
+		}
+	}
+}
+
 // Guards against a comparison that hides a change or mixes runs that are not comparable.
 func TestCompare(t *testing.T) {
 	a, b := build(t, 1), build(t, 2)
