--- a/internal/link/wire/serve.go
+++ b/internal/link/wire/serve.go
@@ -15,8 +15,10 @@
 	Target        string // the target chosen by the sender; empty lets the receiver choose
 	Method        string
 	Path          string // with query, as the target sees it
+	Host          string // of the caller's request
 	Header        http.Header
-	Deadline      int64 // ns since 1970 on the sender's wall clock; the receiver converts it
+	Trailer       []string // names of announced trailer fields
+	Deadline      int64    // ns since 1970 on the sender's wall clock; the receiver converts it
 	Idempotent    bool
 	Long          bool // expected to run long
 	Hops          uint8
@@ -25,9 +27,10 @@
 
 // ResponseHead starts the answer to a request; the body follows.
 type ResponseHead struct {
-	Status        int
+	Status        int // 1xx precede the final head
 	Header        http.Header
-	ContentLength int64 // -1 when unknown
+	Trailer       []string // names of announced trailer fields
+	ContentLength int64    // -1 when unknown
 }
 
 // Reason says why a request did not run or why its outcome is unknown.
--- a/internal/serve/admit/pool.go
+++ b/internal/serve/admit/pool.go
@@ -89,6 +89,15 @@
 	p.dispatch(time.Now())
 }
 
+// Configure replaces the configuration; what was learned stays.
+func (p *Pool) Configure(cfg Config) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cfg = cfg.withDefaults()
+	p.learned.after = cfg.LongAfter
+	p.dispatch(time.Now())
+}
+
 // Shrink lowers the number of requests in progress after an agent refused one for lack of slots; it grows back with
 // each request that completes.
 func (p *Pool) Shrink() {
--- a/internal/serve/route/route.go
+++ b/internal/serve/route/route.go
@@ -21,6 +21,7 @@
 // Candidate is a target of a service, or an entry of another zone that reaches targets of the service.
 type Candidate struct {
 	Name     string // unique among the candidates of all services
+	Target   string // by which its agent knows it; empty for an entry
 	Zone     ident.AvailabilityZone
 	Slots    int64         // requests that it runs at the same time
 	InFlight int64         // requests in progress as its agent reported, from all entries
