--- a/cmd/trefoilramp/audit.go
+++ b/cmd/trefoilramp/audit.go
@@ -13,7 +13,7 @@
 //
 //	trefoilramp audit [--limit N] [--before TIME]
 func auditCommand() *cli.Command {
-	return remote("audit", "list who changed what, newest first", "", []cli.Flag{
+	return apiCommand("audit", "list who changed what, newest first", "", []cli.Flag{
 		&cli.IntFlag{Name: "limit", Usage: "list at most `N` records", Value: 50},
 		&cli.StringFlag{Name: "before", Usage: "list only records older than `TIME`, as in RFC 3339"},
 	}, listAudit)
--- a/cmd/trefoilramp/config.go
+++ b/cmd/trefoilramp/config.go
@@ -28,14 +28,14 @@
 			Name: "check", Usage: "validate a document, without an entry", ArgsUsage: "FILE",
 			Flags: []cli.Flag{jsonFlag()}, OnUsageError: usageError, Action: checkConfig,
 		},
-		remote("get", "print the accepted document", "", []cli.Flag{
+		apiCommand("get", "print the accepted document", "", []cli.Flag{
 			&cli.Uint64Flag{Name: "version", Usage: "print version `N` instead of the newest"},
 		}, getConfig),
-		remote("diff", "compare a document with the accepted one", "FILE", nil, diffConfig),
-		remote("apply", "submit a document", "FILE", []cli.Flag{
+		apiCommand("diff", "compare a document with the accepted one", "FILE", nil, diffConfig),
+		apiCommand("apply", "submit a document", "FILE", []cli.Flag{
 			&cli.Uint64Flag{Name: "base", Usage: "version `N` that the document was made from; 0 when there is none"},
 		}, applyConfig),
-		remote("history", "list accepted versions, newest first", "", []cli.Flag{
+		apiCommand("history", "list accepted versions, newest first", "", []cli.Flag{
 			&cli.IntFlag{Name: "limit", Usage: "list at most `N` versions", Value: 20},
 		}, listHistory),
 	)
--- /dev/null
+++ b/cmd/trefoilramp/demo.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/demo/check"
+	"trefoilramp.org/trefoilramp/internal/demo/whole"
+)
+
+const demoUsage = `trefoilramp demo [--once] [--json] [--break NAME] [--log]
+
+Runs the whole system in one process on loopback: a store, three availability zones, two entries, 11 workers with targets
+and agents. Without flags it prints the addresses and a status line until it is interrupted. --once runs a fixed
+scenario, prints which promises held, and exits with 1 if one did not. --break seeds a fault that breaks a promise.`
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "demo",
+		Usage:       "run the whole system on loopback",
+		Description: demoUsage,
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "once", Usage: "run the fixed scenario and exit"},
+			&cli.BoolFlag{Name: "json", Usage: "print the summary of --once as one JSON document"},
+			&cli.StringFlag{Name: "break", Usage: "seed the fault `NAME`: " + strings.Join(check.Breaks(), ", ")},
+			&cli.BoolFlag{Name: "log", Usage: "write the log of all processes to standard error"},
+		},
+		OnUsageError: usageError,
+		Action:       runDemo,
+	}
+}
+
+func runDemo(ctx context.Context, c *cli.Command) error {
+	if c.Args().Present() {
+		return inputError("demo takes no argument, got %q", c.Args().First())
+	}
+	o := whole.Options{Log: zap.NewNop()}
+	if err := check.Seed(&o, c.String("break")); err != nil {
+		return inputError("%v", err)
+	}
+	if c.Bool("log") {
+		log, err := processLog()
+		if err != nil {
+			return err
+		}
+		o.Log = log
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	s, err := whole.Start(ctx, o)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	if c.Bool("once") {
+		return demoOnce(ctx, c, s)
+	}
+	printAddresses(c.Root().Writer, s)
+	return watchDemo(ctx, c.Root().Writer, s)
+}
+
+func demoOnce(ctx context.Context, c *cli.Command, s *whole.System) error {
+	report, err := check.Run(ctx, s)
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		enc := json.NewEncoder(c.Root().Writer)
+		enc.SetIndent("", "  ")
+		if err := enc.Encode(report); err != nil {
+			return fmt.Errorf("write report: %w", err)
+		}
+	} else {
+		report.Print(c.Root().Writer)
+	}
+	if !report.Held {
+		return cli.Exit("trefoilramp: a promise did not hold", exitFailure)
+	}
+	return nil
+}
+
+func printAddresses(w io.Writer, s *whole.System) {
+	for _, e := range s.Entries {
+		fmt.Fprintf(w, "%s  callers         %s/services/%s/\n", e.Name, e.Callers(), whole.ServiceName)
+		fmt.Fprintf(w, "%s  administration  %s\n", e.Name, e.Administration())
+		fmt.Fprintf(w, "%s  console         http://%s/\n", e.Name, e.Role.Console())
+	}
+	fmt.Fprintf(w, "token for reading %s, for changes %s\n", whole.ReadToken, whole.ChangeToken)
+	fmt.Fprintf(w, "try: curl -i %s/services/%s/parts\n", s.Entries[0].Callers(), whole.ServiceName)
+}
+
+// watchDemo submits a packing job and prints a status line every second until ctx ends.
+func watchDemo(ctx context.Context, w io.Writer, s *whole.System) error {
+	job := []byte(`{"Job":"packing-plan","Team":"okulset","Class":"packing","Command":"run=20s","Tasks":1000}`)
+	if _, err := s.API().Submit(ctx, job); err != nil {
+		return fmt.Errorf("submit job: %w", err)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			fmt.Fprintln(w)
+			return nil
+		case <-time.After(time.Second):
+		}
+		fmt.Fprintf(w, "\r%s", statusLine(ctx, s))
+	}
+}
+
+func statusLine(ctx context.Context, s *whole.System) string {
+	var queued, running, done uint32
+	if jobs, err := s.API().Jobs(ctx); err == nil {
+		for _, j := range jobs.Jobs {
+			queued, running, done = queued+j.Queued, running+j.Running, done+j.Done
+		}
+	}
+	st := s.Entries[0].Role.Status(ctx)
+	return fmt.Sprintf("configuration %d, %d workers seen by %s, tasks: %d queued, %d running, %d done      ", st.InForce,
+		len(st.Workers), st.Entry, queued, running, done)
+}
--- a/cmd/trefoilramp/job.go
+++ b/cmd/trefoilramp/job.go
@@ -27,17 +27,17 @@
 //	trefoilramp job watch ID       print progress until the job is finished; exit code 1 unless all tasks are done
 func jobCommand() *cli.Command {
 	return group("job", "submit, list, watch and cancel batch jobs",
-		remote("submit", "submit a job", "", submitFlags(), submitJob),
-		remote("list", "list all jobs", "", nil, listJobs),
-		remote("get", "show a job", "ID", nil, func(ctx context.Context, c *cli.Command, api *admin.Client) error {
+		apiCommand("submit", "submit a job", "", submitFlags(), submitJob),
+		apiCommand("list", "list all jobs", "", nil, listJobs),
+		apiCommand("get", "show a job", "ID", nil, func(ctx context.Context, c *cli.Command, api *admin.Client) error {
 			j, err := api.Job(ctx, c.Args().First())
 			return showJobs(c, err, j)
 		}),
-		remote("cancel", "cancel a job", "ID", nil, func(ctx context.Context, c *cli.Command, api *admin.Client) error {
+		apiCommand("cancel", "cancel a job", "ID", nil, func(ctx context.Context, c *cli.Command, api *admin.Client) error {
 			j, err := api.Cancel(ctx, c.Args().First())
 			return showJobs(c, err, j)
 		}),
-		remote("watch", "print the progress of a job until it is finished", "ID", nil, watchJob),
+		apiCommand("watch", "print the progress of a job until it is finished", "ID", nil, watchJob),
 	)
 }
 
--- a/cmd/trefoilramp/main.go
+++ b/cmd/trefoilramp/main.go
@@ -10,7 +10,9 @@
 )
 
 func main() {
-	commands := append([]*cli.Command{standinCommand(), loadCommand()}, operateCommands()...)
+	commands := append([]*cli.Command{
+		entryCommand(), agentCommand(), standinCommand(), demoCommand(), loadCommand(),
+	}, operateCommands()...)
 	app := group("trefoilramp", "schedule latency-critical and batch work that share instances", commands...)
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "trefoilramp: "+err.Error())
--- a/cmd/trefoilramp/operate.go
+++ b/cmd/trefoilramp/operate.go
@@ -65,7 +65,7 @@
 }
 
 // remote returns a command that calls the administration API; args names its arguments.
-func remote(name, usage, args string, flags []cli.Flag, run func(ctx context.Context, c *cli.Command, api *admin.Client) error) *cli.Command {
+func apiCommand(name, usage, args string, flags []cli.Flag, run func(ctx context.Context, c *cli.Command, api *admin.Client) error) *cli.Command {
 	return &cli.Command{
 		Name:      name,
 		Usage:     usage,
--- /dev/null
+++ b/cmd/trefoilramp/process_test.go
@@ -0,0 +1,343 @@
+package main_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"trefoilramp.org/trefoilramp/internal/conf/model"
+	"trefoilramp.org/trefoilramp/internal/core/event"
+	"trefoilramp.org/trefoilramp/internal/ops/admin"
+)
+
+const (
+	processKey    = "process-test-shared-key"
+	readToken     = "process-test-read-token"
+	changeToken   = "process-test-change-token"
+	processZone   = "agadir"
+	startLimit    = 15 * time.Second
+	processMemory = 8e9
+)
+
+// process is a running process of the built binary.
+type process struct {
+	name   string
+	cmd    *exec.Cmd
+	events chan logLine
+	done   chan struct{}
+}
+
+// logLine is the part of a log line that the tests read.
+type logLine struct {
+	Event          event.Number
+	Address        string
+	Callers        string
+	Administration string
+	Sessions       string
+	Announcements  string
+}
+
+// deployment is a set of processes in one directory.
+type deployment struct {
+	t      *testing.T
+	binary string
+	dir    string
+}
+
+func newDeployment(t *testing.T) *deployment {
+	d := &deployment{t: t, dir: t.TempDir()}
+	d.binary = filepath.Join(d.dir, "trefoilramp")
+	if b, err := exec.CommandContext(t.Context(), "go", "build", "-o", d.binary, ".").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, b)
+	}
+	return d
+}
+
+// start starts a process and waits for the log event that tells its addresses.
+func (d *deployment) start(name string, until event.Number, settings any, args ...string) (*process, logLine) {
+	d.t.Helper()
+	path := filepath.Join(d.dir, name+".json")
+	b, err := json.Marshal(settings)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+	p := &process{name: name, events: make(chan logLine, 1024), done: make(chan struct{})}
+	p.cmd = exec.Command(d.binary, append(args, "--settings", path)...)
+	logs, err := p.cmd.StderrPipe()
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		d.t.Fatal(err)
+	}
+	go p.read(logs, filepath.Join(d.dir, name+".log"))
+	d.t.Cleanup(func() { p.kill() })
+	for limit := time.After(startLimit); ; {
+		select {
+		case l := <-p.events:
+			if l.Event == until {
+				return p, l
+			}
+		case <-p.done:
+			b, _ := os.ReadFile(filepath.Join(d.dir, name+".log"))
+			d.t.Fatalf("%s ended early:\n%s", name, b)
+		case <-limit:
+			d.t.Fatalf("%s did not log %v", name, until)
+		}
+	}
+}
+
+// read keeps the log in a file and passes its events on; events that nobody waits for are dropped.
+func (p *process) read(logs io.Reader, path string) {
+	defer close(p.done)
+	f, err := os.Create(path)
+	if err != nil {
+		return
+	}
+	defer f.Close()
+	s := bufio.NewScanner(logs)
+	for s.Scan() {
+		fmt.Fprintln(f, s.Text())
+		var l logLine
+		if json.Unmarshal(s.Bytes(), &l) == nil {
+			select {
+			case p.events <- l:
+			default:
+			}
+		}
+	}
+}
+
+func (p *process) kill() {
+	if p.cmd.ProcessState == nil {
+		_ = p.cmd.Process.Kill()
+		<-p.done
+		_ = p.cmd.Wait()
+	}
+}
+
+// terminate asks for a graceful end and returns the exit code.
+func (p *process) terminate(t *testing.T) int {
+	t.Helper()
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	<-p.done
+	_ = p.cmd.Wait()
+	return p.cmd.ProcessState.ExitCode()
+}
+
+type object map[string]any
+
+func secretOf(v string) object { return object{"Value": v} }
+
+// platform is a deployment with a store, entries and workers, each with an agent and a target.
+type platform struct {
+	*deployment
+	store   string
+	entries []*process
+	callers []string
+	api     []*admin.Client
+	agents  []*process
+	session string
+}
+
+func (p *platform) addEntry(name string) {
+	e, l := p.start(name, event.ProcessStarted, object{
+		"Name": name, "AvailabilityZone": processZone, "Callers": "127.0.0.1:0", "Administration": "127.0.0.1:0",
+		"Sessions": "127.0.0.1:0", "Store": p.store, "Key": secretOf(processKey), "ReadToken": secretOf(readToken),
+		"ChangeToken": secretOf(changeToken),
+	}, "entry")
+	p.entries = append(p.entries, e)
+	p.callers = append(p.callers, "http://"+l.Callers)
+	p.api = append(p.api, admin.NewClient("http://"+l.Administration, changeToken, "test", nil))
+	p.session = l.Sessions
+}
+
+func (p *platform) addWorker(name string) {
+	_, l := p.start("worker-"+name, event.StandInStarted, object{
+		"Worker": name, "AvailabilityZone": processZone, "Rack": "rack-1", "Address": "127.0.0.1:0", "Store": p.store,
+		"Total": object{"Processors": 4000, "Memory": int64(processMemory), "Slots": 8, "Connections": 64}, "Lag": "500ms",
+	}, "standin", "worker")
+	a, al := p.start("agent-"+name, event.ProcessStarted, object{
+		"Name": name, "AvailabilityZone": processZone, "Rack": "rack-1", "Announcements": "127.0.0.1:0",
+		"Balancer": p.session, "Worker": "http://" + l.Address, "Key": secretOf(processKey),
+	}, "agent")
+	p.agents = append(p.agents, a)
+	p.start("target-"+name, event.StandInStarted, object{
+		"Target": "booking-" + name, "Service": "booking", "Address": "127.0.0.1:0", "Agent": "http://" + al.Announcements,
+		"Slots": 8, "Connections": 64, "Times": object{"Service": "1ms"},
+	}, "standin", "target")
+}
+
+func (p *platform) document() []byte {
+	d := model.Default()
+	d.Services[0].Name = "booking"
+	d.AvailabilityZones[0].Name = processZone
+	b, err := d.Encode()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return b
+}
+
+func newPlatform(t *testing.T, entries, workers int) *platform {
+	p := &platform{deployment: newDeployment(t)}
+	_, l := p.start("store", event.StandInStarted, object{
+		"Address": "127.0.0.1:0", "WritesPerSecond": 300, "ReadsPerSecond": 2000, "Latency": "2ms",
+	}, "standin", "store")
+	p.store = "http://" + l.Address
+	for i := range entries {
+		p.addEntry(fmt.Sprintf("entry-%d", i+1))
+	}
+	if _, err := p.api[0].Apply(t.Context(), 0, p.document()); err != nil {
+		t.Fatalf("apply configuration: %v", err)
+	}
+	for i := range workers {
+		p.addWorker(fmt.Sprintf("w%d", i+1))
+	}
+	p.until("all targets are known to every entry", func() bool {
+		for _, api := range p.api {
+			st, err := api.Status(t.Context())
+			if err != nil || len(st.Services) == 0 || len(st.Services[0].Targets) < workers {
+				return false
+			}
+		}
+		return true
+	})
+	return p
+}
+
+func (p *platform) until(what string, done func() bool) {
+	p.t.Helper()
+	for end := time.Now().Add(startLimit); !done(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			p.t.Fatalf("not reached in %s: %s", startLimit, what)
+		}
+	}
+}
+
+// Guards against answers that are cut, mixed up or lost between processes, and against a batch job that does not finish
+// or a configuration that does not reach agents.
+func TestProcessesServeAndRunJobs(t *testing.T) {
+	p := newPlatform(t, 2, 3)
+	job := []byte(`{"Job":"plan","Team":"team-1","Class":"standard","Command":"run=100ms","Tasks":200}`)
+	if _, err := p.api[1].Submit(t.Context(), job); err != nil {
+		t.Fatalf("submit job: %v", err)
+	}
+	serveRequests(t, p.callers, 10_000)
+	_, version, err := p.api[1].Config(t.Context(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := p.api[1].Apply(t.Context(), version, bytes.Replace(p.document(), []byte(`"Weight": 1`), []byte(`"Weight": 2`), 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.until("the configuration is in force in every agent", func() bool {
+		st, err := p.api[0].Status(t.Context())
+		if err != nil || len(st.Workers) != 3 {
+			return false
+		}
+		for _, w := range st.Workers {
+			if w.InForce < accepted.Version {
+				return false
+			}
+		}
+		return true
+	})
+	p.until("the job is finished", func() bool {
+		j, err := p.api[0].Job(t.Context(), "plan")
+		return err == nil && j.Finished && j.Done == 200
+	})
+	if code := p.agents[0].terminate(t); code != 0 {
+		t.Errorf("agent ended with code %d after SIGTERM", code)
+	}
+	if code := p.entries[0].terminate(t); code != 0 {
+		t.Errorf("entry ended with code %d after SIGTERM", code)
+	}
+	serveRequests(t, p.callers[1:], 200)
+}
+
+// serveRequests sends n requests from 32 goroutines and compares every answer byte for byte. NotRun is a true refusal
+// and is repeated, as a caller would.
+func serveRequests(t *testing.T, callers []string, n int) {
+	t.Helper()
+	const goroutines = 32
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: goroutines}}
+	defer client.CloseIdleConnections()
+	var wg sync.WaitGroup
+	faults := make(chan error, n)
+	for g := range goroutines {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(1, uint64(g)))
+			for i := g; i < n; i += goroutines {
+				body := make([]byte, rng.IntN(2000))
+				for k := range body {
+					body[k] = byte(rng.Uint32())
+				}
+				if err := echo(t.Context(), client, callers[i%len(callers)], i, body); err != nil {
+					faults <- err
+				}
+			}
+		})
+	}
+	wg.Wait()
+	close(faults)
+	count := 0
+	for err := range faults {
+		if count++; count <= 5 {
+			t.Errorf("request: %v", err)
+		}
+	}
+	if count > 0 {
+		t.Fatalf("%d of %d requests failed", count, n)
+	}
+}
+
+func echo(ctx context.Context, client *http.Client, base string, i int, body []byte) error {
+	const tries = 20
+	for range tries {
+		r, err := http.NewRequestWithContext(ctx, http.MethodPut, fmt.Sprintf("%s/services/booking/echo/%d", base, i),
+			bytes.NewReader(body))
+		if err != nil {
+			return err
+		}
+		w, err := client.Do(r)
+		if err != nil {
+			return err
+		}
+		got, err := io.ReadAll(w.Body)
+		w.Body.Close()
+		if err != nil {
+			return err
+		}
+		switch outcome := w.Header.Get("Trefoilramp-Outcome"); {
+		case outcome == "NotRun":
+			time.Sleep(10 * time.Millisecond)
+			continue
+		case outcome != "Complete":
+			return fmt.Errorf("status %d, outcome %q: %s", w.StatusCode, outcome, strings.TrimSpace(string(got)))
+		case !bytes.Equal(got, body):
+			return fmt.Errorf("%d bytes that differ from the %d sent", len(got), len(body))
+		}
+		return nil
+	}
+	return fmt.Errorf("refused %d times", tries)
+}
--- a/cmd/trefoilramp/standin.go
+++ b/cmd/trefoilramp/standin.go
@@ -11,7 +11,6 @@
 
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"trefoilramp.org/trefoilramp/internal/conf/strict"
 	"trefoilramp.org/trefoilramp/internal/core/ident"
@@ -65,7 +64,7 @@
 			if err != nil {
 				return err
 			}
-			log, err := standinLog(name)
+			log, err := processLog(zap.String("StandIn", name))
 			if err != nil {
 				return err
 			}
@@ -76,22 +75,6 @@
 	}
 }
 
-// standinLog returns a log in JSON on standard error, with its fields in Pascal case.
-func standinLog(name string) (*zap.Logger, error) {
-	cfg := zap.NewProductionConfig()
-	cfg.DisableCaller = true
-	cfg.DisableStacktrace = true
-	cfg.EncoderConfig.TimeKey = "Time"
-	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	cfg.EncoderConfig.LevelKey = "Level"
-	cfg.EncoderConfig.MessageKey = "Message"
-	log, err := cfg.Build(zap.Fields(zap.String("StandIn", name)))
-	if err != nil {
-		return nil, fmt.Errorf("open log: %w", err)
-	}
-	return log, nil
-}
-
 // checkOutcome is the form of --check --json.
 type checkOutcome struct {
 	Valid  bool
--- a/cmd/trefoilramp/status.go
+++ b/cmd/trefoilramp/status.go
@@ -14,7 +14,7 @@
 //
 //	trefoilramp status
 func statusCommand() *cli.Command {
-	return remote("status", "show zones, entries, workers, services, jobs and partitions", "", nil,
+	return apiCommand("status", "show zones, entries, workers, services, jobs and partitions", "", nil,
 		func(ctx context.Context, c *cli.Command, api *admin.Client) error {
 			s, err := api.Status(ctx)
 			if err != nil {
--- a/cmd/trefoilramp/worker.go
+++ b/cmd/trefoilramp/worker.go
@@ -14,7 +14,7 @@
 //	trefoilramp worker drain NAME    let a worker finish what it has and take no new work
 func workerCommand() *cli.Command {
 	return group("worker", "drain workers",
-		remote("drain", "let a worker finish what it has and take no new work", "NAME", nil,
+		apiCommand("drain", "let a worker finish what it has and take no new work", "NAME", nil,
 			func(ctx context.Context, c *cli.Command, api *admin.Client) error {
 				d, err := api.Drain(ctx, c.Args().First())
 				if err != nil {
--- /dev/null
+++ b/internal/demo/whole/worker.go
@@ -0,0 +1,140 @@
+package whole
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/conf/setup"
+	"trefoilramp.org/trefoilramp/internal/plat/remote"
+	"trefoilramp.org/trefoilramp/internal/plat/worker"
+	"trefoilramp.org/trefoilramp/internal/role/agent"
+	"trefoilramp.org/trefoilramp/internal/stand/host"
+	"trefoilramp.org/trefoilramp/internal/stand/target"
+	standworker "trefoilramp.org/trefoilramp/internal/stand/worker"
+)
+
+// ServiceName is the service that all targets of the demonstration belong to.
+const ServiceName = "booking"
+
+// Worker is a worker with the agent and the target beside it.
+type Worker struct {
+	Name   string
+	Zone   string
+	Rack   string
+	Stand  *standworker.Worker
+	Target *target.Target
+
+	system *System
+	url    string // of the worker's interface
+
+	mu     sync.Mutex
+	agent  *agent.Agent
+	cancel context.CancelFunc // ends the agent at once
+	lost   context.CancelFunc // ends target and worker interface
+	done   chan struct{}      // closed when the agent has ended
+}
+
+func (w *Worker) start(ctx context.Context) error {
+	ln, err := listen(ctx)
+	if err != nil {
+		return fmt.Errorf("start worker %s: %w", w.Name, err)
+	}
+	w.url = "http://" + ln.Addr().String()
+	life, lost := context.WithCancel(w.system.ctx)
+	w.lost = lost
+	w.system.running.Go(func() {
+		if err := host.Serve(life, ln, w.Stand.Handler(), standDrain, w.system.options.Log); err != nil {
+			w.system.options.Log.Error("worker failed", zap.Error(err))
+		}
+	})
+	if err := w.StartAgent(ctx); err != nil {
+		return err
+	}
+	return w.startTarget(ctx, life)
+}
+
+// StartAgent starts an agent beside the worker, also in place of one that was stopped.
+func (w *Worker) StartAgent(ctx context.Context) error {
+	var platform worker.Platform = worker.NewClient(remote.Options{URL: w.url, Name: w.Name})
+	if f := w.system.options.Worker; f != nil {
+		platform = f(w.Name, platform)
+	}
+	announcements := loopback
+	if w.agent != nil {
+		announcements = w.agent.Announcements() // targets keep the address
+	}
+	balancer := w.system.Entries[len(w.Name)%len(w.system.Entries)].Role.Sessions()
+	a, err := agent.New(ctx, agent.Config{
+		Settings: setup.Agent{
+			Name: w.Name, AvailabilityZone: w.Zone, Rack: w.Rack, Announcements: announcements, Balancer: balancer,
+			Worker: w.url, Key: secret(sharedKey),
+		},
+		Worker: platform,
+		Log:    w.system.options.Log.With(zap.String("Process", "agent "+w.Name)),
+	})
+	if err != nil {
+		return fmt.Errorf("start agent %s: %w", w.Name, err)
+	}
+	life, cancel := context.WithCancel(w.system.ctx)
+	done := make(chan struct{})
+	w.mu.Lock()
+	w.agent, w.cancel, w.done = a, cancel, done
+	w.mu.Unlock()
+	w.system.running.Go(func() {
+		defer close(done)
+		if err := a.Run(life); err != nil && life.Err() == nil {
+			w.system.options.Log.Error("agent failed", zap.Error(err))
+		}
+	})
+	return nil
+}
+
+func (w *Worker) startTarget(ctx, life context.Context) error {
+	ln, err := listen(ctx)
+	if err != nil {
+		return fmt.Errorf("start target of %s: %w", w.Name, err)
+	}
+	w.Target = target.New(target.Options{
+		Target: ServiceName + "-" + w.Name, Service: ServiceName, Slots: 8, Connections: 64,
+		Times: target.Times{Service: 5 * time.Millisecond, Long: 300 * time.Millisecond, Jitter: 0.2},
+	})
+	w.system.running.Go(func() {
+		p := target.Process{Agent: "http://" + w.agent.Announcements(), Leave: 3 * time.Second, Drain: standDrain}
+		if err := w.Target.Run(life, ln, p); err != nil && life.Err() == nil {
+			w.system.options.Log.Error("target failed", zap.Error(err))
+		}
+	})
+	return nil
+}
+
+// StopAgent ends the agent at once, as a crash does, and waits for its end.
+func (w *Worker) StopAgent() {
+	w.mu.Lock()
+	cancel, done := w.cancel, w.done
+	w.mu.Unlock()
+	cancel()
+	<-done
+}
+
+// Lose ends the agent, the target and the interface of the worker at once, as the loss of the instance does. Tasks in the
+// stand-in go on under their leases, so that a check can see whether they overlap with their successors.
+func (w *Worker) Lose() {
+	w.lost()
+	w.StopAgent()
+}
+
+// Drain ends the agent gracefully.
+func (w *Worker) Drain(ctx context.Context) error {
+	w.mu.Lock()
+	a := w.agent
+	w.mu.Unlock()
+	if err := a.Drain(ctx); err != nil {
+		return fmt.Errorf("drain %s: %w", w.Name, err)
+	}
+	w.StopAgent()
+	return nil
+}
--- /dev/null
+++ b/internal/role/agent/listen.go
@@ -0,0 +1,58 @@
+package agent
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/plat/notice"
+)
+
+const maxAnnouncement = 4 << 10 // bytes
+
+// announcements receives what targets announce.
+func (a *Agent) announcements() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+notice.Path, a.announce)
+	return mux
+}
+
+func (a *Agent) announce(w http.ResponseWriter, r *http.Request) {
+	var n notice.Announcement
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&n); err != nil {
+		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := n.Validate(); err != nil {
+		http.Error(w, "announcement: "+err.Error(), http.StatusUnprocessableEntity)
+		return
+	}
+	info := wire.TargetInfo{
+		Target: n.Target, Service: n.Service, State: wire.TargetReady, Slots: n.Slots, Connections: n.Connections,
+	}
+	if n.State == notice.Leaving {
+		info.State = wire.TargetLeaving
+	}
+	if err := a.registry.Announce(info, n.Address, time.Now()); err != nil {
+		http.Error(w, "announcement: "+err.Error(), http.StatusUnprocessableEntity)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// health answers the platform's checks. An agent is ready while it takes new work and knows an entry.
+func (a *Agent) health() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if a.leaving.Load() || len(a.links()) == 0 {
+			http.Error(w, "draining or without a session", http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return mux
+}
--- /dev/null
+++ b/internal/role/entry/entry.go
@@ -0,0 +1,319 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/batch/commit"
+	"trefoilramp.org/trefoilramp/internal/batch/lease"
+	"trefoilramp.org/trefoilramp/internal/batch/owner"
+	"trefoilramp.org/trefoilramp/internal/conf/head"
+	"trefoilramp.org/trefoilramp/internal/conf/setup"
+	"trefoilramp.org/trefoilramp/internal/core/event"
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/point"
+	"trefoilramp.org/trefoilramp/internal/link/sess"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/ops/admin"
+	"trefoilramp.org/trefoilramp/internal/ops/metric"
+	"trefoilramp.org/trefoilramp/internal/plat/table"
+	"trefoilramp.org/trefoilramp/internal/serve/claim"
+	"trefoilramp.org/trefoilramp/internal/serve/front"
+)
+
+const (
+	summaryEvery = time.Second
+	headerLimit  = 5 * time.Second // for the header of a caller's request
+	idleLimit    = 2 * time.Minute // for an idle connection of a caller
+	headerBytes  = 64 << 10
+	// journalWrites is the share of the store's several hundred writes/s that journals of all partitions may use; the
+	// rest is for claims, membership, configuration and audit.
+	journalWrites = 240
+)
+
+// Config is what an entry needs besides its settings.
+type Config struct {
+	Settings setup.Entry
+	Store    table.Store
+	Log      *zap.Logger
+	Hook     point.Hook
+	Seed     uint64 // of random choices in routing
+	// ClaimStore holds the claims of idempotency keys; nil means Store.
+	ClaimStore table.Store
+}
+
+// Entry is a running entry.
+type Entry struct {
+	cfg         Config
+	incarnation ident.Incarnation
+	holder      *head.Holder
+	tracker     *head.Tracker
+	directory   *directory
+	members     *members
+	owner       *owner.Owner
+	front       *front.Front
+	jobs        *jobs
+	metrics     *metric.Set
+	api         *admin.API
+	listeners   listeners
+	network     *network
+	draining    atomic.Bool
+
+	mu         sync.Mutex
+	introduced map[*sess.Session]bool
+}
+
+// listeners are the sockets of an entry.
+type listeners struct {
+	callers  net.Listener
+	admin    net.Listener
+	console  net.Listener // nil for none
+	sessions net.Listener
+}
+
+// New opens the listeners of an entry.
+func New(ctx context.Context, cfg Config) (*Entry, error) {
+	e := &Entry{
+		cfg:         cfg,
+		incarnation: ident.NewIncarnation(),
+		tracker:     head.NewTracker(),
+		directory:   newDirectory(ident.AvailabilityZone(cfg.Settings.AvailabilityZone)),
+		introduced:  make(map[*sess.Session]bool),
+	}
+	if cfg.ClaimStore == nil {
+		cfg.ClaimStore = cfg.Store
+	}
+	if err := e.listen(ctx); err != nil {
+		return nil, err
+	}
+	e.holder = head.New(cfg.Store, head.Options{
+		Log: cfg.Log, Hook: cfg.Hook, Peers: &configPeers{e.directory}, Accepted: e.announceConfig,
+	})
+	e.network = newNetwork(e)
+	e.members = &members{
+		self: ident.Entry(cfg.Settings.Name), zone: e.directory.zone, roster: e.network, holder: e.holder,
+		directory: e.directory, owns: func(p ident.Partition) bool { return e.owner.Owns(p) },
+	}
+	e.owner = owner.New(owner.Config{
+		Self:    commit.Self{Name: e.members.self, Incarnation: e.incarnation},
+		Store:   cfg.Store,
+		Members: e.members,
+		Peers:   &partitionPeers{e.network, e.directory},
+		Terms:   lease.Default(),
+		Writes:  journalWrites,
+		Log:     cfg.Log,
+		Hook:    cfg.Hook,
+	})
+	e.jobs = &jobs{e.members, e.owner}
+	e.front = front.New(front.Config{
+		Services:  services{e.holder},
+		Directory: e.directory,
+		Claims:    claim.NewBook(cfg.ClaimStore, e.members.self, cfg.Seed, cfg.Log, cfg.Hook),
+		Log:       cfg.Log,
+		Hook:      cfg.Hook,
+		Seed:      cfg.Seed,
+	})
+	e.metrics = metric.New(cfg.Log)
+	e.api = e.newAPI()
+	return e, nil
+}
+
+func (e *Entry) listen(ctx context.Context) error {
+	s := e.cfg.Settings
+	var lc net.ListenConfig
+	for _, l := range []struct {
+		name, address string
+		to            *net.Listener
+	}{
+		{"callers", s.Callers, &e.listeners.callers},
+		{"administration", s.Administration, &e.listeners.admin},
+		{"console", s.Console, &e.listeners.console},
+		{"sessions", s.Sessions, &e.listeners.sessions},
+	} {
+		if l.address == "" {
+			continue
+		}
+		ln, err := lc.Listen(ctx, "tcp", l.address)
+		if err != nil {
+			e.listeners.close()
+			return fmt.Errorf("listen for %s: %w", l.name, err)
+		}
+		*l.to = ln
+	}
+	return nil
+}
+
+func (l *listeners) close() {
+	for _, ln := range []net.Listener{l.callers, l.admin, l.console, l.sessions} {
+		if ln != nil {
+			ln.Close()
+		}
+	}
+}
+
+// Callers returns the address of the callers' listener.
+func (e *Entry) Callers() string { return e.listeners.callers.Addr().String() }
+
+// Administration returns the address of the administration listener.
+func (e *Entry) Administration() string { return e.listeners.admin.Addr().String() }
+
+// Console returns the address of the console's listener, or an empty string.
+func (e *Entry) Console() string {
+	if e.listeners.console == nil {
+		return ""
+	}
+	return e.listeners.console.Addr().String()
+}
+
+// Sessions returns the address at which other processes reach this entry.
+func (e *Entry) Sessions() string {
+	if a := e.cfg.Settings.Advertise; a != "" {
+		return a
+	}
+	return e.listeners.sessions.Addr().String()
+}
+
+// Run works until ctx ends, which stops the entry at once. Drain before that for a graceful end.
+func (e *Entry) Run(ctx context.Context) error {
+	event.Log(e.cfg.Log, event.ProcessStarted, zap.String("Role", "entry"), zap.String("Callers", e.Callers()),
+		zap.String("Administration", e.Administration()), zap.String("Sessions", e.Sessions()))
+	var wg sync.WaitGroup
+	wg.Go(func() { e.holder.Run(ctx) })
+	wg.Go(func() { e.distribute(ctx) })
+	wg.Go(func() { e.summarize(ctx) })
+	wg.Go(func() { e.network.run(ctx) })
+	wg.Go(func() { e.owner.Run(ctx) })
+	wg.Go(func() {
+		if err := sess.Serve(ctx, e.listeners.sessions, e.sessionConfig(), e); err != nil {
+			e.cfg.Log.Error("sessions listener failed", zap.Error(err))
+		}
+	})
+	wg.Go(func() { e.serve(ctx, e.listeners.callers, e.callerHandler()) })
+	wg.Go(func() { e.serve(ctx, e.listeners.admin, e.api) })
+	if e.listeners.console != nil {
+		wg.Go(func() { e.serve(ctx, e.listeners.console, e.consoleHandler()) })
+	}
+	wg.Wait()
+	e.closeSessions()
+	if err := e.metrics.Close(); err != nil {
+		return fmt.Errorf("stop metrics: %w", err)
+	}
+	return nil
+}
+
+// serve runs an HTTP server until ctx ends.
+func (e *Entry) serve(ctx context.Context, ln net.Listener, h http.Handler) {
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerLimit, IdleTimeout: idleLimit, MaxHeaderBytes: headerBytes,
+	}
+	stop := context.AfterFunc(ctx, func() { s.Close() })
+	defer stop()
+	if err := s.Serve(ln); err != nil && ctx.Err() == nil {
+		e.cfg.Log.Error("listener failed", zap.Stringer("Address", ln.Addr()), zap.Error(err))
+	}
+}
+
+// callerHandler serves callers, and the balancer's readiness check.
+func (e *Entry) callerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/services/", e.front)
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := e.ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	return mux
+}
+
+// ready returns why this entry should get no new callers, or nil.
+func (e *Entry) ready() error {
+	switch {
+	case e.draining.Load():
+		return errors.New("draining")
+	case !e.holder.IsReady():
+		return errors.New("the configuration is not known yet")
+	}
+	return nil
+}
+
+func (e *Entry) sessionConfig() sess.Config {
+	s := e.cfg.Settings
+	return sess.Config{
+		Self: wire.Hello{
+			Role:          wire.RoleEntry,
+			Name:          s.Name,
+			Incarnation:   e.incarnation,
+			Zone:          ident.AvailabilityZone(s.AvailabilityZone),
+			Rack:          s.Rack,
+			Address:       e.Sessions(),
+			ConfigVersion: e.holder.Version(),
+		},
+		Key: s.Key.Bytes(),
+		TLS: s.TLS.Config(),
+		Log: e.cfg.Log,
+	}
+}
+
+// introduce notes a session on its first use; a session that has ended meanwhile is left out.
+func (e *Entry) introduce(s *sess.Session) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-s.Done():
+		return
+	default:
+	}
+	if !e.introduced[s] {
+		e.introduced[s] = true
+		e.opened(s)
+	}
+}
+
+func (e *Entry) forget(s *sess.Session) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.introduced, s)
+}
+
+func (e *Entry) closeSessions() {
+	e.mu.Lock()
+	list := make([]*sess.Session, 0, len(e.introduced))
+	for s := range e.introduced {
+		list = append(list, s)
+	}
+	e.mu.Unlock()
+	for _, s := range list {
+		s.Close(nil)
+	}
+}
+
+// Drain ends this entry gracefully: readiness fails first, callers in progress finish, and partitions are handed over.
+// What has not ended with ctx is cut off.
+func (e *Entry) Drain(ctx context.Context) error {
+	e.draining.Store(true)
+	e.network.leave()
+	for _, s := range e.directory.peerSessions() {
+		e.send(s, &wire.Leaving{Reason: "entry is draining"})
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(balancerDelay):
+	}
+	served := make(chan error, 1)
+	go func() { served <- e.front.Drain(ctx) }()
+	err := e.owner.Drain(ctx)
+	return errors.CombineErrors(<-served, err)
+}
+
+// balancerDelay is the time for the balancer to see that readiness fails before requests are refused.
+const balancerDelay = 2 * time.Second
--- /dev/null
+++ b/internal/role/entry/jobs.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/link/sess"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+)
+
+const (
+	jobRetry   = 250 * time.Millisecond // between tries while a partition changes its owner
+	maxListing = 10_000                 // jobs in one reply to an operator
+)
+
+// jobOwner answers requests about the jobs of partitions that this entry owns.
+type jobOwner interface {
+	Owns(p ident.Partition) bool
+	Submit(ctx context.Context, m *wire.JobSubmit) *wire.JobReply
+	Query(ctx context.Context, m *wire.JobQuery) *wire.JobReply
+	Cancel(ctx context.Context, m *wire.JobCancel) *wire.JobReply
+}
+
+// jobs passes requests about jobs on to the owners of their home partitions; it implements admin.Jobs.
+type jobs struct {
+	members *members
+	owner   jobOwner
+}
+
+// Submit implements admin.Jobs. It may be repeated with the same identity.
+func (j *jobs) Submit(ctx context.Context, spec wire.JobSpec) (wire.JobReply, error) {
+	home, ok := j.members.home(spec.Job)
+	if !ok {
+		return noPartitions(), nil
+	}
+	return j.ask(ctx, home, &wire.JobSubmit{Home: home, Spec: spec})
+}
+
+// Get implements admin.Jobs.
+func (j *jobs) Get(ctx context.Context, job ident.Job) (wire.JobReply, error) {
+	home, ok := j.members.home(job)
+	if !ok {
+		return noPartitions(), nil
+	}
+	return j.ask(ctx, home, &wire.JobQuery{Home: home, Job: job})
+}
+
+// Cancel implements admin.Jobs.
+func (j *jobs) Cancel(ctx context.Context, job ident.Job, author string) (wire.JobReply, error) {
+	home, ok := j.members.home(job)
+	if !ok {
+		return noPartitions(), nil
+	}
+	return j.ask(ctx, home, &wire.JobCancel{Home: home, Job: job, Author: author})
+}
+
+// List implements admin.Jobs.
+func (j *jobs) List(ctx context.Context) (wire.JobReply, error) {
+	all := wire.JobReply{Status: http.StatusOK}
+	for _, p := range j.members.Partitions() {
+		reply, err := j.ask(ctx, p, &wire.JobQuery{Home: p})
+		if err != nil {
+			return wire.JobReply{}, err
+		}
+		if reply.Status != http.StatusOK {
+			return reply, nil
+		}
+		all.Jobs = append(all.Jobs, reply.Jobs...)
+		if len(all.Jobs) > maxListing {
+			return all, nil
+		}
+	}
+	return all, nil
+}
+
+func noPartitions() wire.JobReply {
+	return wire.JobReply{
+		Status: http.StatusServiceUnavailable, Detail: "no configuration with availability zones is in force",
+	}
+}
+
+// ask repeats a request, which must be repeatable, until the owner of its home partition replies or ctx ends.
+func (j *jobs) ask(ctx context.Context, home ident.Partition, m wire.Message) (wire.JobReply, error) {
+	for {
+		reply, err := j.tryOnce(ctx, home, m)
+		if err == nil && reply.Status != http.StatusServiceUnavailable {
+			return reply, nil
+		}
+		select {
+		case <-ctx.Done():
+			if err == nil {
+				return reply, nil
+			}
+			return wire.JobReply{Status: http.StatusServiceUnavailable, Detail: err.Error()}, nil
+		case <-time.After(jobRetry):
+		}
+	}
+}
+
+func (j *jobs) tryOnce(ctx context.Context, home ident.Partition, m wire.Message) (wire.JobReply, error) {
+	if j.owner.Owns(home) {
+		return *answerJob(ctx, j.owner, m), nil
+	}
+	name, ok := j.members.roster.OwnerOf(home)
+	if !ok {
+		return wire.JobReply{}, errors.Newf("no live entry for partition %s", home)
+	}
+	s := j.members.directory.peerSessions()[name]
+	if s == nil {
+		return wire.JobReply{}, errors.Newf("no session with entry %s, which owns partition %s", name, home)
+	}
+	return callJob(ctx, s, m)
+}
+
+// callJob sends a request about a job to another entry.
+func callJob(ctx context.Context, s *sess.Session, m wire.Message) (wire.JobReply, error) {
+	st, err := s.Open(ctx, m)
+	if err != nil {
+		return wire.JobReply{}, fmt.Errorf("ask owner: %w", err)
+	}
+	defer st.Reset("request has ended")
+	if err := st.CloseWrite(); err != nil {
+		return wire.JobReply{}, fmt.Errorf("ask owner: %w", err)
+	}
+	answer, err := st.Receive(ctx)
+	if err != nil {
+		return wire.JobReply{}, fmt.Errorf("wait for owner: %w", err)
+	}
+	reply, ok := answer.(*wire.JobReply)
+	if !ok {
+		return wire.JobReply{}, errors.Newf("owner answered with %v", answer.Kind())
+	}
+	return *reply, nil
+}
+
+// answerJob answers a request about a job whose home this entry owns.
+func answerJob(ctx context.Context, o jobOwner, m wire.Message) *wire.JobReply {
+	switch m := m.(type) {
+	case *wire.JobSubmit:
+		return o.Submit(ctx, m)
+	case *wire.JobQuery:
+		return o.Query(ctx, m)
+	case *wire.JobCancel:
+		return o.Cancel(ctx, m)
+	}
+	return &wire.JobReply{Status: http.StatusBadRequest, Detail: "not a request about a job"}
+}
--- /dev/null
+++ b/internal/role/entry/members.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"trefoilramp.org/trefoilramp/internal/conf/head"
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/sizes"
+)
+
+// members tells the owner of batch work which partitions exist and which entry should own them; it implements
+// owner.Members.
+type members struct {
+	self      ident.Entry
+	zone      ident.AvailabilityZone
+	roster    liveEntries
+	holder    *head.Holder
+	directory *directory
+	owns      func(p ident.Partition) bool
+}
+
+// liveEntries is what members needs of the roster.
+type liveEntries interface {
+	// OwnerOf returns the live entry that should own a partition.
+	OwnerOf(p ident.Partition) (ident.Entry, bool)
+	// IsAlive reports whether an entry lives under an incarnation.
+	IsAlive(name ident.Entry, inc ident.Incarnation) bool
+}
+
+// Partitions implements owner.Members.
+func (m *members) Partitions() []ident.Partition {
+	c := m.holder.Current()
+	if c == nil {
+		return nil
+	}
+	var list []ident.Partition
+	for _, z := range c.Document.AvailabilityZones {
+		for n := range z.Partitions {
+			list = append(list, ident.Partition{Zone: ident.AvailabilityZone(z.Name), Number: uint16(n)})
+		}
+	}
+	slices.SortFunc(list, func(a, b ident.Partition) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Number, b.Number))
+	})
+	return list
+}
+
+// Candidates implements owner.Members. Partitions of other zones are left out unless this entry owns them or should, since
+// every candidate costs reads of the store.
+func (m *members) Candidates() []ident.Partition {
+	return slices.DeleteFunc(m.Partitions(), func(p ident.Partition) bool {
+		return p.Zone != m.zone && !m.owns(p) && !m.ShouldOwn(p)
+	})
+}
+
+// ShouldOwn implements owner.Members.
+func (m *members) ShouldOwn(p ident.Partition) bool {
+	name, ok := m.roster.OwnerOf(p)
+	return ok && name == m.self
+}
+
+// IsAlive implements owner.Members.
+func (m *members) IsAlive(name ident.Entry, inc ident.Incarnation) bool {
+	return m.roster.IsAlive(name, inc)
+}
+
+// Free implements owner.Members.
+func (m *members) Free(zone ident.AvailabilityZone) sizes.Resources { return m.directory.freeIn(zone) }
+
+// Policy implements owner.Members.
+func (m *members) Policy(team ident.Team) (weight float64, quota sizes.Resources) {
+	c := m.holder.Current()
+	if c == nil {
+		return 1, sizes.Resources{}
+	}
+	t, ok := c.Document.Team(string(team))
+	if !ok {
+		return 1, sizes.Resources{}
+	}
+	return float64(t.Weight), t.Quota.Resources()
+}
+
+// home returns the home partition of a job; it is the same in all entries with the same configuration.
+func (m *members) home(job ident.Job) (ident.Partition, bool) {
+	list := m.Partitions()
+	if len(list) == 0 {
+		return ident.Partition{}, false
+	}
+	return list[xxhash.Sum64String(string(job))%uint64(len(list))], true
+}
--- /dev/null
+++ b/internal/role/entry/session.go
@@ -0,0 +1,133 @@
+package entry
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/batch/owner"
+	"trefoilramp.org/trefoilramp/internal/conf/head"
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/link/sess"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+)
+
+// agentSession is a session with an agent as the owner of batch work uses it; it implements owner.Agent.
+type agentSession struct{ session *sess.Session }
+
+// Info implements owner.Agent.
+func (a agentSession) Info() owner.AgentInfo {
+	p := a.session.Peer()
+	return owner.AgentInfo{
+		Worker: ident.Worker(p.Name), Incarnation: p.Incarnation, Zone: p.Zone, Rack: p.Rack, Means: p.Means,
+	}
+}
+
+// Send implements owner.Agent.
+func (a agentSession) Send(m wire.Message) error { return a.session.Send(m) }
+
+func memberOf(p wire.Hello) head.Member { return head.Member{Role: p.Role, Name: p.Name, Zone: p.Zone} }
+
+// opened notes a session and introduces this entry on it. It runs before the first message is handled.
+func (e *Entry) opened(s *sess.Session) {
+	p := s.Peer()
+	e.holder.Heard(p.ConfigVersion)
+	e.tracker.Forget(memberOf(p)) // a restarted process may apply an older version at first
+	e.tracker.Applied(memberOf(p), p.ConfigVersion)
+	if p.Role == wire.RoleEntry {
+		e.directory.addPeer(s)
+		e.send(s, e.directory.summary(e.holder.Version()))
+		return
+	}
+	e.directory.addAgent(s)
+	e.owner.SessionUp(agentSession{s})
+	e.sendRoster(s)
+	e.sendConfig(s)
+}
+
+// HandleMessage implements sess.Handler.
+func (e *Entry) HandleMessage(s *sess.Session, m wire.Message) {
+	e.introduce(s)
+	if s.Peer().Role == wire.RoleAgent {
+		e.handleAgent(s, m)
+		return
+	}
+	e.handlePeer(s, m)
+}
+
+func (e *Entry) handleAgent(s *sess.Session, m wire.Message) {
+	switch m := m.(type) {
+	case *wire.Targets:
+		e.directory.setTargets(s, m, time.Now())
+		e.sendConfig(s)
+		return
+	case *wire.Leaving:
+		e.directory.leave(s)
+		return
+	case *wire.ConfigApplied:
+		e.directory.applied(s, m.Version)
+		e.tracker.Applied(memberOf(s.Peer()), m.Version)
+		return
+	case *wire.Heartbeat:
+		e.directory.beat(s, m, time.Now())
+		e.holder.Heard(m.ConfigVersion)
+	}
+	e.owner.HandleAgent(agentSession{s}, m)
+}
+
+func (e *Entry) handlePeer(s *sess.Session, m wire.Message) {
+	switch m := m.(type) {
+	case *wire.Summary:
+		e.directory.summarize(s, m, time.Now())
+		e.holder.Heard(m.ConfigVersion)
+		e.tracker.Applied(memberOf(s.Peer()), m.ConfigVersion)
+	case *wire.ConfigChanged:
+		e.holder.Heard(m.Version)
+	case *wire.Leaving:
+		e.directory.leave(s)
+	case *wire.Roster:
+		e.heardRoster(m)
+	default:
+		e.owner.HandlePeer(m)
+	}
+}
+
+// HandleStream implements sess.Handler.
+func (e *Entry) HandleStream(s *sess.Session, st *sess.Stream) {
+	switch m := st.Head().(type) {
+	case *wire.RequestHead:
+		e.front.ServeStream(s, st)
+	case *wire.ConfigFetch:
+		e.answerConfig(st, m)
+	case *wire.JobSubmit, *wire.JobQuery, *wire.JobCancel:
+		e.answerJob(st)
+	default:
+		st.Reset("unknown request")
+	}
+}
+
+// HandleClosed implements sess.Handler.
+func (e *Entry) HandleClosed(s *sess.Session, _ error) {
+	e.forget(s)
+	e.directory.remove(s)
+	if s.Peer().Role == wire.RoleAgent {
+		e.owner.SessionDown(agentSession{s})
+		e.tracker.Forget(memberOf(s.Peer()))
+	}
+}
+
+// send queues a message; a failure means that the session is ending.
+func (e *Entry) send(s *sess.Session, m wire.Message) {
+	if err := s.Send(m); err != nil {
+		e.cfg.Log.Debug("message was not queued", zap.Stringer("Kind", m.Kind()), zap.Error(err))
+	}
+}
+
+// sendConfig sends an agent its part of the configuration in force.
+func (e *Entry) sendConfig(s *sess.Session) {
+	c := e.holder.Current()
+	if c == nil {
+		return
+	}
+	e.send(s, c.AgentConfig(s.Peer().Means, e.directory.servicesOf(s)))
+}
--- a/internal/serve/relay/server.go
+++ b/internal/serve/relay/server.go
@@ -74,6 +74,7 @@
 	leaving  bool
 	requests map[*request]struct{}
 	longs    map[string]int64 // by service
+	inFlight map[string]int64 // requests that hold a slot, by target
 	idle     chan struct{}    // closed when leaving and no request is left
 }
 
@@ -88,6 +89,7 @@
 		fresh:    newTransport(false),
 		requests: make(map[*request]struct{}),
 		longs:    make(map[string]int64),
+		inFlight: make(map[string]int64),
 		idle:     make(chan struct{}),
 	}
 }
@@ -134,7 +136,7 @@
 	if r.releaseConn, ok = s.cfg.Ledger.Reserve(sizes.Resources{Connections: 1}); !ok {
 		return notRun(wire.ReasonOverloaded, "no connection is free")
 	}
-	if r.releaseSlot, ok = s.cfg.Ledger.Reserve(sizes.Resources{Slots: 1}); !ok {
+	if r.releaseSlot, ok = s.takeSlot(r.target.Name); !ok {
 		return notRun(wire.ReasonOverloaded, "no slot is free")
 	}
 	if err := s.cfg.Hook.At(point.ServeReserved, string(r.head.Request)); err != nil {
@@ -143,6 +145,27 @@
 	return nil
 }
 
+// takeSlot reserves a slot of the worker and counts it for the target.
+func (s *Server) takeSlot(target string) (release func(), ok bool) {
+	free, ok := s.cfg.Ledger.Reserve(sizes.Resources{Slots: 1})
+	if !ok {
+		return nil, false
+	}
+	s.addInFlight(target, 1)
+	return func() {
+		s.addInFlight(target, -1)
+		free()
+	}, true
+}
+
+func (s *Server) addInFlight(target string, n int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inFlight[target] += n; s.inFlight[target] == 0 {
+		delete(s.inFlight, target)
+	}
+}
+
 func notRun(reason wire.Reason, detail string) *wire.Verdict {
 	return &wire.Verdict{NotRun: true, Reason: reason, Detail: detail}
 }
@@ -190,6 +213,13 @@
 	s.longs[r.head.Service]--
 }
 
+// InFlight returns the number of requests that hold a slot for a target.
+func (s *Server) InFlight(target string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inFlight[target]
+}
+
 // InProgress returns the number of requests that were not refused and have not ended.
 func (s *Server) InProgress() int {
 	s.mu.Lock()
