--- a/internal/ops/cons/cons_test.go
+++ b/internal/ops/cons/cons_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
+	"encoding/base64"
 	"html"
 	"net/http"
 	"net/http/httptest"
@@ -129,10 +131,7 @@
 
 func signIn(t *testing.T, f fixture, operator, token string) *browser {
 	t.Helper()
-	b := &browser{t: t, f: f}
-	b.send(http.MethodPost, "/signin", url.Values{"Operator": {operator}, "Token": {token}})
-	b.want(http.StatusSeeOther)
-	b.send(http.MethodGet, "/config", nil)
+	b := open(t, f, operator, token)
 	b.want(http.StatusOK, "Based on version 1", "stock")
 	return b
 }
@@ -268,6 +267,56 @@
 	b.want(http.StatusOK, `value="greeting"`)
 }
 
+// Guards against a form, forged or from an older version of the program, that crashes the console.
+func FuzzForm(f *testing.F) {
+	f.Add("view:$.Policies.AgentLease", "$.Policies", "$.Policies.AgentLease", "1s", `{"Policies":3}`)
+	f.Add("remove:$.Services[7]", "$.Services[0]", "$.Services[0].Routes[3].Path", "/", `{"Services":[1,null,{"Routes":"x"}]}`)
+	f.Add("add:$.AvailabilityZones[0].Capacity", "$.AvailabilityZones[0]", "$", "", `{"AvailabilityZones":[{"Capacity":{}}]}`)
+	f.Add("merge", "$", "$[0]", "", `[]`)
+	s := store.New(store.Options{})
+	h := head.New(s, head.Options{})
+	if _, err := h.Accept(f.Context(), head.Change{Author: "setup", Document: model.Default()}); err != nil {
+		f.Fatal(err)
+	}
+	c := cons.New(cons.Options{Tokens: admin.NewTokens([]byte(readToken), []byte(changeToken)), Key: []byte("k"), Config: h,
+		Audit: audit.Log{Store: s}})
+	f.Fuzz(func(t *testing.T, action, view, key, value, tree string) {
+		b := open(t, fixture{s, h, c}, "reader", readToken)
+		form := b.fields()
+		form.Set("Action", action)
+		form.Set("View", view)
+		form.Set(key, value)
+		form.Set("Draft", pack(t, tree))
+		b.send(http.MethodPost, "/config", form)
+		if b.code >= http.StatusInternalServerError && b.code != http.StatusServiceUnavailable {
+			t.Errorf("status %d:\n%s", b.code, b.page)
+		}
+	})
+}
+
+// open signs in and opens the editor.
+func open(t *testing.T, f fixture, operator, token string) *browser {
+	t.Helper()
+	b := &browser{t: t, f: f}
+	b.send(http.MethodPost, "/signin", url.Values{"Operator": {operator}, "Token": {token}})
+	b.want(http.StatusSeeOther)
+	b.send(http.MethodGet, "/config", nil)
+	return b
+}
+
+func pack(t *testing.T, tree string) string {
+	t.Helper()
+	var buf bytes.Buffer
+	w := gzip.NewWriter(&buf)
+	if _, err := w.Write([]byte(tree)); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return base64.StdEncoding.EncodeToString(buf.Bytes())
+}
+
 // Guards against a field of the document that the console does not explain.
 func TestEveryFieldHasAHint(t *testing.T) {
 	b := signIn(t, newFixture(t), "amina", changeToken)
--- a/internal/ops/cons/draft.go
+++ b/internal/ops/cons/draft.go
@@ -111,7 +111,7 @@
 	if err != nil || len(p) == 0 || len(p) > 2 {
 		return
 	}
-	if _, ok := typeAt(p); !ok || (len(p) == 2 && get(d.tree, p) == nil) {
+	if t, ok := typeAt(p); !ok || isLeaf(t) || (len(p) == 2 && get(d.tree, p) == nil) {
 		return
 	}
 	d.View = view
