Test the limits of sessions

A peer that exceeds a window, reuses a stream number, floods or sends malformed frames loses only its own session.

The tests hold writes back with a channel: a goroutine that waits for a mutex is not durably blocked, so a synctest bubble's clock stops.

--- /dev/null
+++ b/internal/link/sess/limit_test.go
@@ -0,0 +1,261 @@
+package sess_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"trefoilramp.org/trefoilramp/internal/link/frame"
+	"trefoilramp.org/trefoilramp/internal/link/sess"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+)
+
+// gate is a connection whose writes a test can hold back, delay and record.
+type gate struct {
+	net.Conn
+	held  chan struct{} // filled by the test to hold writes back; a mutex would stop a bubble's clock
+	delay time.Duration
+	log   bytes.Buffer
+}
+
+func (g *gate) Write(p []byte) (int, error) {
+	g.held <- struct{}{}
+	defer func() { <-g.held }()
+	g.log.Write(p)
+	time.Sleep(g.delay)
+	return g.Conn.Write(p)
+}
+
+// gated opens a session whose connection is a gate in each direction.
+func gated(t *testing.T, dialing, accepting *recorder, there, back time.Duration) (d, a *sess.Session, dg *gate) {
+	t.Helper()
+	left, right := net.Pipe()
+	dg = &gate{Conn: left, held: make(chan struct{}, 1), delay: there}
+	accepted := make(chan *sess.Session, 1)
+	go func() {
+		s, err := sess.Accept(context.Background(), &gate{Conn: right, held: make(chan struct{}, 1), delay: back}, config("b"), accepting)
+		if err != nil {
+			t.Error(err)
+		}
+		accepted <- s
+	}()
+	d, err := sess.Connect(context.Background(), dg, config("a"), dialing)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d, <-accepted, dg
+}
+
+func frames(t *testing.T, n int, f frame.Frame) []byte {
+	t.Helper()
+	var b []byte
+	for range n {
+		var err error
+		if b, err = frame.Append(b, f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return b
+}
+
+// Guards against a peer that exceeds a limit or breaks the order of frames and stays connected, or takes another session
+// with it.
+func TestViolationClosesOnlyItsSession(t *testing.T) {
+	head, err := wire.Pack(&wire.RequestHead{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	head = append([]byte{byte(wire.KindRequestHead)}, head...)
+	open := func(n uint64) []byte {
+		return frames(t, 1, frame.Frame{Kind: wire.KindOpen, Stream: n, Payload: head})
+	}
+	data := func(n, size int) []byte {
+		return frames(t, n, frame.Frame{Kind: wire.KindData, Stream: 3, Payload: make([]byte, size)})
+	}
+	end := frames(t, 1, frame.Frame{Kind: wire.KindEnd, Stream: 3, Payload: make([]byte, 16)})
+	var many []byte
+	for n := range uint64(sess.MaxStreams + 1) {
+		many = append(many, open(3+2*n)...)
+	}
+	damaged := open(3)
+	damaged[20] ^= 1
+	for name, b := range map[string][]byte{
+		"beyond the window":       append(open(3), data(5, frame.MaxPayload)...),
+		"many tiny frames":        append(open(3), data(sess.Window/64, 1)...),
+		"window overflow":         append(open(3), frames(t, 1, frame.Frame{Kind: wire.KindWindow, Stream: 3, Payload: []byte{0, 0, 0, 1}})...),
+		"malformed window":        append(open(3), frames(t, 1, frame.Frame{Kind: wire.KindWindow, Stream: 3})...),
+		"malformed reset":         append(open(3), frames(t, 1, frame.Frame{Kind: wire.KindReset, Stream: 3})...),
+		"never opened":            data(1, 1),
+		"number reused":           append(open(3), open(3)...),
+		"number of this side":     open(4),
+		"too many streams":        many,
+		"data after the end":      append(append(open(3), end...), data(1, 1)...),
+		"unknown kind":            frames(t, 1, frame.Frame{Kind: 31}),
+		"malformed message":       frames(t, 1, frame.Frame{Kind: wire.KindHeartbeat, Payload: []byte{0xc1}}),
+		"malformed head":          frames(t, 1, frame.Frame{Kind: wire.KindOpen, Stream: 3}),
+		"malformed ping":          frames(t, 1, frame.Frame{Kind: wire.KindPing}),
+		"malformed pong":          frames(t, 1, frame.Frame{Kind: wire.KindPong}),
+		"damaged":                 damaged,
+		"oversized":               {0, 1, 0, 1, 7, 0, 0, 0, 0, 0, 0, 0, 0},
+		"handshake in the middle": frames(t, 1, frame.Frame{Kind: wire.KindHello}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				right := &recorder{stream: func(st *sess.Stream) { <-st.Context().Done() }}
+				d, a, g := gated(t, &recorder{}, right, 0, 0)
+				other, otherA := pair(t, &recorder{}, right)
+				if _, err := g.Write(b); err != nil {
+					t.Logf("write: %v", err) // the session may close before all is written
+				}
+				<-a.Done()
+				a.Wait()
+				d.Wait()
+				_, closed := right.seen()
+				if len(closed) != 1 || !errors.Is(closed[0], sess.ErrViolation) &&
+					!errors.Is(closed[0], frame.ErrChecksum) && !errors.Is(closed[0], frame.ErrTooLarge) {
+					t.Errorf("closed with %v, want a violation", closed)
+				}
+				time.Sleep(time.Minute)
+				if err := other.Send(&wire.ConfigChanged{Version: 1}); err != nil {
+					t.Errorf("other session: %v", err)
+				}
+				closeBoth(other, otherA)
+				if m, _ := right.seen(); len(m) != 1 {
+					t.Errorf("other session carried %d messages, want 1", len(m))
+				}
+			})
+		})
+	}
+}
+
+// Guards against a session that outlives its peer, whether the peer stops sending or stops reading.
+func TestSilentPeerIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var left, right recorder
+		d, a, g := gated(t, &left, &right, 0, 0)
+		time.Sleep(2 * time.Minute)
+		if _, closed := right.seen(); len(closed) != 0 {
+			t.Fatalf("session without traffic closed with %v", closed)
+		}
+		g.held <- struct{}{} // the peer hears nothing from now on, and this side's write is stuck
+		start := time.Now()
+		<-a.Done()
+		if took := time.Since(start); took < sess.IdleLimit-time.Second || took > sess.IdleLimit+time.Second {
+			t.Errorf("closed after %v, want about %v", took, sess.IdleLimit)
+		}
+		<-g.held
+		a.Wait()
+		d.Wait()
+		if _, closed := right.seen(); len(closed) != 1 || !errors.Is(closed[0], sess.ErrIdle) {
+			t.Errorf("closed with %v, want ErrIdle", closed)
+		}
+	})
+}
+
+// Guards against body bytes that delay control messages, and against unbounded queues while the connection stalls.
+func TestControlGoesAheadAndQueuesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		right := &recorder{stream: func(st *sess.Stream) { <-st.Context().Done() }}
+		d, a, g := gated(t, &recorder{}, right, 0, 0)
+		time.Sleep(5500 * time.Millisecond) // between two pings
+		g.held <- struct{}{}
+		g.log.Reset()
+		if err := d.Send(&wire.ConfigChanged{}); err != nil { // the writer is stuck with this one
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		st, err := d.Open(context.Background(), &wire.RequestHead{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var wrote int
+		go func() { wrote, _ = st.Write(make([]byte, 1<<20)) }()
+		synctest.Wait()
+		n := 0
+		for ; err == nil; n++ {
+			err = d.Send(&wire.ConfigChanged{Version: uint64(n)})
+		}
+		if !errors.Is(err, sess.ErrBacklog) || n > 1000 {
+			t.Errorf("%d messages queued, then %v, want ErrBacklog", n, err)
+		}
+		if st.Sent() {
+			t.Error("Sent is true before any byte was written")
+		}
+		<-g.held
+		synctest.Wait()
+		r := frame.NewReader(&g.log, frame.MaxPayload)
+		for range n {
+			if f, err := r.Read(); err != nil || f.Kind != wire.KindConfigChanged {
+				t.Fatalf("frame %v, %v before all control messages", f.Kind, err)
+			}
+		}
+		if f, err := r.Read(); err != nil || f.Kind != wire.KindOpen {
+			t.Errorf("after control messages: %v, %v", f.Kind, err)
+		}
+		st.Reset("test")
+		synctest.Wait()
+		if wrote > sess.Window+1<<16 {
+			t.Errorf("%d bytes written to a stream that nobody reads", wrote)
+		}
+		closeBoth(d, a)
+	})
+}
+
+// Guards against a request that runs although its sender saw Sent false and reported that it did not run.
+func TestUnsentStreamNeverArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		arrived := 0
+		right := &recorder{stream: func(*sess.Stream) { arrived++ }}
+		d, a, g := gated(t, &recorder{}, right, 0, 0)
+		time.Sleep(5500 * time.Millisecond)
+		g.held <- struct{}{}
+		if err := d.Send(&wire.ConfigChanged{}); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		ctx, cancel := context.WithCancel(context.Background())
+		st, err := d.Open(ctx, &wire.RequestHead{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		cancel()
+		<-st.Context().Done()
+		if st.Sent() {
+			t.Error("Sent is true before any byte was written")
+		}
+		<-g.held
+		time.Sleep(time.Second)
+		if st.Sent() || arrived != 0 {
+			t.Errorf("Sent is %v and %d streams arrived after the reset", st.Sent(), arrived)
+		}
+		closeBoth(d, a)
+	})
+}
+
+// Guards against a deadline that the peer's clock seems to extend, for equal and for lopsided delays. In a bubble both
+// sides read the same clock, so the true offset is 0.
+func TestLocalTimeIsSafe(t *testing.T) {
+	for _, tc := range []struct{ there, back time.Duration }{{0, 0}, {3, 3}, {5, 1}, {0, 8}} {
+		synctest.Test(t, func(t *testing.T) {
+			d, a, _ := gated(t, &recorder{}, &recorder{}, tc.there*time.Millisecond, tc.back*time.Millisecond)
+			for range 3 {
+				for _, s := range []*sess.Session{d, a} {
+					bound := s.RoundTrip()
+					if want := (tc.there + tc.back) * time.Millisecond; bound < want || bound > 2*want {
+						t.Errorf("round trip %v, want at least %v", bound, want)
+					}
+					deadline := time.Now().Add(time.Second)
+					if got := s.LocalTime(deadline.UnixNano()); got.After(deadline) || got.Before(deadline.Add(-bound)) {
+						t.Errorf("deadline moved by %v with round trip %v", got.Sub(deadline), bound)
+					}
+				}
+				time.Sleep(30 * time.Second)
+			}
+			closeBoth(d, a)
+		})
+	}
+}
