Let the agent keep batch tasks from slowing its services

The class of a task is kept in the worker's label, so that an agent that restarts knows it. A limit that the worker does not report after 6 s counts as not set and is given again.

--- a/internal/host/noise/act.go
+++ b/internal/host/noise/act.go
@@ -3,13 +3,11 @@
 import (
 	"math"
 	"time"
-
-	"trefoilramp.org/trefoilramp/internal/plat/worker"
 )
 
 // applyBudgets brings the limits of all tasks in line with the budgets of their classes; a new task shares the budget of
 // its class at once. Service and Slowdown of the actions are those of why.
-func (c *Controller) applyBudgets(why Action) []Action {
+func (c *Controller) applyBudgets(now time.Time, why Action) []Action {
 	var list []Action
 	for i := range c.tasks {
 		t := &c.tasks[i]
@@ -18,14 +16,14 @@
 		if k.budget >= 0 && k.budget < k.need {
 			limit = max(1, int64(float64(t.Need)*k.budget/k.need))
 		}
-		list = c.limit(list, t, limit, why)
+		list = c.limit(now, list, t, limit, why)
 	}
 	return list
 }
 
 // limit adds the action that gives a task a limit, unless the one it has is close.
-func (c *Controller) limit(list []Action, t *Task, limit int64, why Action) []Action {
-	old := c.given[t.Ref]
+func (c *Controller) limit(now time.Time, list []Action, t *Task, limit int64, why Action) []Action {
+	old := c.given[t.Ref].limit
 	change := math.Abs(float64(limit - old))
 	if t.Ending || limit == old || limit > 0 && old > 0 && change <= changeShare*float64(t.Need) && limit > 1 {
 		return list
@@ -34,10 +32,7 @@
 	if limit == 0 || old > 0 && limit > old {
 		why.Kind, why.Service, why.Slowdown = Restore, "", 0
 	}
-	c.given[t.Ref] = limit
-	if limit == 0 {
-		delete(c.given, t.Ref)
-	}
+	c.given[t.Ref] = grant{limit, now}
 	return append(list, why)
 }
 
@@ -102,7 +97,7 @@
 	if changed {
 		c.acted(now)
 	}
-	return c.applyBudgets(why)
+	return c.applyBudgets(now, why)
 }
 
 // loudest returns the class with the largest effect, above the least that matters, that is sure and can be throttled
@@ -238,12 +233,12 @@
 }
 
 // holdBack limits all tasks to almost nothing.
-func (c *Controller) holdBack() []Action {
+func (c *Controller) holdBack(now time.Time) []Action {
 	var list []Action
 	for i := range c.tasks {
 		t := &c.tasks[i]
 		limit := max(1, int64(measureShare*float64(t.Need)))
-		list = c.limit(list, t, limit, Action{Kind: Measure, Service: c.measuring.name})
+		list = c.limit(now, list, t, limit, Action{Kind: Measure, Service: c.measuring.name})
 	}
 	return list
 }
@@ -253,7 +248,7 @@
 	s := c.measuring
 	known := s.quiet[s.band].n >= quietNeeded
 	if now.Before(c.measureEnds) && (!known || now.Before(c.heldUntil)) {
-		return c.holdBack()
+		return c.holdBack(now)
 	}
 	c.measuring = nil
 	c.nextMeasure = now.Add(measurePause)
@@ -264,9 +259,5 @@
 		}
 	}
 	c.acted(now)
-	return c.applyBudgets(Action{Kind: Throttle})
+	return c.applyBudgets(now, Action{Kind: Throttle})
 }
-
-// Forget drops the limit that the controller believes a task to have, after a call to the worker failed; the next Decide
-// gives it again.
-func (c *Controller) Forget(r worker.Ref) { delete(c.given, r) }
--- a/internal/host/noise/decide.go
+++ b/internal/host/noise/decide.go
@@ -37,7 +37,7 @@
 		return c.continueMeasuring(now)
 	}
 	if now.Before(c.heldUntil) {
-		return c.applyBudgets(Action{Kind: Throttle})
+		return c.applyBudgets(now, Action{Kind: Throttle})
 	}
 	from := complete.Add(-window)
 	if after := c.changedAt.Add(requestMargin); after.After(from) {
@@ -47,7 +47,7 @@
 	if c.measuring != nil {
 		c.acted(now)
 		c.measureEnds = c.heldUntil.Add(measureTime)
-		return c.holdBack()
+		return c.holdBack(now)
 	}
 	if v.worst != nil && v.excess > math.Log(c.cfg.Bound) {
 		c.calmSince = time.Time{}
@@ -61,7 +61,7 @@
 	case now.Sub(c.calmSince) >= calmTime:
 		c.restore(now, v.busy)
 	}
-	list := c.applyBudgets(Action{Kind: Throttle})
+	list := c.applyBudgets(now, Action{Kind: Throttle})
 	if v.worst == nil {
 		return list
 	}
--- a/internal/host/noise/noise.go
+++ b/internal/host/noise/noise.go
@@ -17,7 +17,8 @@
 	maxRunTime    = 10 * time.Second
 	firstLag      = time.Second
 	maxLag        = 20 * time.Second
-	lagDecay      = 0.995 // per Decide, so that one late measurement does not slow the controller for ever
+	lagDecay      = 0.995           // per Decide, so that one late measurement does not slow the controller for ever
+	confirmTime   = 6 * time.Second // for a limit to be reported by the worker: a call takes up to 5 s
 	requestMargin = 500 * time.Millisecond
 )
 
@@ -39,6 +40,7 @@
 	worker.Ref
 	Class    string
 	Need     int64         // processors that it uses without a limit, in thousandths
+	Limit    int64         // as the worker reports it, in thousandths; 0 for none
 	Used     int64         // processors as measured at Measured, in thousandths
 	Measured time.Time     // zero before the first measurement
 	Unsaved  time.Duration // run time since its last checkpoint
@@ -75,9 +77,9 @@
 	services map[string]*service
 	classes  [maxClasses]class
 	tasks    []Task
-	ended    []ended              // whose usage is not in the history yet
-	given    map[worker.Ref]int64 // limits in force, in thousandths
-	history  []usage              // oldest first
+	ended    []ended // whose usage is not in the history yet
+	given    map[worker.Ref]grant
+	history  []usage // oldest first
 
 	heldUntil   time.Time // the last action shows in no measurement before
 	changedAt   time.Time // of the last action
@@ -98,6 +100,12 @@
 	seenAt  time.Time
 }
 
+// grant is the limit of a task and when it was last set.
+type grant struct {
+	limit int64 // in thousandths; 0 for none
+	at    time.Time
+}
+
 // ended is a task that is no longer listed. Measurements are older than the list, so they would miss what it used before.
 type ended struct {
 	at    time.Time
@@ -117,7 +125,7 @@
 		cfg.Bound = DefaultBound
 	}
 	cfg.Processors = max(cfg.Processors, 1)
-	c := &Controller{cfg: cfg, lag: firstLag, services: make(map[string]*service), given: make(map[worker.Ref]int64)}
+	c := &Controller{cfg: cfg, lag: firstLag, services: make(map[string]*service), given: make(map[worker.Ref]grant)}
 	for i := range c.classes {
 		c.classes[i].budget = noBudget
 	}
@@ -163,13 +171,15 @@
 	for i := range c.classes {
 		c.classes[i].tasks, c.classes[i].need = 0, 0
 	}
-	held := make(map[worker.Ref]int64, len(tasks))
+	held := make(map[worker.Ref]grant, len(tasks))
 	u := usage{at: now}
 	for i := range c.tasks {
 		t := &c.tasks[i]
-		if limit, ok := c.given[t.Ref]; ok {
-			held[t.Ref] = limit
+		g, ok := c.given[t.Ref]
+		if !ok || now.Sub(g.at) > confirmTime {
+			g.limit = t.Limit // the call failed, or an earlier agent set the limit
 		}
+		held[t.Ref] = g
 		n := c.place(now, t.Class)
 		k := &c.classes[n]
 		k.tasks++
--- a/internal/host/noise/world_test.go
+++ b/internal/host/noise/world_test.go
@@ -73,16 +73,20 @@
 	if at.Before(t.startAt) || !t.endAt.IsZero() && !at.Before(t.endAt) {
 		return 0
 	}
-	u := int64(need)
+	if limit := t.limit(at); limit > 0 {
+		return min(need, limit)
+	}
+	return need
+}
+
+// limit returns the limit in force at a time.
+func (t *task) limit(at time.Time) (limit int64) {
 	for _, c := range t.limits {
 		if !c.at.After(at) {
-			u = need
-			if c.limit > 0 {
-				u = min(need, c.limit)
-			}
+			limit = c.limit
 		}
 	}
-	return u
+	return limit
 }
 
 func (w *world) running() []*task {
@@ -172,7 +176,8 @@
 	}
 	var list []noise.Task
 	for _, t := range w.running() {
-		list = append(list, noise.Task{Ref: t.ref, Class: t.class, Need: need, Used: t.used(w.now.Add(-w.lag)),
+		list = append(list, noise.Task{Ref: t.ref, Class: t.class, Need: need, Limit: t.limit(w.now),
+			Used:     t.used(w.now.Add(-w.lag)),
 			Measured: w.now.Add(-w.lag), Unsaved: time.Duration(t.unsaved * float64(time.Second)), Ending: t.evicting})
 	}
 	w.control.SetTasks(w.now, list)
--- a/internal/host/runner/control.go
+++ b/internal/host/runner/control.go
@@ -103,6 +103,7 @@
 	t := &task{
 		partition: m.Partition,
 		ref:       worker.Ref{Task: m.Task, Attempt: m.Attempt},
+		class:     m.Class,
 		size:      m.Size,
 		phase:     phaseStarting,
 	}
@@ -120,7 +121,7 @@
 		Command:    m.Command,
 		Size:       m.Size,
 		Checkpoint: m.Checkpoint,
-		Label:      m.Partition.String(),
+		Label:      label(m.Partition, m.Class),
 	}
 	r.tasks[m.Task] = t
 	r.at(point.StartReserved, m.Task)
--- a/internal/host/runner/poll.go
+++ b/internal/host/runner/poll.go
@@ -67,6 +67,9 @@
 		r.finish(t, reportOf(t, s))
 		return
 	}
+	if s.Checkpoint != t.status.Checkpoint {
+		t.savedAt = s.RunTime
+	}
 	t.status = s
 	r.cfg.Ledger.Observe(t.holder(), s.Peak)
 }
--- a/internal/host/runner/runner.go
+++ b/internal/host/runner/runner.go
@@ -117,11 +117,11 @@
 	defer r.mu.Unlock()
 	held := make(map[ledger.Holder]sizes.Resources)
 	for _, s := range list {
-		p, err := ident.ParsePartition(s.Label)
+		p, class, err := parseLabel(s.Label)
 		if err != nil {
 			r.cfg.Log.Warn("worker holds a task without a partition", zap.Stringer("Task", s.Task), zap.Error(err))
 		}
-		t := &task{partition: p, ref: s.Ref, size: s.Size, phase: phaseRunning, status: s, given: true}
+		t := &task{partition: p, ref: s.Ref, class: class, size: s.Size, phase: phaseRunning, status: s, given: true}
 		if s.State.HasEnded() {
 			t.end(reportOf(t, s))
 		} else {
--- a/internal/host/runner/runner_test.go
+++ b/internal/host/runner/runner_test.go
@@ -289,3 +289,28 @@
 		}
 	})
 }
+
+// Guards against a limit or an eviction for the sake of a service that does not reach the worker, and against an agent
+// that forgets after its restart of which class a task is.
+func TestLimitsReachTheWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, o := newFixture(t), &owner{}
+		f.send(o, &wire.StartTask{Partition: partition, Epoch: 1, Task: plan, Attempt: 1, Incarnation: f.self, Class: "scan",
+			Command: "run=60s", Size: sizes.Resources{Processors: 1000}, Until: f.runner.Now() + int64(agentLease)})
+		f.restart("second")
+		ref := worker.Ref{Task: plan, Attempt: 1}
+		if !f.runner.Throttle(ref, 250) {
+			t.Fatal("the throttle was refused")
+		}
+		time.Sleep(2 * time.Second)
+		list := f.runner.Snapshot()
+		if len(list) != 1 || list[0].Class != "scan" || list[0].Status.Limit != 250 {
+			t.Fatalf("snapshot %+v, want one task of class scan with a limit of 250", list)
+		}
+		if !f.runner.Evict(ref) || f.runner.Evict(worker.Ref{Task: plan, Attempt: 2}) {
+			t.Error("evictions must reach exactly the attempt that the runner holds")
+		}
+		f.send(o, &wire.Adopt{Partition: partition, Epoch: 2})
+		f.wantStates(o, wire.TaskRunning, wire.TaskEvicted)
+	})
+}
--- a/internal/host/runner/task.go
+++ b/internal/host/runner/task.go
@@ -21,6 +21,7 @@
 type task struct {
 	partition ident.Partition
 	ref       worker.Ref
+	class     string // of the job
 	size      sizes.Resources
 	start     worker.Start
 	phase     phase
@@ -30,6 +31,7 @@
 	fence     bool            // the worker lost the attempt; a Stop makes sure that it never runs
 	startedAt time.Time       // when the worker confirmed the start
 	status    worker.Status   // as of the last poll
+	savedAt   time.Duration   // run time at the last checkpoint seen
 	final     *wire.TaskReport
 	acked     bool
 }
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -17,6 +17,7 @@
 	"trefoilramp.org/trefoilramp/internal/core/point"
 	"trefoilramp.org/trefoilramp/internal/host/beside"
 	"trefoilramp.org/trefoilramp/internal/host/ledger"
+	"trefoilramp.org/trefoilramp/internal/host/noise"
 	"trefoilramp.org/trefoilramp/internal/host/runner"
 	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -40,19 +41,20 @@
 
 // Agent is a running agent.
 type Agent struct {
-	cfg         Config
-	incarnation ident.Incarnation
-	means       worker.Means
-	ledger      *ledger.Ledger
-	registry    *beside.Registry
-	runner      *runner.Runner
-	relay       *relay.Server
-	limits      limits
-	listener    net.Listener // announcements
-	admin       net.Listener // health; nil for none
-	leaving     atomic.Bool
-	drain       chan struct{} // closed when an operator asks for a drain
-	drainOnce   sync.Once
+	cfg          Config
+	incarnation  ident.Incarnation
+	means        worker.Means
+	ledger       *ledger.Ledger
+	registry     *beside.Registry
+	runner       *runner.Runner
+	relay        *relay.Server
+	limits       limits
+	interference interference
+	listener     net.Listener // announcements
+	admin        net.Listener // health; nil for none
+	leaving      atomic.Bool
+	drain        chan struct{} // closed when an operator asks for a drain
+	drainOnce    sync.Once
 
 	mu       sync.Mutex
 	sessions map[*sess.Session]*link
@@ -73,11 +75,13 @@
 		return nil, err
 	}
 	a.ledger = ledger.New(a.means.Total)
+	a.interference.controller = noise.New(noise.Config{Processors: a.means.Total.Processors})
 	a.runner = runner.New(runner.Config{
 		Incarnation: a.incarnation, Worker: cfg.Worker, Ledger: a.ledger, Log: cfg.Log, Hook: cfg.Hook,
 	})
 	a.relay = relay.New(relay.Config{
 		Ledger: requestLedger{a.ledger}, Targets: targets{a.registry}, Limits: &a.limits, Log: cfg.Log, Hook: cfg.Hook,
+		Finished: a.interference.finished,
 	})
 	var lc net.ListenConfig
 	if a.listener, err = lc.Listen(ctx, "tcp", cfg.Settings.Announcements); err != nil {
@@ -122,6 +126,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { a.runner.Run(ctx) })
 	wg.Go(func() { a.beat(ctx) })
+	wg.Go(func() { a.control(ctx) })
 	wg.Go(func() { a.connect(ctx) })
 	wg.Go(func() { a.serve(ctx, a.listener, a.announcements()) })
 	if a.admin != nil {
--- a/internal/serve/relay/request.go
+++ b/internal/serve/relay/request.go
@@ -85,6 +85,7 @@
 	if err != nil {
 		return notRun(wire.ReasonNoTarget, err.Error())
 	}
+	started := time.Now()
 	resp, err := r.transport(req).RoundTrip(req)
 	if err != nil {
 		return r.classify(err)
@@ -96,6 +97,8 @@
 	timer.Stop()
 	if IsOpen(resp.Header) {
 		r.yieldSlot()
+	} else if f := r.server.cfg.Finished; f != nil && !r.head.Long {
+		f(r.head.Service, started, time.Now())
 	}
 	if err := r.server.cfg.Hook.At(point.ServeAnswered, string(r.head.Request)); err != nil {
 		return r.unknown(err)
--- a/internal/serve/relay/server.go
+++ b/internal/serve/relay/server.go
@@ -60,8 +60,11 @@
 	Ledger  Ledger
 	Targets Targets
 	Limits  Limits // may be nil
-	Log     *zap.Logger
-	Hook    point.Hook
+	// Finished is told of each request that a target answered, with the time from passing the request on to the head of
+	// the response; long requests and open streams are left out. It must not block and may be nil.
+	Finished func(service string, started, ended time.Time)
+	Log      *zap.Logger
+	Hook     point.Hook
 }
 
 // Server forwards requests to the targets beside one agent; it is safe for concurrent use.
