Keep a session open for reading after its last write

A write error, and the close after a goodbye, discarded frames that the peer had sent before: TestMessagesArriveInOrder lost 124 of 300 messages in about 5 of 3000 runs, because the accepting side's pong failed while its reader still held unread messages.

--- a/internal/link/sess/reader.go
+++ b/internal/link/sess/reader.go
@@ -12,7 +12,9 @@
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
 
-// read is the goroutine that reads the connection and calls the handler; it ends the session.
+// read is the goroutine that reads the connection and calls the handler; it ends the session. After Close it reads on
+// until the peer closes the connection: to close a TCP connection with unread bytes would destroy what the peer has not
+// read yet, such as the reason.
 func (s *Session) read() {
 	defer s.running.Done()
 	for {
@@ -28,9 +30,8 @@
 			break
 		}
 	}
-	// After Close, the connection stays open until the writer has sent the reason.
-	<-s.flushed
 	s.raw.Close()
+	<-s.flushed
 	s.finish()
 }
 
@@ -43,8 +44,8 @@
 	s.frameSeen = true
 	ended := s.ended
 	s.mu.Unlock()
-	if ended {
-		return nil // discarded until the connection is closed
+	if ended && f.Kind != wire.KindGoodbye {
+		return nil // discarded until the peer closes the connection
 	}
 	if f.Stream != 0 {
 		return s.handleStreamFrame(f)
--- a/internal/link/sess/session.go
+++ b/internal/link/sess/session.go
@@ -20,7 +20,7 @@
 // Session is an authenticated connection to one peer. A reader and a writer goroutine serve it.
 type Session struct {
 	conn    net.Conn // TLS if configured
-	raw     net.Conn // closed to interrupt the reader and the writer at once
+	raw     net.Conn // closed directly, because closing TLS may wait for the peer
 	reader  *frame.Reader
 	handler Handler
 	log     *zap.Logger
