--- a/internal/link/wire/kind.go
+++ b/internal/link/wire/kind.go
@@ -87,9 +87,22 @@
 	return buf.Bytes(), nil
 }
 
-// Unpack reads into v what Pack wrote.
+// Unpack reads into v what Pack wrote. It first walks over the bytes: msgpack allocates a slice in the length that the
+// bytes declare, so that five bytes could claim more memory than there is.
 func Unpack(b []byte, v any) error {
-	if err := msgpack.Unmarshal(b, v); err != nil {
+	r := bytes.NewReader(b)
+	dec := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(dec)
+	dec.Reset(r)
+	if err := dec.Skip(); err != nil {
+		return fmt.Errorf("decode %T: %w", v, err)
+	}
+	if r.Len() > 0 {
+		return errors.Newf("decode %T: %d bytes follow it", v, r.Len())
+	}
+	r.Reset(b)
+	dec.Reset(r)
+	if err := dec.Decode(v); err != nil {
 		return fmt.Errorf("decode %T: %w", v, err)
 	}
 	return nil
