--- /dev/null
+++ b/internal/link/relay/relay_test.go
@@ -0,0 +1,152 @@
+package relay_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"trefoilramp.org/trefoilramp/internal/link/relay"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// echo starts a server that returns what it gets, and a relay to it with one connection.
+func echo(t *testing.T) (*relay.Relay, net.Conn) {
+	t.Helper()
+	ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.Copy(c, c)
+			}()
+		}
+	}()
+	r, err := relay.New(t.Context(), ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", r.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		c.Close()
+		r.Close()
+		ln.Close()
+	})
+	return r, c
+}
+
+// trip sends one byte, returns the time until it comes back, and fails the test after limit.
+func trip(c net.Conn, limit time.Duration) (time.Duration, error) {
+	start := time.Now()
+	if err := c.SetDeadline(start.Add(limit)); err != nil {
+		return 0, err
+	}
+	if _, err := c.Write([]byte{1}); err != nil {
+		return 0, err
+	}
+	_, err := io.ReadFull(c, make([]byte, 1))
+	return time.Since(start), err
+}
+
+// Guards against measurements with another delay than the scripted one. The upper bound is wide, because the machine
+// that runs the test may be busy.
+func TestDelay(t *testing.T) {
+	r, c := echo(t)
+	for _, d := range []time.Duration{0, relay.DelaySouss, relay.DelayOkul} {
+		r.SetDelay(relay.Both, d, time.Millisecond)
+		least := time.Hour
+		for range 20 {
+			got, err := trip(c, 10*time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			least = min(least, got)
+		}
+		if least < 2*d || least > 2*d+20*time.Millisecond {
+			t.Errorf("shortest of 20 round trips %v with %v each way", least, d)
+		}
+	}
+}
+
+// Guards against bytes that pass a pause, or that are lost or reordered by it, and against unbounded buffering.
+func TestPauseHoldsBytes(t *testing.T) {
+	r, c := echo(t)
+	r.SetDelay(relay.Both, 0, 2*time.Millisecond)
+	r.Pause(relay.Backward)
+	if _, err := trip(c, 100*time.Millisecond); err == nil {
+		t.Error("a byte passed the pause")
+	}
+	if err := c.SetDeadline(time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	sent := 0
+	buf := make([]byte, 64<<10)
+	for err := error(nil); err == nil && sent < 256<<20; {
+		for i := range buf {
+			buf[i] = byte((sent + i) % 251)
+		}
+		var n int
+		n, err = c.Write(buf)
+		sent += n
+	}
+	if sent >= 256<<20 {
+		t.Errorf("%d bytes were accepted during the pause", sent)
+	}
+	r.Resume(relay.Backward)
+	if err := c.SetDeadline(time.Now().Add(30 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	got := make([]byte, 1+sent)
+	if _, err := io.ReadFull(c, got); err != nil {
+		t.Fatal(err)
+	}
+	for i, b := range got[1:] {
+		if b != byte(i%251) {
+			t.Fatalf("byte %d is %d", i, b)
+		}
+	}
+}
+
+// Guards against a script whose cut leaves connections open, or whose one-way loss shows as a closed connection.
+func TestDropAndCut(t *testing.T) {
+	r, c := echo(t)
+	if _, err := trip(c, 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	r.Drop(relay.Forward)
+	if _, err := trip(c, 100*time.Millisecond); err == nil || r.Connections() != 1 {
+		t.Errorf("%v with %d connections after the loss, want a timeout with 1", err, r.Connections())
+	}
+	script := []relay.Step{{Do: (*relay.Relay).Restore}, {After: time.Millisecond, Do: func(r *relay.Relay) { r.Refuse(true) }}}
+	if err := r.Run(context.Background(), script...); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 1)); err == nil {
+		t.Error("the connection is still open after the cut")
+	}
+	again, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", r.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer again.Close()
+	if _, err := trip(again, 10*time.Second); err == nil {
+		t.Error("a connection was accepted although the relay refuses")
+	}
+}
