--- a/internal/link/sess/serve.go
+++ b/internal/link/sess/serve.go
@@ -13,7 +13,7 @@
 // acceptRetry is the pause after a failed accept, for example for lack of file descriptors.
 const acceptRetry = 50 * time.Millisecond
 
-// Serve accepts sessions on ln until ctx ends, and closes ln. Handshakes run beside each other, so that a slow or hostile
+// Serve accepts sessions on ln until ctx ends, and closes ln; open sessions go on. Handshakes run beside each other, so that a slow or hostile
 // peer delays no other; their number is bounded.
 func Serve(ctx context.Context, ln net.Listener, cfg Config, h Handler) error {
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
--- a/internal/link/sess/session_test.go
+++ b/internal/link/sess/session_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"testing"
@@ -243,3 +244,70 @@
 		closeBoth(d, a)
 	})
 }
+
+// Guards against streams that end in any order, by either side and with unread bytes, and leave a slot of the session in
+// use or look whole although they are not.
+func TestEndedStreamsFreeTheirSlots(t *testing.T) {
+	ctx := context.Background()
+	right := recorder{stream: func(st *sess.Stream) {
+		switch rand.IntN(6) {
+		case 0:
+			st.Reset("test")
+		case 1: // reset by the session
+		case 2:
+			_ = st.CloseWrite()
+		default:
+			if _, err := io.Copy(st, st); err == nil {
+				_ = st.CloseWrite()
+			}
+		}
+	}}
+	d, a := pair(t, &recorder{}, &right)
+	var users sync.WaitGroup
+	for range 20 {
+		users.Go(func() {
+			for range 20 {
+				useStream(ctx, t, d)
+			}
+		})
+	}
+	users.Wait()
+	time.Sleep(100 * time.Millisecond) // the last ends are under way
+	for i := range sess.MaxStreams {
+		if _, err := d.Open(ctx, &wire.RequestHead{}); err != nil {
+			t.Fatalf("stream %d of %d: %v", i, sess.MaxStreams, err)
+		}
+	}
+	if _, err := d.Open(ctx, &wire.RequestHead{}); !errors.Is(err, sess.ErrBacklog) {
+		t.Errorf("beyond MaxStreams: %v, want ErrBacklog", err)
+	}
+	closeBoth(d, a)
+	if _, closed := right.seen(); len(closed) != 1 || !errors.Is(closed[0], sess.ErrPeerClosed) {
+		t.Errorf("closed with %v", closed)
+	}
+}
+
+func useStream(ctx context.Context, t *testing.T, s *sess.Session) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if rand.IntN(6) == 0 {
+		defer time.AfterFunc(rand.N(3*time.Millisecond), cancel).Stop()
+	}
+	st, err := s.Open(ctx, &wire.RequestHead{})
+	if err != nil {
+		if ctx.Err() == nil {
+			t.Error(err)
+		}
+		return
+	}
+	n := rand.IntN(400_000)
+	var writer sync.WaitGroup
+	writer.Go(func() {
+		_, _ = st.Write(make([]byte, n))
+		_ = st.CloseWrite()
+	})
+	if got, err := io.ReadAll(st); err == nil && len(got) != n && len(got) != 0 {
+		t.Errorf("%d of %d bytes look whole", len(got), n)
+	}
+	writer.Wait()
+}
