Fix sessions closed by streams that stop or reset at the same time

A handler that returned before its end frame was written, while a window update was queued, sent its stop before the end; and a side that had reset a stream ignored the end frame and took the stop after it for a violation. Either closed the whole session.

--- a/internal/link/sess/inbound.go
+++ b/internal/link/sess/inbound.go
@@ -78,16 +78,17 @@
 	if len(p) == 0 || p[0] > byte(resetStop) {
 		return violation("malformed reset of stream %d", st.id)
 	}
-	if resetCode(p[0]) == resetStop {
-		if !st.in.ended {
-			return violation("stream %d stopped before its end", st.id)
-		}
+	switch {
+	case st.err != nil:
+		st.resetDue = false // reset on both sides at once; the end frame before a resetStop was ignored
+	case resetCode(p[0]) == resetAbort:
+		st.kill(fmt.Errorf("%w by peer: %q", ErrReset, shorten(string(p[1:]))))
+	case !st.in.ended:
+		return violation("stream %d stopped before its end", st.id)
+	default:
 		st.stopped = true
 		st.out, st.outBytes = nil, 0
 		st.writable.fire()
-	} else {
-		st.resetDue = false
-		st.kill(fmt.Errorf("%w by peer: %q", ErrReset, shorten(string(p[1:]))))
 	}
 	st.forget()
 	return nil
--- a/internal/link/sess/session_test.go
+++ b/internal/link/sess/session_test.go
@@ -250,6 +250,10 @@
 func TestEndedStreamsFreeTheirSlots(t *testing.T) {
 	ctx := context.Background()
 	right := recorder{stream: func(st *sess.Stream) {
+		if h, ok := st.Head().(*wire.RequestHead); ok && h.Service == "held" {
+			<-st.Context().Done()
+			return
+		}
 		switch rand.IntN(6) {
 		case 0:
 			st.Reset("test")
@@ -262,7 +266,8 @@
 			}
 		}
 	}}
-	d, a := pair(t, &recorder{}, &right)
+	var left recorder
+	d, a := pair(t, &left, &right)
 	var users sync.WaitGroup
 	for range 20 {
 		users.Go(func() {
@@ -272,9 +277,13 @@
 		})
 	}
 	users.Wait()
+	_, l := left.seen()
+	if _, r := right.seen(); len(l)+len(r) > 0 {
+		t.Fatalf("session closed with %v and %v", l, r)
+	}
 	time.Sleep(100 * time.Millisecond) // the last ends are under way
 	for i := range sess.MaxStreams {
-		if _, err := d.Open(ctx, &wire.RequestHead{}); err != nil {
+		if _, err := d.Open(ctx, &wire.RequestHead{Service: "held"}); err != nil {
 			t.Fatalf("stream %d of %d: %v", i, sess.MaxStreams, err)
 		}
 	}
--- a/internal/link/sess/stream.go
+++ b/internal/link/sess/stream.go
@@ -337,6 +337,7 @@
 		b = appendSmall(b, wire.KindReset, st.id, append([]byte{byte(resetAbort)}, st.resetReason...))
 		st.forget()
 	case st.err != nil || !st.inMap:
+	case st.stopDue && !st.endSent: // appendEnd queues the stream again
 	case st.stopDue:
 		b = appendSmall(b, wire.KindReset, st.id, []byte{byte(resetStop)})
 		st.cancel()
