--- a/cmd/trefoilramp/process_test.go
+++ b/cmd/trefoilramp/process_test.go
@@ -48,16 +48,17 @@
 	Administration string
 	Sessions       string
 	Announcements  string
+	Listening      string
 }
 
 // deployment is a set of processes in one directory.
 type deployment struct {
-	t      *testing.T
+	t      testing.TB
 	binary string
 	dir    string
 }
 
-func newDeployment(t *testing.T) *deployment {
+func newDeployment(t testing.TB) *deployment {
 	d := &deployment{t: t, dir: t.TempDir()}
 	d.binary = filepath.Join(d.dir, "trefoilramp")
 	if b, err := exec.CommandContext(t.Context(), "go", "build", "-o", d.binary, ".").CombinedOutput(); err != nil {
@@ -197,7 +198,7 @@
 	return b
 }
 
-func newPlatform(t *testing.T, entries, workers int) *platform {
+func newPlatform(t testing.TB, entries, workers int) *platform {
 	p := &platform{deployment: newDeployment(t)}
 	_, l := p.start("store", event.StandInStarted, object{
 		"Address": "127.0.0.1:0", "WritesPerSecond": 300, "ReadsPerSecond": 2000, "Latency": "2ms",
--- a/internal/demo/whole/entry.go
+++ b/internal/demo/whole/entry.go
@@ -106,4 +106,6 @@
 func (s *System) API() *admin.Client { return s.Entries[0].API() }
 
 // API returns a client of the entry's administration interface.
-func (e *Entry) API() *admin.Client { return admin.NewClient(e.Administration(), ChangeToken, "demo", nil) }
+func (e *Entry) API() *admin.Client {
+	return admin.NewClient(e.Administration(), ChangeToken, "demo", nil)
+}
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -184,7 +184,8 @@
 // Run works until ctx ends, which stops the entry at once. Drain before that for a graceful end.
 func (e *Entry) Run(ctx context.Context) error {
 	event.Log(e.cfg.Log, event.ProcessStarted, zap.String("Role", "entry"), zap.String("Callers", e.Callers()),
-		zap.String("Administration", e.Administration()), zap.String("Sessions", e.Sessions()))
+		zap.String("Administration", e.Administration()), zap.String("Sessions", e.Sessions()),
+		zap.Stringer("Listening", e.listeners.sessions.Addr()))
 	var wg sync.WaitGroup
 	wg.Go(func() { e.holder.Run(ctx) })
 	wg.Go(func() { e.distribute(ctx) })
