--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -18,6 +18,7 @@
 	"trefoilramp.org/trefoilramp/internal/host/beside"
 	"trefoilramp.org/trefoilramp/internal/host/ledger"
 	"trefoilramp.org/trefoilramp/internal/host/runner"
+	"trefoilramp.org/trefoilramp/internal/link/roster"
 	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/plat/worker"
@@ -50,13 +51,13 @@
 	limits      limits
 	listener    net.Listener // announcements
 	admin       net.Listener // health; nil for none
+	roster      *roster.Roster
 	leaving     atomic.Bool
 	drain       chan struct{} // closed when an operator asks for a drain
 	drainOnce   sync.Once
 
 	mu       sync.Mutex
 	sessions map[*sess.Session]*link
-	roster   []wire.EntryInfo
 }
 
 // New reads the worker's means and opens the listeners; it waits until the worker answers or ctx ends.
@@ -65,6 +66,7 @@
 		cfg:         cfg,
 		incarnation: ident.NewIncarnation(),
 		registry:    beside.NewRegistry(),
+		roster:      roster.New(),
 		sessions:    make(map[*sess.Session]*link),
 		drain:       make(chan struct{}),
 	}
@@ -122,7 +124,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { a.runner.Run(ctx) })
 	wg.Go(func() { a.beat(ctx) })
-	wg.Go(func() { a.connect(ctx) })
+	wg.Go(func() { a.newKeeper().Run(ctx) })
 	wg.Go(func() { a.serve(ctx, a.listener, a.announcements()) })
 	if a.admin != nil {
 		wg.Go(func() { a.serve(ctx, a.admin, a.health()) })
--- a/internal/role/agent/connect.go
+++ b/internal/role/agent/connect.go
@@ -2,42 +2,38 @@
 
 import (
 	"context"
-	"time"
 
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/link/roster"
 	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
 
-func (a *Agent) connect(ctx context.Context) {
-	for {
-		want := map[string]bool{}
-		a.mu.Lock()
-		for _, i := range a.roster {
-			want[i.Address] = true
-		}
-		for s := range a.sessions {
-			delete(want, s.Peer().Address)
-		}
-		if len(a.sessions) == 0 {
-			want[a.cfg.Settings.Balancer] = true
-		}
-		a.mu.Unlock()
-		for address := range want {
-			s, err := sess.Dial(ctx, address, sess.Config{Self: a.hello(), Key: a.cfg.Settings.Key.Bytes(), TLS: a.cfg.Settings.TLS.Config(), Log: a.cfg.Log}, a)
-			if err == nil {
-				a.opened(s)
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(300 * time.Millisecond):
-		}
+// newKeeper returns the duty that keeps sessions with the entries of the zone's group.
+func (a *Agent) newKeeper() *roster.Keeper {
+	s := a.cfg.Settings
+	return roster.NewKeeper(roster.KeeperConfig{
+		Roster:   a.roster,
+		Wanted:   roster.GroupOf(a.roster, ident.AvailabilityZone(s.AvailabilityZone)),
+		Balancer: s.Balancer,
+		Dial:     a.dial,
+		Log:      a.cfg.Log,
+	})
+}
+
+// dial opens a session with an entry.
+func (a *Agent) dial(ctx context.Context, address string) (roster.Session, error) {
+	s, err := sess.Dial(ctx, address, sess.Config{
+		Self: a.hello(), Key: a.cfg.Settings.Key.Bytes(), TLS: a.cfg.Settings.TLS.Config(), Log: a.cfg.Log,
+	}, a)
+	if err != nil {
+		return nil, err
 	}
+	a.opened(s)
+	return s, nil
 }
 
-func (a *Agent) heardRoster(_ *sess.Session, m *wire.Roster) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.roster = m.Entries
+// heardRoster takes over which entries live.
+func (a *Agent) heardRoster(s *sess.Session, m *wire.Roster) {
+	a.roster.Update(roster.SourceOf(s.Peer()), *m)
 }
--- a/internal/role/agent/session.go
+++ b/internal/role/agent/session.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/link/roster"
 	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
@@ -81,6 +82,7 @@
 	a.mu.Lock()
 	delete(a.sessions, s)
 	a.mu.Unlock()
+	a.roster.Forget(roster.SourceOf(s.Peer()))
 	ctx, cancel := context.WithTimeout(context.Background(), closedLimit)
 	defer cancel()
 	a.runner.HandleClosed(ctx, s)
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -20,6 +20,7 @@
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/ident"
 	"trefoilramp.org/trefoilramp/internal/core/point"
+	"trefoilramp.org/trefoilramp/internal/link/roster"
 	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/ops/admin"
@@ -186,11 +187,13 @@
 	event.Log(e.cfg.Log, event.ProcessStarted, zap.String("Role", "entry"), zap.String("Callers", e.Callers()),
 		zap.String("Administration", e.Administration()), zap.String("Sessions", e.Sessions()),
 		zap.Stringer("Listening", e.listeners.sessions.Addr()))
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
 	var wg sync.WaitGroup
 	wg.Go(func() { e.holder.Run(ctx) })
 	wg.Go(func() { e.distribute(ctx) })
 	wg.Go(func() { e.summarize(ctx) })
-	wg.Go(func() { e.network.run(ctx) })
+	wg.Go(func() { e.network.run(ctx, stop) })
 	wg.Go(func() { e.owner.Run(ctx) })
 	wg.Go(func() {
 		if err := sess.Serve(ctx, e.listeners.sessions, e.sessionConfig(), e); err != nil {
@@ -207,6 +210,9 @@
 	if err := e.metrics.Close(); err != nil {
 		return fmt.Errorf("stop metrics: %w", err)
 	}
+	if err := context.Cause(ctx); errors.Is(err, roster.ErrReplaced) {
+		return fmt.Errorf("run entry: %w", err)
+	}
 	return nil
 }
 
--- a/internal/role/entry/network.go
+++ b/internal/role/entry/network.go
@@ -2,155 +2,130 @@
 
 import (
 	"context"
-	"encoding/json"
-	"slices"
 	"sync"
-	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/link/roster"
 	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
-	"trefoilramp.org/trefoilramp/internal/plat/table"
 )
 
+// network is the entry's membership and its sessions with other entries.
 type network struct {
-	e       *Entry
-	mu      sync.Mutex
-	seen    map[ident.Entry]*seenEntry
-	left    bool
-	version uint64
+	entry  *Entry
+	roster *roster.Roster
+	member *roster.Member
+	keeper *roster.Keeper
 }
 
-type seenEntry struct {
-	info    wire.EntryInfo
-	beat    uint64
-	changed time.Time
-}
-
-type entryRow struct {
-	wire.EntryInfo
-	Beat uint64
-	Txn  ident.Txn
+func newNetwork(e *Entry) *network {
+	s := e.cfg.Settings
+	n := &network{entry: e, roster: roster.New()}
+	self := wire.EntryInfo{
+		Name: ident.Entry(s.Name), Incarnation: e.incarnation, Zone: ident.AvailabilityZone(s.AvailabilityZone),
+		Address: e.Sessions(),
+	}
+	n.member = roster.NewMember(roster.MemberConfig{
+		Self: self, Store: e.cfg.Store, Roster: n.roster, Zones: n.zones, Log: e.cfg.Log,
+	})
+	n.keeper = roster.NewKeeper(roster.KeeperConfig{
+		Roster: n.roster, Wanted: roster.PeersOf(n.roster, self.Name), Dial: n.dial, Log: e.cfg.Log,
+	})
+	return n
 }
 
-func newNetwork(e *Entry) *network { return &network{e: e, seen: map[ident.Entry]*seenEntry{}} }
-
-func (n *network) self() wire.EntryInfo {
-	s := n.e.cfg.Settings
-	return wire.EntryInfo{Name: ident.Entry(s.Name), Incarnation: n.e.incarnation, Zone: ident.AvailabilityZone(s.AvailabilityZone), Address: n.e.Sessions(), Draining: n.left}
+// run keeps the membership and the sessions until ctx ends; replaced is called when another process with the same name
+// has taken this entry's place.
+func (n *network) run(ctx context.Context, replaced func(error)) {
+	var duties sync.WaitGroup
+	duties.Go(func() {
+		if err := n.member.Run(ctx); err != nil {
+			replaced(err)
+		}
+	})
+	duties.Go(func() { n.keeper.Run(ctx) })
+	duties.Go(func() { n.spread(ctx) })
+	duties.Wait()
 }
 
-func (n *network) run(ctx context.Context) {
-	var beat uint64
+// spread sends agents and other entries every change of the roster.
+func (n *network) spread(ctx context.Context) {
 	for {
-		beat++
-		n.mu.Lock()
-		me := n.self()
-		n.mu.Unlock()
-		key := "entry/" + string(me.Zone) + "/" + string(me.Name)
-		b, _ := json.Marshal(entryRow{me, beat, ident.NewTxn()})
-		_, err := n.e.cfg.Store.Transact(ctx, table.Transaction{Txn: ident.NewTxn(), Puts: []table.Put{{Key: key, Value: b}}})
-		if err != nil {
-			n.e.cfg.Log.Debug("entry row", zap.Error(err))
+		changed := n.roster.Changed()
+		for _, s := range n.entry.directory.agentSessions() {
+			n.send(s)
 		}
-		rows, err := n.e.cfg.Store.Range(ctx, "entry/", "entry/\xff", 100)
-		if err == nil {
-			n.note(rows)
+		for _, s := range n.entry.directory.peerSessions() {
+			n.send(s)
 		}
-		n.dial(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(2 * time.Second):
+		case <-changed:
 		}
 	}
 }
 
-func (n *network) note(rows []table.Row) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, r := range rows {
-		var v entryRow
-		if json.Unmarshal(r.Value, &v) != nil {
-			continue
-		}
-		s, ok := n.seen[v.Name]
-		if !ok || s.beat != v.Beat || s.info != v.EntryInfo {
-			if !ok || s.info != v.EntryInfo {
-				n.version++
-			}
-			n.seen[v.Name] = &seenEntry{v.EntryInfo, v.Beat, time.Now()}
-		}
+// send sends what the peer of a session needs of the roster: agents all entries, so that they can leave a zone without
+// any, and entries what this one has read itself.
+func (n *network) send(s *sess.Session) {
+	list := n.roster.Snapshot()
+	if s.Peer().Role == wire.RoleEntry {
+		list = n.roster.FirstHand()
 	}
+	n.entry.send(s, &list)
 }
 
-func (n *network) dial(ctx context.Context) {
-	have := n.e.directory.peerSessions()
-	for _, i := range n.entries() {
-		if i.Name <= ident.Entry(n.e.cfg.Settings.Name) || have[i.Name] != nil {
-			continue
-		}
-		if s, err := sess.Dial(ctx, i.Address, n.e.sessionConfig(), n.e); err == nil {
-			n.e.introduce(s)
-		}
-	}
-	for _, s := range n.e.directory.agentSessions() {
-		n.e.sendRoster(s)
+// dial opens a session with another entry.
+func (n *network) dial(ctx context.Context, address string) (roster.Session, error) {
+	s, err := sess.Dial(ctx, address, n.entry.sessionConfig(), n.entry)
+	if err != nil {
+		return nil, err
 	}
+	n.entry.introduce(s)
+	return s, nil
 }
 
-func (n *network) entries() []wire.EntryInfo {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	var list []wire.EntryInfo
-	for _, s := range n.seen {
-		if time.Since(s.changed) < 8*time.Second {
-			list = append(list, s.info)
-		}
+// zones returns all zones of the configuration.
+func (n *network) zones() []ident.AvailabilityZone {
+	c := n.entry.holder.Current()
+	if c == nil {
+		return nil
 	}
-	return list
-}
-
-func (n *network) group(zone ident.AvailabilityZone) []wire.EntryInfo {
-	all := slices.DeleteFunc(n.entries(), func(i wire.EntryInfo) bool { return i.Draining })
-	own := slices.DeleteFunc(slices.Clone(all), func(i wire.EntryInfo) bool { return i.Zone != zone })
-	if len(own) > 0 {
-		return own
+	var list []ident.AvailabilityZone
+	for _, z := range c.Document.AvailabilityZones {
+		list = append(list, ident.AvailabilityZone(z.Name))
 	}
-	return all
+	return list
 }
 
+// OwnerOf implements liveEntries.
 func (n *network) OwnerOf(p ident.Partition) (ident.Entry, bool) {
-	var best ident.Entry
-	var top uint64
-	for _, i := range n.group(p.Zone) {
-		if h := xxhash.Sum64String(p.String() + "|" + string(i.Name)); best == "" || h > top {
-			best, top = i.Name, h
-		}
-	}
-	return best, best != ""
+	e, ok := n.roster.Owner(p)
+	return e.Name, ok
 }
 
+// IsAlive implements liveEntries.
 func (n *network) IsAlive(name ident.Entry, inc ident.Incarnation) bool {
-	for _, i := range n.entries() {
-		if i.Name == name {
-			return i.Incarnation == inc
-		}
-	}
-	return false
+	e, ok := n.roster.Entry(name)
+	return ok && e.Incarnation == inc
 }
 
-func (n *network) leave() {
-	n.mu.Lock()
-	n.left = true
-	n.mu.Unlock()
-}
+// entries returns all live entries.
+func (n *network) entries() []wire.EntryInfo { return n.roster.Snapshot().Entries }
 
-func (e *Entry) sendRoster(s *sess.Session) {
-	e.send(s, &wire.Roster{Version: e.network.version, Entries: e.network.group(s.Peer().Zone)})
+// leave tells the other entries that this one drains.
+func (n *network) leave() { n.member.SetDraining() }
+
+// heard takes over what another entry has read.
+func (n *network) heard(s *sess.Session, m *wire.Roster) {
+	if !n.roster.Update(roster.SourceOf(s.Peer()), *m) {
+		return
+	}
+	n.entry.cfg.Log.Debug("roster changed", zap.String("Peer", s.Peer().Name))
 }
 
-func (e *Entry) heardRoster(*wire.Roster) {}
+// lost drops what an entry had read, after its session has ended.
+func (n *network) lost(s *sess.Session) { n.roster.Forget(roster.SourceOf(s.Peer())) }
--- a/internal/role/entry/session.go
+++ b/internal/role/entry/session.go
@@ -37,11 +37,12 @@
 	if p.Role == wire.RoleEntry {
 		e.directory.addPeer(s)
 		e.send(s, e.directory.summary(e.holder.Version()))
+		e.network.send(s)
 		return
 	}
 	e.directory.addAgent(s)
 	e.owner.SessionUp(agentSession{s})
-	e.sendRoster(s)
+	e.network.send(s)
 	e.sendConfig(s)
 }
 
@@ -86,7 +87,7 @@
 	case *wire.Leaving:
 		e.directory.leave(s)
 	case *wire.Roster:
-		e.heardRoster(m)
+		e.network.heard(s, m)
 	default:
 		e.owner.HandlePeer(m)
 	}
@@ -113,7 +114,9 @@
 	if s.Peer().Role == wire.RoleAgent {
 		e.owner.SessionDown(agentSession{s})
 		e.tracker.Forget(memberOf(s.Peer()))
+		return
 	}
+	e.network.lost(s)
 }
 
 // send queues a message; a failure means that the session is ending.
