--- a/internal/serve/admit/admit_test.go
+++ b/internal/serve/admit/admit_test.go
@@ -183,6 +183,21 @@
 	})
 }
 
+// Guards against a service whose run time rises at once and whose only kind of request then counts as long.
+func TestOnlyKindIsNotLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := admit.NewPool(admit.Config{})
+		p.SetSlots(4)
+		for i := range 60 {
+			run(t, p, "a", time.Duration(1+i/30*50)*ms)
+		}
+		g, err := acquire(t, p, "a", time.Hour)
+		if err != nil || g.IsLong() {
+			t.Errorf("got %+v and %v, want a short request", g, err)
+		}
+	})
+}
+
 // Guards against slots that stay taken when a caller gives up in the queue.
 func TestCancelledWaiterLeavesNoSlotTaken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/serve/admit/learn.go
+++ b/internal/serve/admit/learn.go
@@ -10,12 +10,14 @@
 	probeEvery = time.Second
 	maxKinds   = 256 // bounds memory when callers invent paths; further kinds share one estimate
 	otherKind  = "other"
+	window     = 1024 // samples after which the weight of older ones is halved
 )
 
 // estimate follows the mean and the mean deviation of run times, in ns.
 type estimate struct {
 	mean, dev float64
 	n         int
+	recent    int
 	probe     time.Time // of the last request let through although the estimate spoke against it
 }
 
@@ -36,6 +38,7 @@
 	kinds  map[string]*estimate
 	all    estimate
 	median float64 // ns
+	recent int     // samples, of all kinds
 	after  time.Duration
 }
 
@@ -62,8 +65,18 @@
 // add records a run. The median moves by a fixed share per sample, so that a few long runs do not shift it as they shift
 // the mean.
 func (l *learner) add(name string, run time.Duration) {
-	l.kind(name).add(run)
+	e := l.kind(name)
+	e.add(run)
 	l.all.add(run)
+	e.recent++
+	l.recent++
+	if l.recent >= window {
+		l.recent = 0
+		for _, e := range l.kinds {
+			e.recent /= 2
+			l.recent += e.recent
+		}
+	}
 	x := float64(run)
 	switch {
 	case l.median == 0:
@@ -83,7 +96,8 @@
 	return time.Duration(l.median)
 }
 
-// isLong reports whether a kind runs long, by the declared threshold or, without one, relative to the median.
+// isLong reports whether a kind runs long, by the declared threshold or, without one, relative to the median. A kind that
+// most requests have is never long relative to itself; the median follows a shift of its run time only slowly.
 func (l *learner) isLong(name string) bool {
 	e := l.kind(name)
 	if e.n == 0 {
@@ -92,7 +106,7 @@
 	if l.after > 0 {
 		return time.Duration(e.mean) > l.after
 	}
-	return e.mean > longFactor*l.median
+	return 2*e.recent < l.recent && e.mean > longFactor*l.median
 }
 
 // mayProbe reports whether a request may start although its estimate exceeds the time left. Without such probes an
--- a/internal/serve/claim/claim.go
+++ b/internal/serve/claim/claim.go
@@ -123,8 +123,8 @@
 	return Found{Outcome: RunLost, Detail: "the entry that ran the first request did not record its response"}
 }
 
-// write puts the row on condition of its version and repeats the same transaction until its outcome is known. It returns
-// the row of another writer when that one was first.
+// write puts the row on condition of its version. It returns the row of another writer when that one was first. A
+// refusal by the store is final unless patient is set; the error is table.ErrUnknown when the row may exist.
 func (b *Book) write(ctx context.Context, key string, r row, version uint64, tries int) (*row, uint64, error) {
 	value, err := json.Marshal(r)
 	if err != nil {
@@ -135,54 +135,40 @@
 		Conditions: []table.Condition{{Key: key, Version: version}},
 		Puts:       []table.Put{{Key: key, Value: value}},
 	}
-	res, err := b.transact(ctx, t, tries)
+	var res table.Result
+	err = b.persist(ctx, tries, func() error {
+		res, err = table.Resolve(ctx, b.store, t, key)
+		return err
+	})
 	if err != nil {
-		return nil, 0, err
+		return nil, 0, fmt.Errorf("write claim: %w", err)
 	}
 	if res.Committed {
 		return nil, res.Version, nil
 	}
-	if len(res.Conflicts) == 0 {
-		return nil, 0, errors.Newf("store reports a conflict on %s without the row", key)
-	}
-	c := res.Conflicts[0]
-	if c.Version == 0 {
+	if len(res.Conflicts) == 0 || res.Conflicts[0].Version == 0 {
 		return nil, 0, errors.Newf("row %s is gone", key)
 	}
 	var other row
-	if err := json.Unmarshal(c.Value, &other); err != nil {
+	if err := json.Unmarshal(res.Conflicts[0].Value, &other); err != nil {
 		return nil, 0, fmt.Errorf("decode claim %s: %w", key, err)
 	}
-	if other.Txn == r.Txn { // an earlier try took effect and its response was lost
-		return nil, c.Version, nil
-	}
-	return &other, c.Version, nil
+	return &other, res.Conflicts[0].Version, nil
 }
 
-// transact repeats t while the store does not say whether it took effect. It gives up when the store refused the given
-// number of tries and none of them can take effect later, or when ctx ends; the error is ErrUnknown when the row may
-// exist.
-func (b *Book) transact(ctx context.Context, t table.Transaction, tries int) (table.Result, error) {
-	var unknown error
+// persist repeats f until it succeeds, the given number of tries had no effect, or ctx ends.
+func (b *Book) persist(ctx context.Context, tries int, f func() error) error {
 	for n := 0; ; n++ {
-		res, err := b.store.Transact(ctx, t)
-		if err == nil {
-			return res, nil
-		}
-		if !errors.Is(err, table.ErrUnavailable) && !errors.Is(err, table.ErrOverBudget) {
-			unknown = fmt.Errorf("%w: %w", table.ErrUnknown, err)
-		}
-		if unknown != nil {
-			err = unknown
-		} else if n+1 >= tries {
-			return table.Result{}, err
+		err := f()
+		if err == nil || errors.Is(err, table.ErrMalformed) || n+1 >= tries && !errors.Is(err, table.ErrUnknown) {
+			return err
 		}
 		timer := time.NewTimer(b.backoff.Delay(n))
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
 			timer.Stop()
-			return table.Result{}, err
+			return err
 		}
 	}
 }
@@ -254,7 +240,11 @@
 		Conditions: []table.Condition{{Key: c.key, Version: c.version}},
 		Deletes:    []string{c.key},
 	}
-	if _, err := c.book.transact(ctx, t, math.MaxInt); err != nil { // a conflict means that an earlier try took effect
+	err := c.book.persist(ctx, math.MaxInt, func() error {
+		_, err := c.book.store.Transact(ctx, t) // a conflict means that an earlier try took effect
+		return err
+	})
+	if err != nil {
 		event.Log(c.book.log, event.ClaimNotReleased, zap.String("Key", c.key), zap.Error(err))
 		return fmt.Errorf("release claim %s: %w", c.key, err)
 	}
--- a/internal/serve/relay/body.go
+++ b/internal/serve/relay/body.go
@@ -69,3 +69,19 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 }
+
+// Finish reads what is left of a stream whose answer was sent. The peer resets a stream as soon as it has the answer, so
+// this takes about one round trip. A handler that returned before would leave the transport reading from a stream that
+// the session has forgotten.
+func Finish(st Stream) {
+	b, ok := buffers.Get().(*[]byte)
+	if !ok {
+		return
+	}
+	defer buffers.Put(b)
+	for {
+		if _, err := st.Read(*b); err != nil {
+			return
+		}
+	}
+}
--- a/internal/serve/relay/relay_test.go
+++ b/internal/serve/relay/relay_test.go
@@ -219,7 +219,8 @@
 	}
 }
 
-// Guards against fields of one connection that pass to the next, and against lost trailers and informational responses.
+// Guards against fields of one connection that pass to the next, lost trailers and informational responses, and slots that
+// are given back only after the entry may use them again.
 func TestForwarding(t *testing.T) {
 	var got http.Header
 	var trailer http.Header
@@ -259,6 +260,9 @@
 	if tr, ok := last.(*wire.Trailers); !ok || tr.Header.Get("X-Sum") != "7" {
 		t.Errorf("trailers are %+v", last)
 	}
+	if free := a.available(); free != means {
+		t.Errorf("at the end of the answer %+v of %+v are free", free, means)
+	}
 	if trailer.Get("X-Check") != "ok" || len(got["X-A"]) != 2 || got.Get("User-Agent") != "" {
 		t.Errorf("target got header %v and trailers %v", got, trailer)
 	}
--- a/internal/serve/relay/request.go
+++ b/internal/serve/relay/request.go
@@ -51,17 +51,20 @@
 	return r
 }
 
-// end gives back everything that is reserved; it runs once. The stream must not be left while the transport still reads
-// from it: the peer resets a stream whose response it has, which ends that read.
+// end is called when the handler ends; it runs once.
 func (r *request) end() {
 	r.cancel(nil)
+	r.giveBack()
+	r.server.leave(r)
+}
+
+// giveBack ends what is reserved. It comes before the last frame of an answer, because the entry may send the next
+// request for the same slot as soon as it has that frame.
+func (r *request) giveBack() {
 	r.yieldSlot()
 	if r.releaseConn != nil {
 		r.releaseConn()
-	}
-	r.server.leave(r)
-	if r.body != nil {
-		r.body.stop()
+		r.releaseConn = nil
 	}
 }
 
@@ -248,6 +251,7 @@
 			return fmt.Errorf("read response: %w", err)
 		}
 	}
+	r.giveBack()
 	if len(resp.Trailer) > 0 {
 		if err := r.stream.Send(r.ctx, &wire.Trailers{Header: resp.Trailer}); err != nil {
 			return fmt.Errorf("pass trailers on: %w", err)
--- a/internal/serve/relay/server.go
+++ b/internal/serve/relay/server.go
@@ -100,20 +100,29 @@
 		st.Reset("no request head")
 		return
 	}
-	r := newRequest(s, st, head)
+	s.handle(newRequest(s, st, head), clock)
+	Finish(st)
+}
+
+// handle refuses the request, or forwards it and sends the answer.
+func (s *Server) handle(r *request, clock Clock) {
 	defer r.end()
 	v := s.admit(r, clock)
 	if v == nil {
-		v = r.forward(clock.LocalTime(head.Deadline))
+		v = r.forward(clock.LocalTime(r.head.Deadline))
+	}
+	if r.body != nil {
+		defer r.body.stop()
 	}
 	if v == nil {
 		return
 	}
-	if err := st.Send(st.Context(), v); err != nil {
-		st.Reset("verdict could not be sent")
+	r.giveBack()
+	if err := r.stream.Send(r.stream.Context(), v); err != nil {
+		r.stream.Reset("verdict could not be sent")
 		return
 	}
-	_ = st.CloseWrite() // fails only when the stream has ended
+	_ = r.stream.CloseWrite() // fails only when the stream has ended
 }
 
 // admit returns the verdict when the request is refused, or nil with everything reserved.
--- a/internal/serve/route/route.go
+++ b/internal/serve/route/route.go
@@ -90,76 +90,75 @@
 	return 2*float64(c.Delay) + c.Loss*float64(retransmission)
 }
 
-// best compares two random usable candidates. When all are ejected it takes an ejected one: a service whose targets all
-// fail must not be refused on the word of this entry alone.
+// fitness says how well a candidate can take a request.
+type fitness int
+
+const (
+	closed  fitness = iota // takes no work, or was tried already
+	ejected                // fails or refuses; only when nothing better is left
+	full                   // its slots are taken, as far as this entry knows
+	fit
+)
+
+// best compares two random candidates of the best fitness that there is. When all are ejected it takes an ejected one: a
+// service whose targets all fail must not be refused on the word of this entry alone.
 func (p *Picker) best(list []Candidate, expected time.Duration, tried []string, now time.Time) (*Candidate, float64, bool) {
-	first, ok := p.sample(list, tried, nil, now)
-	if !ok {
-		return p.lastResort(list, tried, now)
-	}
-	score := p.score(first, expected, now)
-	second, ok := p.sample(list, tried, first, now)
-	if !ok {
+	for least := fit; least > closed; least-- {
+		first, ok := p.sample(list, tried, nil, least, now)
+		if !ok {
+			continue
+		}
+		score := p.score(first, expected, now)
+		if second, ok := p.sample(list, tried, first, least, now); ok {
+			if s := p.score(second, expected, now); s < score {
+				return second, s, true
+			}
+		}
 		return first, score, true
 	}
-	if s := p.score(second, expected, now); s < score {
-		return second, s, true
-	}
-	return first, score, true
+	return nil, 0, false
 }
 
-func (p *Picker) sample(list []Candidate, tried []string, not *Candidate, now time.Time) (*Candidate, bool) {
+// sample returns a random candidate other than not whose fitness is at least the given one.
+func (p *Picker) sample(list []Candidate, tried []string, not *Candidate, least fitness, now time.Time) (*Candidate, bool) {
 	if len(list) == 0 {
 		return nil, false
 	}
 	for range sampleTries {
 		c := &list[p.rng.IntN(len(list))]
-		if c != not && p.isUsable(c, tried, now) {
+		if c != not && p.fitness(c, tried, now) >= least {
 			return c, true
 		}
 	}
 	start := p.rng.IntN(len(list))
 	for i := range list {
 		c := &list[(start+i)%len(list)]
-		if c != not && p.isUsable(c, tried, now) {
+		if c != not && p.fitness(c, tried, now) >= least {
 			return c, true
 		}
 	}
 	return nil, false
 }
 
-func (p *Picker) lastResort(list []Candidate, tried []string, now time.Time) (*Candidate, float64, bool) {
-	if len(list) == 0 {
-		return nil, 0, false
-	}
-	start := p.rng.IntN(len(list))
-	for i := range list {
-		c := &list[(start+i)%len(list)]
-		if isOpen(c, tried) {
-			return c, p.score(c, 0, now), true
-		}
-	}
-	return nil, 0, false
-}
-
-func isOpen(c *Candidate, tried []string) bool {
+func (p *Picker) fitness(c *Candidate, tried []string, now time.Time) fitness {
 	if c.Leaving || c.Closed || c.Slots <= 0 {
-		return false
+		return closed
 	}
 	for _, name := range tried {
 		if name == c.Name {
-			return false
+			return closed
 		}
 	}
-	return true
-}
-
-func (p *Picker) isUsable(c *Candidate, tried []string, now time.Time) bool {
-	if !isOpen(c, tried) {
-		return false
-	}
 	t, ok := p.known[c.Name]
-	return !ok || !now.Before(t.ejectedUntil) && !now.Before(t.pausedUntil)
+	switch {
+	case !ok:
+		return fit
+	case now.Before(t.ejectedUntil) || now.Before(t.pausedUntil):
+		return ejected
+	case float64(t.inFlight) >= t.effectiveSlots(c, now):
+		return full
+	}
+	return fit
 }
 
 // score is the expected completion time in ns; without a learned run time it only orders candidates by load.
--- a/internal/serve/route/route_test.go
+++ b/internal/serve/route/route_test.go
@@ -71,6 +71,22 @@
 	}
 }
 
+// Guards against requests for a target whose slots are taken while another has room.
+func TestFullTargetsGetNothing(t *testing.T) {
+	p := route.NewPicker(1)
+	list := ready(4)
+	count := make(map[string]int)
+	for range 32 {
+		c, _ := p.Pick(route.Set{Own: list}, run, nil)
+		count[c.Name]++
+	}
+	for name, n := range count {
+		if n != 8 {
+			t.Errorf("%s got %d of 32 requests, want one for each of its 8 slots", name, n)
+		}
+	}
+}
+
 // Guards against a link that is used for less than it costs, and against a full zone beside an idle one.
 func TestOtherZoneOnlyForGain(t *testing.T) {
 	for _, c := range []struct {
