--- a/internal/batch/commit/journal.go
+++ b/internal/batch/commit/journal.go
@@ -54,11 +54,14 @@
 	done     uint64 // of the last durable row
 	snap     *snapshot
 	closing  bool
+	proved   time.Time // send time of the last request that confirmed the head row
+	asked    uint64    // calls of Confirm
+	answered uint64    // calls of Confirm before the last request that confirmed the head row
 
-	head     Versioned // Run only, as all below
+	head     Versioned // Run only, as all below; the snapshot's fields also under mu
 	versions [RingSlots]uint64
 	last     time.Time // start of the last commit
-	proved   time.Time // send time of the last request that confirmed the head row
+	read     time.Time // start of the last read of the head row
 	spacing  time.Duration
 }
 
@@ -123,7 +126,41 @@
 	return j.durable
 }
 
-// News is signalled when Durable or IsSnapshotDue may have changed.
+// Confirm asks for a proof of ownership by a store request that is sent after this call; Proved reaches the number that
+// is returned once the proof is there.
+func (j *Journal) Confirm() uint64 {
+	j.mu.Lock()
+	j.asked++
+	n := j.asked
+	j.mu.Unlock()
+	signal(j.wake)
+	return n
+}
+
+// Proved returns the number of calls of Confirm that are answered.
+func (j *Journal) Proved() uint64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.answered
+}
+
+// asking returns the calls of Confirm that a request sent from now on answers.
+func (j *Journal) asking() uint64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.asked
+}
+
+// prove notes a proof of ownership.
+func (j *Journal) prove(sent time.Time, asked uint64) {
+	j.lease.Confirm(sent)
+	j.mu.Lock()
+	j.proved, j.answered = sent, asked
+	j.mu.Unlock()
+	signal(j.news)
+}
+
+// News is signalled when Durable, Proved or IsSnapshotDue may have changed.
 func (j *Journal) News() <-chan struct{} { return j.news }
 
 // IsSnapshotDue reports whether half of the ring is used since the last snapshot and none is on its way.
@@ -202,6 +239,9 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	confirm := j.proved.Add(j.cfg.Terms.Owner / confirmParts)
+	if j.asked > j.answered {
+		confirm = j.read.Add(j.cfg.Spacing)
+	}
 	switch {
 	case len(j.queue) > 0 && j.isRingFull() && !j.isSnapshotReady():
 		return confirm, false // the wrap rule: the slot is needed until the snapshot is in the head row
@@ -235,12 +275,11 @@
 	if err != nil {
 		return err
 	}
+	asked := j.asking()
 	out, err := settle(ctx, j.cfg.Store, t)
 	if err != nil {
 		return fmt.Errorf("commit of %s: %w", j.taken.Partition, err)
 	}
-	j.lease.Confirm(out.sent)
-	j.proved = out.sent
 	j.adjust(out.overBudget)
 	old := ""
 	j.mu.Lock()
@@ -255,7 +294,7 @@
 		j.snap = nil
 	}
 	j.mu.Unlock()
-	signal(j.news)
+	j.prove(out.sent, asked)
 	if old != "" {
 		go j.discard(ctx, old)
 	}
@@ -321,19 +360,20 @@
 
 // confirm reads the head row of an idle partition, so that the owner lease goes on.
 func (j *Journal) confirm(ctx context.Context) error {
-	sent := time.Now()
+	sent, asked := time.Now(), j.asking()
+	j.read = sent
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	r, err := table.Get(call, j.cfg.Store, headKey(j.taken.Partition))
 	switch {
 	case errors.Is(err, table.ErrNotFound), err == nil && r.Version != j.head.Version:
 		return fmt.Errorf("confirm %s: %w", j.taken.Partition, ErrDeposed)
+	case err != nil && !sleep(ctx, lastPause):
+		return context.Cause(ctx)
 	case err != nil:
-		sleep(ctx, lastPause)
-		return nil
+		return nil // tried again by the next step
 	}
-	j.lease.Confirm(sent)
-	j.proved = sent
+	j.prove(sent, asked)
 	return nil
 }
 
--- a/internal/batch/owner/job.go
+++ b/internal/batch/owner/job.go
@@ -26,7 +26,11 @@
 	return o.call(ctx, m.Home, func(p *partition, reply func(*wire.JobReply)) { p.submit(m.Spec, reply) })
 }
 
-// Query replies with one job (404 when it is unknown) or, for an empty id, with the jobs at home in the partition.
+// Unconfirmed is the Detail of a reply to a query that the store did not confirm; it may be old.
+const Unconfirmed = "the store does not respond; this may be old"
+
+// Query replies with one job (404 when it is unknown) or, for an empty id, with the jobs at home in the partition. A reply
+// whose Detail is Unconfirmed may be old.
 func (o *Owner) Query(ctx context.Context, m *wire.JobQuery) *wire.JobReply {
 	return o.call(ctx, m.Home, func(p *partition, reply func(*wire.JobReply)) { p.query(m, reply) })
 }
@@ -207,13 +211,19 @@
 	return &wire.JobReply{Status: status, Jobs: []wire.JobStatus{p.status(job, j)}}
 }
 
-// query replies after what the reply contains is durable, so that a new owner never shows less.
+// query replies with what is durable, and with a proof that this owner is not deposed, so that no reply shows less than
+// an earlier one. While the store does not respond, the reply tells that it may be old.
 func (p *partition) query(m *wire.JobQuery, reply func(*wire.JobReply)) {
-	r := p.list(m.After)
-	if m.Job != "" {
-		r = p.reply(http.StatusOK, m.Job)
-	}
-	p.afterDurable(func() { reply(r) })
+	p.afterProof(func(proved bool) {
+		r := p.list(m.After)
+		if m.Job != "" {
+			r = p.reply(http.StatusOK, m.Job)
+		}
+		if !proved {
+			r.Detail = Unconfirmed
+		}
+		reply(r)
+	})
 }
 
 // list returns the jobs after the given one, as many as fit into a frame.
@@ -242,7 +252,13 @@
 func (p *partition) cancel(m *wire.JobCancel, reply func(*wire.JobReply)) {
 	job := m.Job
 	if p.state.Job(job) == nil {
-		reply(p.reply(0, job))
+		p.afterProof(func(proved bool) {
+			if !proved {
+				reply(&wire.JobReply{Status: http.StatusServiceUnavailable, Detail: Unconfirmed})
+				return
+			}
+			reply(p.reply(0, job))
+		})
 		return
 	}
 	err := p.record(p.state.Job(job).Spec.Urgent, func() {
--- a/internal/batch/owner/outside.go
+++ b/internal/batch/owner/outside.go
@@ -62,6 +62,7 @@
 	tickInterval   = time.Second          // between checks of what must be repeated or released
 	placeInterval  = 5 * time.Millisecond // between rounds of placement
 	repeatAfter    = 2 * time.Second      // before an unanswered message is sent again
+	proofTimeout   = 2 * time.Second      // before a query is answered without a proof from the store
 	retention      = 24 * time.Hour       // of finished jobs
 	sweeps         = 144                  // searches for old jobs in a retention, one every 10 min
 	maxCommand     = 16 << 10             // bytes of a job's command; StartTask and ShareOffer must fit into a frame
--- a/internal/batch/owner/partition.go
+++ b/internal/batch/owner/partition.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,6 +40,7 @@
 
 	state   *part.State
 	effects []effect
+	doubts  []doubt
 	order   *place.Order
 	closing bool
 
@@ -59,6 +61,13 @@
 	run  func()
 }
 
+// doubt is a reply that a deposed owner must not give; it waits for a proof of ownership.
+type doubt struct {
+	since  time.Time
+	number uint64 // of the journal's Confirm
+	run    func(proved bool)
+}
+
 func newPartition(o *Owner, t commit.Taken, state *part.State, l *lease.Owner, j *commit.Journal) *partition {
 	p := &partition{
 		o: o, id: t.Partition, epoch: t.Head.Epoch, taken: t, book: newBook(o.cfg.Terms, l),
@@ -154,6 +163,7 @@
 		n++
 	}
 	p.effects = p.effects[n:]
+	p.settleDoubts()
 	if !p.journal.IsSnapshotDue() {
 		return
 	}
@@ -201,6 +211,24 @@
 	p.effects = append(p.effects, effect{mark, f})
 }
 
+// afterProof runs f once everything recorded so far is durable and the store has confirmed since that this entry owns the
+// partition, or with false when the store does not respond in time.
+func (p *partition) afterProof(f func(proved bool)) {
+	p.doubts = append(p.doubts, doubt{time.Now(), p.journal.Confirm(), f})
+}
+
+func (p *partition) settleDoubts() {
+	proved, durable := p.journal.Proved(), p.journal.Durable() == p.journal.Mark()
+	p.doubts = slices.DeleteFunc(p.doubts, func(d doubt) bool {
+		ok := durable && proved >= d.number
+		if ok || time.Since(d.since) >= proofTimeout {
+			d.run(ok)
+			return true
+		}
+		return false
+	})
+}
+
 // handOver begins to leave the partition: nothing more is recorded, and run ends once the journal is empty.
 func (p *partition) handOver() {
 	p.closing = true
@@ -234,6 +262,7 @@
 	if p.closing {
 		return
 	}
+	p.settleDoubts()
 	p.release()
 	p.adopt()
 	p.repeatStarts()
--- a/internal/batch/owner/world_test.go
+++ b/internal/batch/owner/world_test.go
@@ -40,8 +40,21 @@
 type gate struct {
 	mu     sync.Mutex
 	paused chan struct{} // closed on resume; nil while not paused
-	since  time.Time     // of the pause or death
+	since  time.Time     // of the pause, death or hiding
 	dead   bool
+	hidden bool
+}
+
+// hide makes the process look dead to the others while it goes on.
+func (g *gate) hide(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.hidden, g.since = true, time.Now()
+	time.AfterFunc(d, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.hidden = false
+	})
 }
 
 // pass waits while the process is paused and reports false once it is dead.
@@ -86,7 +99,7 @@
 func (g *gate) silentFor() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.dead || g.paused != nil {
+	if g.dead || g.hidden || g.paused != nil {
 		return time.Since(g.since)
 	}
 	return 0
@@ -305,15 +318,17 @@
 func (w *world) call(job ident.Job, f func(context.Context, *owner.Owner, ident.Partition) *wire.JobReply) *wire.JobReply {
 	w.t.Helper()
 	home := part.Home(job, w.parts)
-	for {
+	for range 2000 { // about 3 h
 		ctx, cancel := context.WithTimeout(w.ctx, 5*time.Second)
 		r := f(ctx, w.ownerOf(home), home)
 		cancel()
-		if r.Status < 500 {
+		if r.Status < 500 && r.Detail != owner.Unconfirmed {
 			return r
 		}
 		time.Sleep(time.Second)
 	}
+	w.t.Fatalf("no outcome of a call for job %s", job)
+	return nil
 }
 
 // status returns the progress of a job.
@@ -354,3 +369,11 @@
 	}
 	return list
 }
+
+// cancel cancels a job.
+func (w *world) cancel(job ident.Job) {
+	w.t.Helper()
+	w.call(job, func(ctx context.Context, o *owner.Owner, home ident.Partition) *wire.JobReply {
+		return o.Cancel(ctx, &wire.JobCancel{Home: home, Job: job, Author: "operator"})
+	})
+}
