--- a/internal/stand/worker/worker_test.go
+++ b/internal/stand/worker/worker_test.go
@@ -157,6 +157,36 @@
 	})
 }
 
+// Guards against a renewal that lets an attempt run while its last checkpoint is being written, since that progress would
+// be made twice.
+func TestRenewalDuringCheckpoint(t *testing.T) {
+	bubble(t, func(t *testing.T, w *worker.Worker, s *store.Store) {
+		r := ref("a", 1)
+		must(t, w.Start(t.Context(), start(r, "run=10s", time.Hour)))
+		time.Sleep(2 * time.Second)
+		must(t, s.Faults().Set(script.Rule{Action: script.Slow, Count: 1, Delay: script.Duration(time.Second)}))
+		saved := make(chan plat.Status)
+		go func() {
+			st, err := w.Checkpoint(t.Context(), r, true)
+			if err != nil {
+				t.Error(err)
+			}
+			saved <- st
+		}()
+		time.Sleep(500 * time.Millisecond)
+		if _, err := w.Checkpoint(t.Context(), r, false); !errors.Is(err, plat.ErrStore) {
+			t.Errorf("second checkpoint during the first: %v", err)
+		}
+		refused, err := w.Renew(t.Context(), []plat.Renewal{{Ref: r, Deadline: time.Now().Add(2 * time.Hour)}})
+		if err != nil || len(refused) != 0 {
+			t.Errorf("refused renewals are %v, %v", refused, err)
+		}
+		if st := <-saved; st.State != plat.Stopped || st.RunTime != 2*time.Second {
+			t.Errorf("after the checkpoint the attempt is %v after %v", st.State, st.RunTime)
+		}
+	})
+}
+
 // Guards against commands that are read wrongly: each word changes how and when a task ends.
 func TestCommands(t *testing.T) {
 	tests := []struct {
