--- a/cmd/trefoilramp/capacity_test.go
+++ b/cmd/trefoilramp/capacity_test.go
@@ -111,7 +111,7 @@
 		"Sessions": "127.0.0.1:0", "Advertise": c.listener.Addr().String(), "Store": p.store,
 		"Key": secretOf(processKey), "ReadToken": secretOf(readToken), "ChangeToken": secretOf(changeToken),
 	}, "entry")
-	c.to.Store(sessionsOf(b, p, l))
+	c.to.Store(l.Listening) // differs from the advertised address
 	api := admin.NewClient("http://"+l.Administration, changeToken, "test", nil)
 	p.session = c.listener.Addr().String()
 	d := model.Default()
@@ -121,7 +121,7 @@
 		d.Services = append(d.Services, model.DefaultService(fmt.Sprintf("service-%d", i)))
 	}
 	apply(b, api, 0, d)
-	agent := startIdleAgent(b, p)
+	agent := startIdleAgent(p)
 	job := fmt.Sprintf(`{"Job":"idle","Team":"team-1","Class":"standard","Command":"run=1h","Tasks":%d,
 		"Size":{"Processors":100,"Memory":1000000}}`, idleTasks)
 	if _, err := api.Submit(b.Context(), []byte(job)); err != nil {
@@ -146,15 +146,7 @@
 	b.ReportMetric(float64(c.bytes.Load()-bytes0)/took.Seconds(), "control-B/s")
 }
 
-// sessionsOf returns the real listener of an entry's sessions, which differs from what it advertises.
-func sessionsOf(b *testing.B, p *platform, l logLine) string {
-	if l.Listening == "" {
-		b.Fatal("the entry did not log its sessions listener")
-	}
-	return l.Listening
-}
-
-func startIdleAgent(b *testing.B, p *platform) *process {
+func startIdleAgent(p *platform) *process {
 	_, l := p.start("worker", event.StandInStarted, object{
 		"Worker": "w1", "AvailabilityZone": processZone, "Rack": "rack-1", "Address": "127.0.0.1:0", "Store": p.store,
 		"Total": object{"Processors": 16000, "Memory": int64(60e9), "Slots": 64, "Connections": 512}, "Lag": "500ms",
--- a/cmd/trefoilramp/process_test.go
+++ b/cmd/trefoilramp/process_test.go
@@ -79,7 +79,7 @@
 		d.t.Fatal(err)
 	}
 	p := &process{name: name, events: make(chan logLine, 1024), done: make(chan struct{})}
-	p.cmd = exec.Command(d.binary, append(args, "--settings", path)...)
+	p.cmd = exec.CommandContext(context.Background(), d.binary, append(args, "--settings", path)...)
 	logs, err := p.cmd.StderrPipe()
 	if err != nil {
 		d.t.Fatal(err)
@@ -111,7 +111,7 @@
 	if err != nil {
 		return
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }() // a log that is cut off fails no test
 	s := bufio.NewScanner(logs)
 	for s.Scan() {
 		fmt.Fprintln(f, s.Text())
@@ -216,7 +216,7 @@
 	p.until("all targets are known to every entry", func() bool {
 		for _, api := range p.api {
 			st, err := api.Status(t.Context())
-			if err != nil || len(st.Services) == 0 || len(st.Services[0].Targets) < workers {
+			if err != nil || st.InForce == 0 || len(st.Services) == 0 || len(st.Services[0].Targets) < workers {
 				return false
 			}
 		}
--- a/internal/host/runner/calls.go
+++ b/internal/host/runner/calls.go
@@ -78,7 +78,7 @@
 func (in called) apply(r *Runner) {
 	switch in.call.kind {
 	case callRenew:
-		r.renewing = false
+		r.renewed(in.err)
 		return
 	case callThrottle:
 		return
--- a/internal/host/runner/poll.go
+++ b/internal/host/runner/poll.go
@@ -142,6 +142,20 @@
 		return
 	}
 	for _, p := range r.partitions {
-		p.passedOn = p.until
+		if p.reconciled {
+			p.passedOn = p.until
+		}
+	}
+}
+
+// renewed notes the outcome of a renewal; one that failed is due again at the next grant.
+func (r *Runner) renewed(err error) {
+	r.renewing = false
+	if err == nil {
+		return
+	}
+	r.cfg.Log.Warn("leases were not renewed at the worker", zap.Error(err))
+	for _, p := range r.partitions {
+		p.passedOn = 0
 	}
 }
