batch/owner: answer Inventory during a store outage; outage tests

Reconcile waited until pending events were durable, so that a session cut during an outage stopped renewals until the store was back. Attempts whose final report is not durable yet are now left out of Drop instead: the agent keeps the report.

--- a/internal/batch/owner/adopt.go
+++ b/internal/batch/owner/adopt.go
@@ -45,19 +45,18 @@
 		case ok && t.State == part.Starting && t.Attempt == h.Attempt && t.Worker == s.info.Worker:
 			held[h.Task] = true
 			p.keep(t)
+		case ok && h.State > wire.TaskPaused:
+			// The end of this attempt may not be durable yet. The agent keeps its report until it is acknowledged, for
+			// the owner that might follow.
 		default:
 			drop = append(drop, h)
 		}
 	}
 	p.reconcile(s, held)
-	// What is dropped here may have ended by an event that is not durable yet; until it is, the agent must keep its
-	// report for the owner that might follow.
-	p.afterDurable(func() {
-		if p.o.cfg.Hook.At(point.TakeoverReconciled, string(s.info.Worker)) == nil && p.book.reconciled(s, round) {
-			p.o.sendAgent(s, &wire.Reconcile{Partition: p.id, Epoch: p.epoch, Drop: drop})
-			signal(p.room)
-		}
-	})
+	if p.o.cfg.Hook.At(point.TakeoverReconciled, string(s.info.Worker)) == nil && p.book.reconciled(s, round) {
+		p.o.sendAgent(s, &wire.Reconcile{Partition: p.id, Epoch: p.epoch, Drop: drop})
+		signal(p.room)
+	}
 }
 
 // keep notes that the agent holds the current attempt of t.
@@ -73,8 +72,10 @@
 // worker refuses after the deadline of the last grant.
 func (p *partition) reconcile(s *session, held map[ident.Task]bool) {
 	for _, t := range p.state.HeldBy(s.info.Worker) {
+		st := p.starting[t.ID]
 		switch {
 		case held[t.ID]:
+		case st != nil && st.sent.IsZero(): // not sent yet, perhaps not durable
 		case t.Agent == s.info.Incarnation:
 			p.letGo(t)
 		case p.missing[t.ID] == nil:
--- a/internal/batch/owner/world_test.go
+++ b/internal/batch/owner/world_test.go
@@ -142,11 +142,12 @@
 	hook    func(e *entry, s point.Step, detail string) error
 	verdict func(m wire.Message) verdict // of the fault script on a message; nil for none
 
-	mu      sync.Mutex
-	entries map[ident.Entry]*entry
-	agents  map[ident.Worker]*agent
-	workers []*standin.Worker
-	wg      sync.WaitGroup
+	mu       sync.Mutex
+	draining *entry // which the others do not choose any more
+	entries  map[ident.Entry]*entry
+	agents   map[ident.Worker]*agent
+	workers  []*standin.Worker
+	wg       sync.WaitGroup
 }
 
 func newWorld(t testing.TB, o store.Options, partitions int) *world {
@@ -220,7 +221,7 @@
 	defer w.mu.Unlock()
 	var list []*entry
 	for _, e := range w.entries {
-		if e.gate.silentFor() < detectAfter {
+		if e.gate.silentFor() < detectAfter && e != w.draining {
 			list = append(list, e)
 		}
 	}
