--- a/internal/batch/commit/journal.go
+++ b/internal/batch/commit/journal.go
@@ -20,7 +20,7 @@
 const (
 	queueEvents  = 8192 // events that wait for a commit; more are refused
 	urgentEvents = 1024 // additional room that only urgent events use
-	rowEvents    = 2048 // events in one row
+	rowEvents    = 512  // events in one row, about 50 KB
 	snapshotRows = RingSlots / 2
 	confirmParts = 30 // an idle owner confirms its head row this many times in an owner lease
 	urgentShare  = 4  // an urgent event shortens the spacing of commits to this part
--- a/internal/batch/owner/adopt.go
+++ b/internal/batch/owner/adopt.go
@@ -31,6 +31,10 @@
 
 // inventory compares what an agent holds with the state and answers with Reconcile.
 func (p *partition) inventory(s *session, m *wire.Inventory) {
+	if m.Epoch > p.epoch {
+		p.journal.Confirm() // the agent knows a later owner; the store tells this one that it was deposed
+		return
+	}
 	round, ok := p.book.inventory(s)
 	if !ok || m.Epoch != p.epoch || p.closing || p.o.cfg.Hook.At(point.TakeoverAdopted, string(s.info.Worker)) != nil {
 		return
@@ -41,7 +45,8 @@
 		t, ok := p.state.Task(h.Task)
 		switch {
 		case ok && h.Attempt > t.Attempt:
-			return // a newer owner started it; this one was deposed and will learn so from the store
+			p.journal.Confirm() // a later owner started it
+			return
 		case ok && t.State == part.Starting && t.Attempt == h.Attempt && t.Worker == s.info.Worker:
 			held[h.Task] = true
 			p.keep(t)
--- /dev/null
+++ b/internal/batch/owner/bench_test.go
@@ -0,0 +1,343 @@
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/batch/commit"
+	"trefoilramp.org/trefoilramp/internal/batch/lease"
+	"trefoilramp.org/trefoilramp/internal/batch/owner"
+	"trefoilramp.org/trefoilramp/internal/batch/part"
+	"trefoilramp.org/trefoilramp/internal/batch/place"
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/stand/store"
+)
+
+const (
+	benchZones   = 20
+	benchParts   = 4 // in a zone
+	benchEntries = 5
+	benchWorkers = 32 // in a zone
+	benchRun     = time.Second
+	benchWarm    = 15 * time.Second
+	benchTime    = 30 * time.Second
+	benchGoal    = 4200 // task starts/s, and as many finishes/s
+	jobTasks     = 60
+)
+
+// bench is a deployment of the size of two years in partitions and rates, with agents that answer at once.
+type bench struct {
+	parts    []ident.Partition
+	owners   []*owner.Owner
+	starts   atomic.Int64
+	finishes atomic.Int64
+	refused  atomic.Int64
+
+	mu     sync.Mutex
+	urgent map[ident.Job]time.Time
+	waits  []time.Duration // of urgent tasks, from submission to StartTask
+}
+
+// benchEntry implements owner.Members and owner.Peers for one of the entries.
+type benchEntry struct {
+	*bench
+	n int
+}
+
+func (b *bench) entryOf(p ident.Partition) int {
+	return slices.Index(b.parts, p) / benchParts % benchEntries
+}
+
+func (e benchEntry) Partitions() []ident.Partition               { return e.parts }
+func (e benchEntry) ShouldOwn(p ident.Partition) bool            { return e.entryOf(p) == e.n }
+func (e benchEntry) IsAlive(ident.Entry, ident.Incarnation) bool { return true }
+
+// Free returns a constant hint of half of the zone's workers.
+func (e benchEntry) Free(ident.AvailabilityZone) sizes.Resources {
+	return sizes.Resources{Processors: means.Processors * benchWorkers / 2, Memory: means.Memory * benchWorkers / 2}
+}
+
+func (e benchEntry) Policy(ident.Team) (float64, sizes.Resources) { return 1, sizes.Resources{} }
+
+func (e benchEntry) Candidates() []ident.Partition {
+	var list []ident.Partition
+	for _, p := range e.parts {
+		if e.ShouldOwn(p) {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+func (e benchEntry) Send(p ident.Partition, m wire.Message) error {
+	e.owners[e.entryOf(p)].HandlePeer(m)
+	return nil
+}
+
+// benchAgent holds what fits and reports each task as finished after its run time.
+type benchAgent struct {
+	b     *bench
+	o     *owner.Owner
+	info  owner.AgentInfo
+	inbox chan wire.Message
+	base  time.Time
+
+	mu   sync.Mutex
+	free sizes.Resources
+	held map[ident.Partition]ident.Epoch
+}
+
+func (a *benchAgent) Info() owner.AgentInfo { return a.info }
+
+func (a *benchAgent) Send(m wire.Message) error {
+	a.inbox <- m
+	return nil
+}
+
+func (a *benchAgent) run(ctx context.Context) {
+	beat := time.NewTicker(beatEvery)
+	defer beat.Stop()
+	a.beat()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-beat.C:
+			a.beat()
+		case m := <-a.inbox:
+			a.handle(m)
+		}
+	}
+}
+
+func (a *benchAgent) handle(m wire.Message) {
+	switch m := m.(type) {
+	case *wire.Adopt:
+		a.held[m.Partition] = m.Epoch
+		a.o.HandleAgent(a, &wire.Inventory{Partition: m.Partition, Epoch: m.Epoch})
+	case *wire.StartTask:
+		a.start(m)
+	case *wire.TaskReportAck:
+		a.b.finishes.Add(1)
+	}
+}
+
+func (a *benchAgent) start(m *wire.StartTask) {
+	r := wire.TaskReport{Partition: m.Partition, Task: m.Task, Attempt: m.Attempt, State: wire.TaskRunning}
+	a.mu.Lock()
+	fits := m.Size.Fits(a.free)
+	if fits {
+		a.free = a.free.Minus(m.Size)
+	}
+	a.mu.Unlock()
+	if !fits {
+		a.b.refused.Add(1)
+		r.State = wire.TaskRefused
+		a.o.HandleAgent(a, &r)
+		return
+	}
+	a.b.starts.Add(1)
+	if m.Urgent {
+		a.b.mu.Lock()
+		a.b.waits = append(a.b.waits, time.Since(a.b.urgent[m.Task.Job]))
+		a.b.mu.Unlock()
+	}
+	a.o.HandleAgent(a, &r)
+	end := r
+	end.State, end.Result = wire.TaskFinished, part.ResultName(m.Task, m.Attempt)
+	time.AfterFunc(benchRun, func() {
+		a.mu.Lock()
+		a.free = a.free.Plus(m.Size)
+		a.mu.Unlock()
+		a.o.HandleAgent(a, &end)
+	})
+}
+
+func (a *benchAgent) beat() {
+	hb := &wire.Heartbeat{SentAt: int64(time.Since(a.base))}
+	a.mu.Lock()
+	hb.Free = a.free
+	a.mu.Unlock()
+	for p, e := range a.held {
+		hb.Renew = append(hb.Renew, wire.PartitionEpoch{Partition: p, Epoch: e})
+	}
+	a.o.HandleAgent(a, hb)
+}
+
+func newBench(ctx context.Context, wg *sync.WaitGroup, s *store.Store) *bench {
+	b := &bench{urgent: map[ident.Job]time.Time{}}
+	for z := range benchZones {
+		for n := range benchParts {
+			b.parts = append(b.parts, ident.Partition{Zone: ident.AvailabilityZone(fmt.Sprintf("z%d", z)), Number: uint16(n)})
+		}
+	}
+	for n := range benchEntries {
+		e := benchEntry{b, n}
+		b.owners = append(b.owners, owner.New(owner.Config{
+			Self: commit.Self{Name: ident.Entry(fmt.Sprintf("e%d", n)), Incarnation: "1"}, Store: s, Members: e, Peers: e,
+			Terms: lease.Default(), Writes: 240, Log: zap.NewNop(),
+		}))
+	}
+	for _, o := range b.owners {
+		wg.Go(func() { o.Run(ctx) })
+	}
+	for z := range benchZones {
+		for n := range benchWorkers {
+			a := &benchAgent{
+				b: b, o: b.owners[z%benchEntries], inbox: make(chan wire.Message, 65536), base: time.Now(), free: means,
+				held: map[ident.Partition]ident.Epoch{},
+				info: owner.AgentInfo{
+					Worker: ident.Worker(fmt.Sprintf("z%dw%d", z, n)), Incarnation: "1", Zone: b.parts[z*benchParts].Zone,
+					Rack: fmt.Sprintf("r%d", n/3), Means: means,
+				},
+			}
+			a.o.SessionUp(a)
+			wg.Go(func() { a.run(ctx) })
+		}
+	}
+	return b
+}
+
+// submit offers tasks at 1.1 times the goal in jobs of 60, and 5 urgent jobs/s of one task.
+func (b *bench) submit(ctx context.Context, wg *sync.WaitGroup) {
+	plain := time.NewTicker(time.Second * jobTasks * 10 / (benchGoal * 11))
+	urgent := time.NewTicker(200 * time.Millisecond)
+	defer plain.Stop()
+	defer urgent.Stop()
+	for n := 0; ; n++ {
+		js := spec(ident.Job(fmt.Sprintf("job%d", n)), jobTasks, "run=2s")
+		select {
+		case <-ctx.Done():
+			return
+		case <-plain.C:
+		case <-urgent.C:
+			js.Tasks, js.Urgent = 1, true
+			b.mu.Lock()
+			b.urgent[js.Job] = time.Now()
+			b.mu.Unlock()
+		}
+		home := part.Home(js.Job, b.parts)
+		wg.Go(func() { b.owners[b.entryOf(home)].Submit(ctx, &wire.JobSubmit{Home: home, Spec: js}) })
+	}
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkThroughput measures starts and finishes through a store of 300 writes/s and 2,000 reads/s. Run it with
+// -bench Throughput -benchtime 1x; it takes 45 s.
+func BenchmarkThroughput(bb *testing.B) {
+	s := store.New(store.Options{WritesPerSecond: 300, ReadsPerSecond: 2000, Latency: 5 * time.Millisecond})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	b := newBench(ctx, &wg, s)
+	time.Sleep(5 * time.Second) // until all partitions are owned
+	wg.Go(func() { b.submit(ctx, &wg) })
+	time.Sleep(benchWarm)
+	b.mu.Lock()
+	b.waits = nil
+	b.mu.Unlock()
+	starts, finishes, refused := b.starts.Load(), b.finishes.Load(), b.refused.Load()
+	writes, reads, cpu, from := s.Writes(), s.Reads(), processorTime(), time.Now()
+	time.Sleep(benchTime)
+	cpu = processorTime() - cpu
+	sec := time.Since(from).Seconds()
+	starts, finishes, refused = b.starts.Load()-starts, b.finishes.Load()-finishes, b.refused.Load()-refused
+	b.mu.Lock()
+	waits := slices.Clone(b.waits)
+	b.mu.Unlock()
+	slices.Sort(waits)
+	p := func(q float64) time.Duration { return waits[int(q*float64(len(waits)-1))].Round(time.Millisecond) }
+	rate := func(n int64) string { return fmt.Sprintf("%.0f/s", float64(n)/sec) }
+	printTable([][3]string{
+		{"measure", "result", "goal"},
+		{"task starts", rate(starts), "4200/s"},
+		{"task finishes acknowledged", rate(finishes), "4200/s"},
+		{"starts refused by agents", rate(refused), ""},
+		{"urgent start p50", p(0.5).String(), ""},
+		{"urgent start p99", p(0.99).String(), "1.4s"},
+		{"store writes", rate(int64(s.Writes() - writes)), "300/s"},
+		{"store reads", rate(int64(s.Reads() - reads)), "2000/s"},
+		{"processor time per start or finish", (cpu / time.Duration(max(1, starts+finishes))).String(), ""},
+		{"processors used, with store and agents", fmt.Sprintf("%.2f", cpu.Seconds()/sec), ""},
+	})
+	bb.ReportMetric(float64(starts)/sec, "starts/s")
+}
+
+func printTable(rows [][3]string) {
+	var out strings.Builder
+	for _, r := range rows {
+		fmt.Fprintf(&out, "%-40s %-12s %s\n", r[0], r[1], r[2])
+	}
+	fmt.Print("\n" + out.String())
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkMemory measures the memory of queued and of running tasks in the state of a partition and on the board.
+func BenchmarkMemory(bb *testing.B) {
+	const tasks, workers = 200_000, 2000
+	before := heap()
+	st := part.New()
+	js := spec("big", tasks, "run=1h")
+	share := part.Placed{Partition: ident.Partition{Zone: zone}, Range: wire.Range{To: tasks}}
+	if err := st.Apply(1, &part.Event{Kind: part.ShareTaken, Job: "big", Spec: &js, Share: &share}); err != nil {
+		bb.Fatal(err)
+	}
+	queued := heap() - before
+	board := place.NewBoard()
+	for n := range workers {
+		name := ident.Worker(fmt.Sprintf("w%d", n))
+		board.Up(place.Worker{Name: name, Zone: zone, Rack: fmt.Sprint(n / 3), Means: means})
+		board.Hint(name, sizes.Resources{Processors: 200_000, Memory: 200 << 30}, false)
+	}
+	before = heap()
+	from := processorTime()
+	for i := range uint32(tasks) {
+		id := ident.Task{Job: "big", Index: i}
+		w, ok := board.Pick(place.Request{Task: id, Attempt: 1, Zone: zone, Size: taskSize,
+			IsReady: func(ident.Worker) bool { return true }})
+		if !ok {
+			bb.Fatal("no room")
+		}
+		e := &part.Event{Kind: part.TaskStarted, Job: "big", Index: i, Attempt: 1, Worker: w, Incarnation: "1"}
+		if err := st.Apply(1, e); err != nil {
+			bb.Fatal(err)
+		}
+	}
+	cpu := processorTime() - from
+	running := heap() - before
+	printTable([][3]string{
+		{"measure", "result", "goal"},
+		{"memory per queued task", fmt.Sprintf("%d B", queued/tasks), ""},
+		{"memory per running task, with board", fmt.Sprintf("%d B", (queued+running)/tasks), ""},
+		{"placement and event per task", (cpu / tasks).String(), ""},
+	})
+	runtime.KeepAlive(st)
+	runtime.KeepAlive(board)
+}
--- a/internal/batch/owner/finish.go
+++ b/internal/batch/owner/finish.go
@@ -17,6 +17,7 @@
 	if !ok || r.Attempt > t.Attempt {
 		// The journal does not know the attempt, so that this owner may have been deposed without knowing it. The
 		// report is left to the owner that does know it.
+		p.journal.Confirm()
 		return
 	}
 	if t.State != part.Starting || t.Attempt != r.Attempt {
--- a/internal/batch/owner/job.go
+++ b/internal/batch/owner/job.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -123,32 +125,35 @@
 	}
 }
 
-// split divides the tasks of a job over the partitions with most room. A small job stays in one partition, at home if
-// there is room, so that it takes one commit to accept and start it.
+// option is a partition that may take a share.
+type option struct {
+	id   ident.Partition
+	room float64 // tasks
+	rank float64
+}
+
+// split divides the tasks of a job over partitions. A small job stays in one partition, at home if its zone has room, so
+// that it takes one commit to accept and start it. The other partitions are drawn at random, weighted by their room: the
+// room is a hint, and if all homes chose the largest, they would all choose the same one until the next hint.
 func (p *partition) split(spec *wire.JobSpec) []part.Placed {
-	type option struct {
-		id   ident.Partition
-		room float64 // tasks
-	}
 	all := p.o.cfg.Members.Partitions()
 	inZone := map[ident.AvailabilityZone]int{}
 	for _, id := range all {
 		inZone[id.Zone]++
 	}
+	n := min(len(all), int(spec.Tasks+shareTasks-1)/shareTasks)
 	var options []option
 	for _, id := range all {
-		options = append(options, option{id, tasksIn(p.o.cfg.Members.Free(id.Zone), spec.Size) / float64(inZone[id.Zone])})
-	}
-	n := min(len(all), int(spec.Tasks+shareTasks-1)/shareTasks)
-	slices.SortStableFunc(options, func(a, b option) int {
-		if a.id == p.id && (n > 1 || a.room*float64(inZone[p.id.Zone]) >= float64(spec.Tasks)) {
-			return -1
-		}
-		if b.id == p.id && (n > 1 || b.room*float64(inZone[p.id.Zone]) >= float64(spec.Tasks)) {
-			return 1
+		zoneRoom := tasksIn(p.o.cfg.Members.Free(id.Zone), spec.Size)
+		o := option{id: id, room: zoneRoom / float64(inZone[id.Zone])}
+		// Ranks drawn like this give a sample without replacement with probabilities in proportion to the weights.
+		o.rank = math.Pow(rand.Float64(), 1/(o.room+1))
+		if id == p.id && (n > 1 || zoneRoom >= float64(spec.Tasks)) {
+			o.rank = 1
 		}
-		return cmp.Compare(b.room, a.room)
-	})
+		options = append(options, o)
+	}
+	slices.SortFunc(options, func(a, b option) int { return cmp.Compare(b.rank, a.rank) })
 	if len(options) == 0 || (n == 1 && options[0].room == 0) {
 		return []part.Placed{{Partition: p.id, Range: wire.Range{To: spec.Tasks}}}
 	}
