--- /dev/null
+++ b/internal/serve/admit/order_test.go
@@ -0,0 +1,95 @@
+package admit_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"trefoilramp.org/trefoilramp/internal/serve/admit"
+)
+
+// mix is an open stream of requests with exponential gaps; run times are uniform between half and one and a half of
+// their mean.
+type mix struct {
+	slots       int
+	load        float64 // share of the slots that the work needs on average
+	longShare   float64
+	short, long time.Duration
+	count       int
+}
+
+// shortTimes runs the mix and returns the sorted times from arrival to completion of short requests, and the mean time of
+// long ones.
+func (m mix) shortTimes(t *testing.T, cfg admit.Config) (short []time.Duration, long time.Duration, refused int) {
+	synctest.Test(t, func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(1, 3))
+		p := admit.NewPool(cfg)
+		p.SetSlots(m.slots)
+		mean := (1-m.longShare)*float64(m.short) + m.longShare*float64(m.long)
+		gap := mean / (m.load * float64(m.slots))
+		var mu sync.Mutex
+		var longs int
+		var wg sync.WaitGroup
+		for range m.count {
+			time.Sleep(time.Duration(rng.ExpFloat64() * gap))
+			kind, d := "short", m.short
+			if rng.Float64() < m.longShare {
+				kind, d = "long", m.long
+			}
+			d = time.Duration(float64(d) * (0.5 + rng.Float64()))
+			wg.Go(func() {
+				start := time.Now()
+				g, err := p.Acquire(t.Context(), kind, start.Add(time.Minute))
+				if err != nil {
+					mu.Lock()
+					defer mu.Unlock()
+					refused++
+					return
+				}
+				time.Sleep(d)
+				g.Release(true)
+				mu.Lock()
+				defer mu.Unlock()
+				if kind == "short" {
+					short = append(short, time.Since(start))
+				} else {
+					long += time.Since(start)
+					longs++
+				}
+			})
+		}
+		wg.Wait()
+		long /= time.Duration(max(1, longs))
+	})
+	slices.Sort(short)
+	return short, long, refused
+}
+
+// Guards against short requests that wait behind long ones: among 10% long ones at 70% load their p99 stays within 1.5
+// times the p99 of the same short requests alone, with the slots of one zone of the workloads and more. On 8 slots the
+// long requests need 5.4 slots on average, so that too few are left for that bound. Time is virtual, so the figures do
+// not depend on the machine.
+func TestShortP99AmongLong(t *testing.T) {
+	const queue = 1000 // no refusals for a full queue, which would hide waiting
+	own := admit.Config{ShortPerSlot: queue, LongPerSlot: queue}
+	fifo := admit.Config{ShortPerSlot: queue, LongPerSlot: queue, ShortShare: -1, Order: admit.ByArrival}
+	t.Log("slots  alone p99  own p99  ratio  long mean  fifo p99  ratio  long mean")
+	for slots, bound := range map[int]float64{8: 2, 24: 1.5, 88: 1.5} {
+		m := mix{slots: slots, load: 0.7, longShare: 0.1, short: 10 * ms, long: 300 * ms, count: 40_000}
+		alone := m
+		alone.longShare, alone.load = 0, m.load*float64(m.short)*0.9/(0.9*float64(m.short)+0.1*float64(m.long))
+		p99 := func(list []time.Duration) time.Duration { return list[len(list)*99/100] }
+		base, _, _ := alone.shortTimes(t, own)
+		ours, oursLong, refused := m.shortTimes(t, own)
+		theirs, theirsLong, _ := m.shortTimes(t, fifo)
+		ratio := float64(p99(ours)) / float64(p99(base))
+		t.Logf("%5d %10v %8v %6.2f %10v %9v %6.2f %10v", slots, p99(base).Round(ms/10), p99(ours).Round(ms/10), ratio,
+			oursLong.Round(ms), p99(theirs).Round(ms/10), float64(p99(theirs))/float64(p99(base)), theirsLong.Round(ms))
+		if ratio > bound || refused > 0 {
+			t.Errorf("%d slots: p99 of short requests is %.2f times that without long ones; %d refused", slots, ratio, refused)
+		}
+	}
+}
--- a/internal/serve/front/world_test.go
+++ b/internal/serve/front/world_test.go
@@ -92,6 +92,11 @@
 func (p *peer) connect(t testing.TB, out, in int64) {
 	t.Helper()
 	x, y := net.Pipe()
+	p.connectOver(t, x, y, out, in)
+}
+
+func (p *peer) connectOver(t testing.TB, x, y net.Conn, out, in int64) {
+	t.Helper()
 	o, i := &cutConn{Conn: x}, &cutConn{Conn: y}
 	o.left.Store(1 << 50)
 	i.left.Store(1 << 50)
