--- a/internal/batch/owner/fault_test.go
+++ b/internal/batch/owner/fault_test.go
@@ -51,8 +51,9 @@
 
 func storeFault(name string, r script.Rule) fault {
 	return fault{name, func(c *cell, e *entry, _ *agent) {
-		r.Client = string(e.self.Name)
-		if err := c.store.Faults().Set(r); err != nil {
+		rule := r // cells run in parallel
+		rule.Client = string(e.self.Name)
+		if err := c.store.Faults().Set(rule); err != nil {
 			c.t.Error(err)
 		}
 	}}
