Free the slot before the response goes to the caller

A slot was held until the store had the record of a claim and the caller had read a buffered response, so a slow caller or store took slots from others. It is now free once the end of the response is verified.

The new tests failed without the interruption of a stalled upload and without the check of the deadline.

--- a/internal/serve/admit/admit_test.go
+++ b/internal/serve/admit/admit_test.go
@@ -129,6 +129,8 @@
 		_, err := acquire(t, p, "short", time.Hour)
 		want("no slots", err, wire.ReasonNoTarget)
 		p.SetSlots(1)
+		_, err = acquire(t, p, "new", -ms)
+		want("passed deadline", err, wire.ReasonDeadline)
 		learn(t, p)
 		g, err := acquire(t, p, "short", 100*ms)
 		if err != nil {
--- a/internal/serve/admit/pool.go
+++ b/internal/serve/admit/pool.go
@@ -146,6 +146,9 @@
 
 // judge returns the refusal of a request that cannot complete before its deadline or finds its queue full.
 func (p *Pool) judge(w *waiter, now time.Time) *RefusalError {
+	if !now.Before(w.deadline) {
+		return &RefusalError{Reason: wire.ReasonDeadline, Detail: "the deadline has passed", RetryAfter: minRetryAfter}
+	}
 	if p.slots == 0 {
 		return &RefusalError{Reason: wire.ReasonNoTarget, Detail: "no target is ready", RetryAfter: time.Second}
 	}
--- a/internal/serve/front/attempt.go
+++ b/internal/serve/front/attempt.go
@@ -10,6 +10,8 @@
 	"github.com/cockroachdb/errors"
 
 	"trefoilramp.org/trefoilramp/internal/core/point"
+	"trefoilramp.org/trefoilramp/internal/link/frame"
+	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/serve/relay"
 	"trefoilramp.org/trefoilramp/internal/serve/route"
@@ -26,8 +28,8 @@
 
 var buffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
 
-// attempt sends the request to one candidate. It returns the status of a whole response, which was handed to the answer,
-// or a verdict.
+// attempt sends the request to one candidate. It returns the status of a whole response, which the answer holds or has
+// streamed, or a verdict.
 func (c *call) attempt(ctx context.Context, cand route.Candidate) (int, *wire.Verdict) {
 	head := c.head
 	head.Target = cand.Target
@@ -37,8 +39,7 @@
 	}
 	st, err := c.front.cfg.Directory.Open(ctx, cand, &head)
 	if err != nil {
-		v := notRun(wire.ReasonUnreachable, err.Error())
-		return 0, &v
+		return 0, notOpened(err)
 	}
 	defer st.Reset("request has ended") // no effect after both directions have ended
 	if err := c.front.cfg.Hook.At(point.ServeOpened, string(head.Request)); err != nil {
@@ -55,20 +56,27 @@
 	if err := c.answer.begin(resp); err != nil {
 		return 0, c.broken(ctx, st, err)
 	}
-	trailer, err := c.receiveBody(ctx, st)
-	if err != nil {
+	if c.trailer, err = c.receiveBody(ctx, st); err != nil {
 		return 0, c.broken(ctx, st, err)
 	}
 	if err := c.front.cfg.Hook.At(point.ServeEnded, string(head.Request)); err != nil {
 		return 0, c.broken(ctx, st, err)
 	}
-	c.keyed.record(trailer)
-	if err := c.answer.finish(trailer); err != nil {
-		return 0, c.broken(ctx, st, err)
-	}
 	return resp.Status, nil
 }
 
+// notOpened describes a stream that could not be opened. A session with too many streams is busy, not broken.
+func notOpened(err error) *wire.Verdict {
+	v := notRun(wire.ReasonUnreachable, err.Error())
+	switch {
+	case errors.Is(err, sess.ErrBacklog):
+		v.Reason = wire.ReasonOverloaded
+	case errors.Is(err, frame.ErrTooLarge):
+		v.Reason = wire.ReasonTooLarge
+	}
+	return &v
+}
+
 // sendBody writes a short body at once and leaves a longer one to a goroutine.
 func (c *call) sendBody(st Stream) {
 	send := func(h http.Header) error { return st.Send(st.Context(), &wire.Trailers{Header: h}) }
@@ -79,7 +87,10 @@
 		return
 	}
 	c.body.begun = c.body.rest != nil
-	c.pumps.Go(func() {
+	c.pumped = make(chan struct{})
+	done := c.pumped
+	go func() {
+		defer close(done)
 		whole, err := c.body.pump(st, send)
 		if whole {
 			_ = st.CloseWrite() // fails only when the stream has ended
@@ -90,7 +101,7 @@
 			c.mu.Unlock()
 			st.Reset("request broke off")
 		}
-	})
+	}()
 }
 
 // receiveHead returns the head of the final response, or a verdict.
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -31,8 +31,9 @@
 	grant      *admit.Grant
 	keyed      *keyed
 	tried      []string
-	mayHaveRun bool           // in an earlier attempt
-	pumps      sync.WaitGroup // goroutines that read the body
+	mayHaveRun bool          // in an earlier attempt
+	trailer    http.Header   // of the whole response
+	pumped     chan struct{} // closed when the goroutine that sends the body has ended; nil without one
 
 	mu      sync.Mutex
 	pumpErr error
@@ -155,7 +156,7 @@
 // run tries candidates until one gives a whole response. It returns the verdict of the last one otherwise.
 func (c *call) run(ctx context.Context) *wire.Verdict {
 	f := c.front
-	f.budget.Try()
+	f.budget(c.service).Try()
 	none := notRun(wire.ReasonNoTarget, "no target is ready")
 	last := &none
 	for n := range maxAttempts {
@@ -172,7 +173,7 @@
 		status, v := c.attempt(ctx, cand)
 		f.picker.Done(cand.Name, resultOf(ctx, status, v), c.grant.Expected(), time.Since(start))
 		if v == nil {
-			return nil
+			return c.complete()
 		}
 		last = v
 		c.tried = append(c.tried, cand.Name)
@@ -189,6 +190,34 @@
 	return last
 }
 
+// complete gives the caller the whole response. The slot is free by then: neither the store nor a slow caller holds it.
+func (c *call) complete() *wire.Verdict {
+	c.grant.Release(true)
+	c.keyed.record(c.trailer)
+	c.keyed = nil // settled
+	err := c.answer.finish(c.trailer)
+	switch {
+	case errors.Is(err, errExpired):
+		return &wire.Verdict{Reason: wire.ReasonDeadline, Detail: errDeadlinePassed.Error()}
+	case err != nil:
+		return &wire.Verdict{Reason: wire.ReasonBrokenOff, Detail: err.Error()}
+	}
+	return nil
+}
+
+// awaitPump waits for the goroutine that sends the body; interrupt ends a read from a caller that sends nothing more.
+func (c *call) awaitPump(interrupt func()) {
+	if !c.body.begun {
+		return // it reads from memory and ends with its stream
+	}
+	select {
+	case <-c.pumped:
+	default:
+		interrupt()
+		<-c.pumped
+	}
+}
+
 // mayRetry reports whether another attempt is safe and still of use.
 func (c *call) mayRetry(ctx context.Context, v *wire.Verdict) bool {
 	switch {
@@ -199,7 +228,7 @@
 	case time.Now().Add(c.grant.Expected()).After(c.deadline):
 		return false
 	}
-	return c.body.isReplayable() && c.answer.discard() && c.front.budget.Retry()
+	return c.body.isReplayable() && c.answer.discard() && c.front.budget(c.service).Retry()
 }
 
 // pause waits before a retry; the first one goes elsewhere at once.
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -62,7 +62,6 @@
 type Front struct {
 	cfg        Config
 	picker     *route.Picker
-	budget     *retry.Budget
 	backoff    *retry.Backoff
 	memory     memory
 	ctx        context.Context // ends with Drain
@@ -80,6 +79,7 @@
 // servicePool is the admission of a service with what it was configured from.
 type servicePool struct {
 	pool    *admit.Pool
+	budget  *retry.Budget
 	service Service
 	own     []route.Candidate
 	other   []route.Candidate
@@ -96,7 +96,6 @@
 	f := &Front{
 		cfg:     cfg,
 		picker:  route.NewPicker(cfg.Seed),
-		budget:  retry.NewBudget(retryShare, retryBurst),
 		backoff: retry.NewBackoff(backoffBase, backoffLimit, cfg.Seed),
 		pools:   make(map[string]*servicePool),
 		cancels: make(map[int64]context.CancelCauseFunc),
@@ -114,7 +113,11 @@
 	defer f.mu.Unlock()
 	p, ok := f.pools[s.Name]
 	if !ok {
-		p = &servicePool{service: s, pool: admit.NewPool(f.admission(s))}
+		p = &servicePool{
+			service: s,
+			pool:    admit.NewPool(f.admission(s)),
+			budget:  retry.NewBudget(retryShare, retryBurst),
+		}
 		f.pools[s.Name] = p
 	} else if p.service != s {
 		p.service = s
@@ -127,6 +130,13 @@
 	return p.pool
 }
 
+// budget returns the retry budget of a service that has a pool.
+func (f *Front) budget(s Service) *retry.Budget {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pools[s.Name].budget
+}
+
 func (f *Front) admission(s Service) admit.Config {
 	return admit.Config{
 		ShortShare:   s.ShortShare,
--- a/internal/serve/front/front_test.go
+++ b/internal/serve/front/front_test.go
@@ -244,3 +244,32 @@
 		t.Error("open stream ended like a whole response")
 	}
 }
+
+// Guards against an answer that waits for the rest of a request, and a handler that never ends because its caller sends
+// nothing more.
+func TestEarlyAnswerToStalledUpload(t *testing.T) {
+	p := newPeer(t, 8, func(w http.ResponseWriter, _ *http.Request) {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		_, _ = io.WriteString(w, "early")
+	})
+	w := newWorld(t, nil, p)
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", w.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	_, _ = io.WriteString(conn, "POST /services/book/a HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n")
+	_, _ = conn.Write(make([]byte, 400_000))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if b, err := io.ReadAll(resp.Body); string(b) != "early" || err != nil {
+		t.Errorf("answer is %q, %v", b, err)
+	}
+	waitFor(t, "the end of the request", func() bool {
+		return w.front.Load().InProgress() == 0 && p.server.InProgress() == 0
+	})
+}
--- a/internal/serve/front/hop.go
+++ b/internal/serve/front/hop.go
@@ -64,7 +64,7 @@
 		return
 	}
 	c.serve(ctx)
-	c.pumps.Wait()
+	c.awaitPump(func() {}) // the peer resets the stream when it has the answer
 	relay.Finish(st)
 }
 
--- a/internal/serve/front/http.go
+++ b/internal/serve/front/http.go
@@ -105,11 +105,7 @@
 		_ = a.rc.EnableFullDuplex() // not needed by the versions of HTTP that do not support it
 	}
 	c.serve(ctx)
-	// A pump may wait for a caller that sends nothing more; the connection is of no further use then.
-	if c.body.begun {
-		_ = a.rc.SetReadDeadline(time.Now())
-		c.pumps.Wait()
-	}
+	c.awaitPump(func() { _ = a.rc.SetReadDeadline(time.Now()) })
 	if a.end() {
 		if r.Context().Err() == nil {
 			logBroken(f.cfg.Log, c, "response was cut off after its status line")
