Test the console in a browser and show changes in words

The review page showed JSON paths and JSON values, so an operator needed to know the document format. Differences and faults now use the labels of the forms, name elements, and show sizes with units; processors are entered as 2.5 rather than 2500. Faulty input no longer appears as a change to zero. The first field with a fault has the focus, empty tables say so, and buttons name what they add.

TestBrowser drives headless Chromium through both widths; it is skipped when no browser is installed. A focus set by autofocus comes after the load event, which is why the test polls for it.

--- a/internal/ops/cons/edit.go
+++ b/internal/ops/cons/edit.go
@@ -38,6 +38,7 @@
 	Label  string
 	IsList bool
 	Rows   []row   // of a list
+	Adds   string  // what the button below a list adds
 	Fields []field // of an element or section
 	Faults []string
 	Total  int // faults in the document
@@ -124,7 +125,7 @@
 	if !ok {
 		return editor{}, errors.Newf("the document has nothing at %s", d.View)
 	}
-	f := form{tree: d.tree, faults: faults}
+	f := form{tree: d.tree, faults: faults, focus: new(bool)}
 	e := editor{Path: d.View, Label: words(p[0].field), IsList: t.Kind() == reflect.Slice, Total: len(faults),
 		Faults: f.faultsAt(p, false)}
 	for sf := range documentFields() {
@@ -138,6 +139,7 @@
 		}
 		return e, nil
 	}
+	e.Adds = sectionOf(t.Elem())
 	items, _ := get(d.tree, p).([]any)
 	for i := range items {
 		at := p.with(step{index: i})
@@ -175,7 +177,7 @@
 // review is the data of the review page.
 type review struct {
 	Version     uint64 // accepted version
-	Differences []model.Difference
+	Differences []difference
 	Faults      []reviewFault
 	Race        *race // when another version than the draft's base is accepted
 	CanSubmit   bool
@@ -184,16 +186,28 @@
 // reviewFault is a fault with the page where it can be corrected.
 type reviewFault struct {
 	strict.Fault
-	View string
+	Place string // such as Services › stock › Max body
+	View  string
+}
+
+func newReviewFault(d *draft, f strict.Fault) reviewFault {
+	v := reviewFault{f, placeIn(d.tree, f.Path), pageOf(f.Path)}
+	if p, err := parsePath(f.Path); err == nil && len(p) > 0 {
+		v.Allowed = allowed(p, f.Allowed)
+		if t, ok := typeAt(p); ok && isLeaf(t) {
+			v.Value = showInput(p, get(d.tree, p)) // as the operator entered it
+		}
+	}
+	return v
 }
 
 // race shows the loser both versions.
 type race struct {
 	Base   uint64
 	Actual head.Revision
-	Theirs []model.Difference // from the base to the accepted version
-	Mine   []model.Difference // from the base to the draft
-	Merge  bool               // whether the base is known, so that the changes can be put together
+	Theirs []difference // from the base to the accepted version
+	Mine   []difference // from the base to the draft
+	Merge  bool         // whether the base is known, so that the changes can be put together
 }
 
 func (c *Console) review(w http.ResponseWriter, r *http.Request, s session, d *draft, message string) {
@@ -215,16 +229,18 @@
 	}
 	var data review
 	for _, f := range faults {
-		data.Faults = append(data.Faults, reviewFault{f, pageOf(f.Path)})
+		data.Faults = append(data.Faults, newReviewFault(d, f))
 	}
 	if err := c.Config.Check(r.Context()); err != nil {
 		return data, err
 	}
 	accepted := c.accepted()
 	data.Version = accepted.Version
-	if data.Differences, err = model.Diff(accepted.Document, doc); err != nil {
+	list, err := model.Diff(accepted.Document, doc)
+	if err != nil {
 		return data, err
 	}
+	data.Differences = showDifferences(list)
 	if accepted.Version != d.Base {
 		data.Race, err = c.newRace(r, d, doc, accepted)
 		return data, err
@@ -251,10 +267,12 @@
 		return v, err
 	}
 	v.Merge = true
-	if v.Theirs, err = model.Diff(base, accepted.Document); err != nil {
+	theirs, err := model.Diff(base, accepted.Document)
+	if err != nil {
 		return v, err
 	}
-	v.Mine, err = model.Diff(base, mine)
+	changes, err := model.Diff(base, mine)
+	v.Theirs, v.Mine = showDifferences(theirs), showDifferences(changes)
 	return v, err
 }
 
--- a/internal/ops/cons/form.go
+++ b/internal/ops/cons/form.go
@@ -17,6 +17,8 @@
 	Kind   string // text, number, checkbox, group or list
 	Value  string
 	Faults []string
+	Adds   string  // what the button below a list adds
+	Focus  bool    // whether the page opens with the cursor here
 	Fields []field // of a group, or the groups of a list
 }
 
@@ -39,6 +41,7 @@
 type form struct {
 	tree   any
 	faults strict.Faults
+	focus  *bool // whether an input has the focus already; the first with a fault gets it
 }
 
 // structFields returns a field for each field of the struct type t at p.
@@ -60,6 +63,7 @@
 	case "group":
 		v.Fields = f.structFields(p, t)
 	case "list":
+		v.Adds = sectionOf(t.Elem())
 		items, _ := get(f.tree, p).([]any)
 		for i := range items {
 			item := f.build(p.with(step{index: i}), t.Elem())
@@ -68,6 +72,8 @@
 		}
 	default:
 		v.Value = showInput(p, get(f.tree, p))
+		v.Focus = len(v.Faults) > 0 && !*f.focus
+		*f.focus = *f.focus || v.Focus
 	}
 	return v
 }
@@ -93,7 +99,7 @@
 	for _, fault := range f.faults {
 		rest, ok := strings.CutPrefix(fault.Path, at)
 		if ok && (rest == "" || (below && strings.HasPrefix(rest, "["))) {
-			list = append(list, "Allowed: "+fault.Allowed)
+			list = append(list, "Allowed: "+allowed(p, fault.Allowed))
 		}
 	}
 	return list
--- a/internal/ops/cons/hint.go
+++ b/internal/ops/cons/hint.go
@@ -37,10 +37,10 @@
 	"WorkerGroup.Count":           "workers",
 	"WorkerGroup.Each":            "what each worker of the group has",
 
-	"TaskSize.Processors":    "thousandths of a processor; 1000 is one processor",
+	"TaskSize.Processors":    "such as 2, or 0.5 for half a processor",
 	"TaskSize.Memory":        "such as 2 GiB or a number of bytes",
 	"TaskSize.Accelerators":  "whole accelerators",
-	"Resources.Processors":   "thousandths of a processor; 16000 are 16 processors",
+	"Resources.Processors":   "such as 16",
 	"Resources.Memory":       "such as 60 GiB or a number of bytes",
 	"Resources.Accelerators": "whole accelerators",
 	"Resources.Slots":        "requests in progress",
--- a/internal/ops/cons/input.go
+++ b/internal/ops/cons/input.go
@@ -45,6 +45,9 @@
 		}
 		return json.Number(text)
 	}
+	if p[len(p)-1].field == processorsField {
+		return parseProcessors(text)
+	}
 	if m := bytesForm.FindStringSubmatch(text); m != nil && slices.Contains(inBytes, p[len(p)-1].field) {
 		return parseBytes(text, m[1], m[2])
 	}
@@ -63,6 +66,41 @@
 	return json.Number(strconv.FormatInt(n<<shift, 10))
 }
 
+// processorsField holds thousandths of a processor, which the forms show as processors with up to three decimals.
+const processorsField = "Processors"
+
+var processorsForm = regexp.MustCompile(`^(-?[0-9]+)(?:\.([0-9]{1,3}))?$`)
+
+func parseProcessors(text string) any {
+	m := processorsForm.FindStringSubmatch(text)
+	if m == nil {
+		return text
+	}
+	n, err := strconv.ParseInt(m[1]+(m[2] + "000")[:3], 10, 64)
+	if err != nil {
+		return text
+	}
+	return json.Number(strconv.FormatInt(n, 10))
+}
+
+func showProcessors(v json.Number) string {
+	n, err := v.Int64()
+	if err != nil {
+		return v.String()
+	}
+	whole, rest := strconv.FormatInt(n/1000, 10), n%1000
+	switch {
+	case rest == 0:
+		return whole
+	case rest < 0:
+		rest = -rest
+		if n > -1000 {
+			whole = "-0"
+		}
+	}
+	return whole + "." + strings.TrimRight(fmt.Sprintf("%03d", rest), "0")
+}
+
 func parseNames(text string) any {
 	var names []any
 	for name := range strings.SplitSeq(text, ",") {
@@ -84,6 +122,9 @@
 	case string:
 		return v
 	case json.Number:
+		if p[len(p)-1].field == processorsField {
+			return showProcessors(v)
+		}
 		if slices.Contains(inBytes, p[len(p)-1].field) {
 			return showBytes(v)
 		}
--- a/internal/ops/cons/path.go
+++ b/internal/ops/cons/path.go
@@ -15,6 +15,7 @@
 type step struct {
 	field string // empty for an element
 	index int
+	name  string // of an element, where it is known; only for display
 }
 
 // path names a value of the document in the form of the faults' paths, such as $.Services[0].Name.
