Publish fixed ranges in the JSON Schema

Editors that know the schema accepted numbers that the API refuses. Numbers and lists with fixed bounds now carry them, and fields that validation refuses when absent are required. A test tries the values at and beyond each bound against validation: 21 numbers and 3 lists of the default document.

--- a/internal/conf/model/schema.go
+++ b/internal/conf/model/schema.go
@@ -7,13 +7,17 @@
 	"strings"
 )
 
-// schema is the part of JSON Schema (draft 2020-12) that describes the document. Ranges and rules across fields are not
-// in it; trefoilramp config check knows them.
+// schema is the part of JSON Schema (draft 2020-12) that describes the document. Ranges of durations and rules
+// across fields are not in it; trefoilramp config check knows them.
 type schema struct {
 	Schema     string             `json:"$schema,omitempty"`
 	Title      string             `json:"title,omitempty"`
 	Type       string             `json:"type"`
 	Pattern    string             `json:"pattern,omitempty"`
+	Minimum    *int64             `json:"minimum,omitempty"`
+	Maximum    *int64             `json:"maximum,omitempty"`
+	MinItems   *int64             `json:"minItems,omitempty"`
+	MaxItems   *int64             `json:"maxItems,omitempty"`
 	Items      *schema            `json:"items,omitempty"`
 	Properties map[string]*schema `json:"properties,omitempty"`
 	Required   []string           `json:"required,omitempty"`
@@ -63,10 +67,13 @@
 	for i := range t.NumField() {
 		f := t.Field(i)
 		p := schemaOf(f.Type)
-		if f.Name == "Name" || f.Name == "Region" {
+		isName := f.Name == "Name" || f.Name == "Region"
+		if isName {
 			p.Pattern = namePattern
-			s.Required = append(s.Required, f.Name)
-		} else if f.Type.Kind() == reflect.Struct && !strings.Contains(f.Tag.Get("json"), "omit") {
+		}
+		isObject := f.Type.Kind() == reflect.Struct && !strings.Contains(f.Tag.Get("json"), "omit")
+		b, hasBounds := ranges[t.Name()+"."+f.Name]
+		if isName || isObject || (hasBounds && b.limit(p)) {
 			s.Required = append(s.Required, f.Name)
 		}
 		s.Properties[f.Name] = p
--- a/internal/conf/model/schema_test.go
+++ b/internal/conf/model/schema_test.go
@@ -1,13 +1,19 @@
 package model_test
 
 import (
+	"bytes"
+	"encoding/json"
 	"flag"
+	"fmt"
 	"os"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
 
 	"trefoilramp.org/trefoilramp/internal/conf/model"
+	"trefoilramp.org/trefoilramp/internal/conf/strict"
 )
 
 var update = flag.Bool("update", false, "write docs/config.schema.json")
@@ -33,6 +39,110 @@
 	}
 }
 
+// Guards against a bound in the published schema that validation does not have, and against a number without one.
+func TestSchemaRanges(t *testing.T) {
+	b, err := model.Schema()
+	if err != nil {
+		t.Fatal(err)
+	}
+	schema, _ := parse(t, b).(map[string]any)
+	if b, err = model.Default().Encode(); err != nil {
+		t.Fatal(err)
+	}
+	p := prober{t: t, document: parse(t, b)}
+	p.probe(schema, "$", p.document)
+	if p.numbers != 21 || p.lists != 3 {
+		t.Errorf("%d numbers and %d lists have ranges, want 21 and 3 in the default document", p.numbers, p.lists)
+	}
+}
+
+func parse(t *testing.T, b []byte) any {
+	t.Helper()
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.UseNumber() // some bounds are beyond what a float64 holds exactly
+	var v any
+	if err := d.Decode(&v); err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// prober walks a document along its schema and tries the values at and beyond each bound.
+type prober struct {
+	t        *testing.T
+	document any
+	numbers  int
+	lists    int
+}
+
+func (p *prober) probe(schema map[string]any, path string, v any) {
+	p.t.Helper()
+	switch v := v.(type) {
+	case map[string]any:
+		properties, _ := schema["properties"].(map[string]any)
+		for name, below := range properties {
+			below, _ := below.(map[string]any)
+			at := path + "." + name
+			if _, ok := below["minimum"]; ok {
+				p.numbers++
+				p.try(v, name, at, bound(below, "minimum"), bound(below, "maximum"), func(n int64) any { return n })
+				continue
+			}
+			if _, ok := below["maxItems"]; ok {
+				p.lists++
+				p.try(v, name, at, bound(below, "minItems"), bound(below, "maxItems"), func(n int64) any {
+					return slices.Repeat([]any{map[string]any{}}, int(max(n, 0)))
+				})
+			}
+			p.probe(below, at, v[name])
+		}
+	case []any:
+		items, _ := schema["items"].(map[string]any)
+		for i := range v {
+			p.probe(items, fmt.Sprintf("%s[%d]", path, i), v[i])
+		}
+	case json.Number:
+		p.t.Errorf("%s has no range in the schema", path)
+	}
+}
+
+func bound(schema map[string]any, name string) int64 {
+	n, _ := schema[name].(json.Number)
+	i, _ := n.Int64() // 0 when it is absent
+	return i
+}
+
+// try puts values around the bounds into a field, compares validation with the schema, and puts the old value back.
+func (p *prober) try(object map[string]any, name, at string, low, high int64, value func(int64) any) {
+	p.t.Helper()
+	kept, had := object[name]
+	for n, want := range map[int64]bool{low - 1: false, low: true, high: true, high + 1: false} {
+		object[name] = value(n)
+		if list, ok := object[name].([]any); ok && int64(len(list)) != n {
+			continue // no list has fewer than 0 elements
+		}
+		if got := !p.isOutOfRange(at); got != want {
+			p.t.Errorf("%s with %d: allowed by validation %v, by the schema %v", at, n, got, want)
+		}
+	}
+	if object[name] = kept; !had {
+		delete(object, name)
+	}
+}
+
+// isOutOfRange reports whether validation finds the value at a path beyond fixed bounds.
+func (p *prober) isOutOfRange(path string) bool {
+	p.t.Helper()
+	b, err := json.Marshal(p.document)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	_, err = model.Parse(b)
+	return slices.ContainsFunc(strict.FaultsOf(err), func(f strict.Fault) bool {
+		return f.Path == path && (strings.Contains(f.Allowed, " to ") || strings.HasPrefix(f.Allowed, "at most "))
+	})
+}
+
 // Guards against a difference that is not shown, or one that is shown where only the order of elements changed.
 func TestDiff(t *testing.T) {
 	a, b := model.Default(), model.Default()
