End with exit code 1 after failures and say what to do next

Every error that no command had classified ended with exit code 2, so scripts took a lost store or a cut-off drain for wrong input. Wrong settings, experiments and reports keep exit code 2. Messages of refused flags no longer name the parser, and a connection that cannot be made says what to check.

--- a/cmd/trefoilramp/config.go
+++ b/cmd/trefoilramp/config.go
@@ -64,6 +64,9 @@
 	if err != nil {
 		return d, explain(err)
 	}
+	if len(faults) == 1 {
+		return d, inputError("%s has 1 fault; correct it and run trefoilramp config check %s", path, path)
+	}
 	return d, inputError("%s has %d faults; correct them and run trefoilramp config check %s", path, len(faults), path)
 }
 
--- a/cmd/trefoilramp/demo.go
+++ b/cmd/trefoilramp/demo.go
@@ -41,7 +41,7 @@
 
 func runDemo(ctx context.Context, c *cli.Command) error {
 	if c.Args().Present() {
-		return inputError("demo takes no argument, got %q", c.Args().First())
+		return inputError("demo takes no argument, got %q; see %s --help", c.Args().First(), c.FullName())
 	}
 	o := whole.Options{Log: zap.NewNop()}
 	if err := check.Seed(&o, c.String("break")); err != nil {
--- a/cmd/trefoilramp/job.go
+++ b/cmd/trefoilramp/job.go
@@ -63,7 +63,7 @@
 		return err
 	}
 	if _, err := admin.ParseJob(b); err != nil {
-		return inputError("%v; correct it and try again", err)
+		return inputError("%v; correct it or see %s --help", err, c.FullName())
 	}
 	j, err := api.Submit(ctx, b)
 	return showJobs(c, err, j)
--- a/cmd/trefoilramp/load.go
+++ b/cmd/trefoilramp/load.go
@@ -51,19 +51,19 @@
 	out := c.Root().Writer
 	if c.Bool("compare") {
 		if c.Args().Len() != 2 {
-			return inputError("load --compare needs two reports, got %d", c.Args().Len())
+			return inputError("load --compare needs two reports, got %d; see %s --help", c.Args().Len(), c.FullName())
 		}
 		return compareReports(out, c.Args().Get(0), c.Args().Get(1), c.Bool("json"))
 	}
 	if c.Args().Present() || c.String("experiment") == "" {
-		return inputError("load needs --experiment FILE and takes no argument")
+		return inputError("load needs --experiment FILE and takes no argument; see %s --help", c.FullName())
 	}
 	e, err := loadExperiment(c)
 	if c.Bool("check") {
 		return reportCheck(out, c.Bool("json"), err)
 	}
 	if err != nil {
-		return err
+		return settingsError(err)
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -178,11 +178,11 @@
 func readReport(path string) (report.Report, error) {
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return report.Report{}, fmt.Errorf("open report: %w", err)
+		return report.Report{}, inputError("report: %v; name a readable file", err)
 	}
 	r, err := report.ReadJSON(bytes.NewReader(b))
 	if err != nil {
-		return r, fmt.Errorf("report %s: %w", path, err)
+		return r, inputError("report %s: %v; name a file that trefoilramp load wrote", path, err)
 	}
 	return r, nil
 }
--- a/cmd/trefoilramp/main.go
+++ b/cmd/trefoilramp/main.go
@@ -16,6 +16,6 @@
 	app := group("trefoilramp", "schedule latency-critical and batch work that share instances", commands...)
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "trefoilramp: "+err.Error())
-		os.Exit(2)
+		os.Exit(exitFailure) // an error of wrong input has ended the program with exitInput
 	}
 }
--- a/cmd/trefoilramp/main_test.go
+++ b/cmd/trefoilramp/main_test.go
@@ -41,6 +41,8 @@
 	t.Cleanup(api.Close)
 	p.write(t, "token", "change-token-0123456789\n")
 	p.write(t, "read", "read-token-0123456789\n")
+	p.write(t, "wrong", "wrong-token-0123456789\n")
+	p.write(t, "busy.json", `{"Address": "`+api.Listener.Addr().String()+`"}`)
 	b, err := model.Default().Encode()
 	if err != nil {
 		t.Fatal(err)
@@ -107,7 +109,16 @@
 		{"worker drain", 2, "", "needs NAME"},
 		{"status --address ://", 2, "", "no URL"},
 		{"status --token-file none", 2, "", "token file"},
-		{"audit --address 127.0.0.1:1", 1, "", "connection refused"},
+		{"audit --address 127.0.0.1:1", 1, "", "connection refused; check --address"},
+		{"audit --limit many", 2, "", `invalid value "many" for flag --limit: invalid syntax; see trefoilramp audit --help`},
+		{"status --token-file wrong", 2, "", "check the token file"},
+		{"entry", 2, "", "needs --settings FILE; see trefoilramp entry --help"},
+		{"agent --settings missing.json", 2, "", "name a readable file"},
+		{"standin store --settings doc.json", 2, "", "correct it and check it again with --check"},
+		{"standin store --settings busy.json", 1, "", "address already in use"},
+		{"load --experiment missing.json", 2, "", "name a readable file"},
+		{"load --experiment doc.json", 2, "", "correct it and check it again with --check"},
+		{"load --compare doc.json missing.json", 2, "", "report"},
 		{"version", 0, "trefoilramp", ""},
 	}
 	for _, tt := range tests {
--- a/cmd/trefoilramp/operate.go
+++ b/cmd/trefoilramp/operate.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"regexp"
 	"strings"
 	"text/tabwriter"
 
@@ -60,8 +61,15 @@
 	return strings.Join(names, ", ")
 }
 
+// Parts of the library's messages: the function that refused a value, and flags with one hyphen.
+var (
+	parserName = regexp.MustCompile(`strconv\.\w+: parsing "[^"]*": `)
+	shortFlag  = regexp.MustCompile(`([ :]) ?-(\w)`)
+)
+
 func usageError(_ context.Context, c *cli.Command, err error, _ bool) error {
-	return inputError("%v; see %s --help", err, c.FullName())
+	text := shortFlag.ReplaceAllString(parserName.ReplaceAllString(err.Error(), ""), "$1 --$2")
+	return inputError("%s; see %s --help", strings.ReplaceAll(text, "  ", " "), c.FullName())
 }
 
 // remote returns a command that calls the administration API; args names its arguments.
@@ -167,6 +175,9 @@
 	if ec := cli.ExitCoder(nil); errors.As(err, &ec) {
 		return err
 	}
+	if ue := (*url.Error)(nil); errors.As(err, &ue) {
+		return cli.Exit(fmt.Sprintf("trefoilramp: %v; check --address and that the entry runs there", err), exitFailure)
+	}
 	pe := (*admin.ProblemError)(nil)
 	if !errors.As(err, &pe) {
 		return cli.Exit("trefoilramp: "+err.Error(), exitFailure)
--- a/cmd/trefoilramp/role.go
+++ b/cmd/trefoilramp/role.go
@@ -41,17 +41,17 @@
 		OnUsageError: usageError,
 		Action: func(ctx context.Context, c *cli.Command) error {
 			if c.Args().Present() {
-				return inputError("%s takes no argument, got %q", name, c.Args().First())
+				return inputError("%s takes no argument, got %q; see %s --help", name, c.Args().First(), c.FullName())
 			}
 			if c.String("settings") == "" {
-				return inputError("%s needs --settings FILE", name)
+				return inputError("%s needs --settings FILE; see %s --help", name, c.FullName())
 			}
 			s, err := load(c.String("settings"))
 			if c.Bool("check") {
 				return reportCheck(c.Root().Writer, c.Bool("json"), err)
 			}
 			if err != nil {
-				return inputError("%v", err)
+				return settingsError(err)
 			}
 			log, err := processLog(zap.String("Role", name))
 			if err != nil {
--- a/cmd/trefoilramp/standin.go
+++ b/cmd/trefoilramp/standin.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"io/fs"
 	"os/signal"
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
@@ -55,14 +57,14 @@
 				return err
 			}
 			if c.String("settings") == "" {
-				return inputError("standin %s needs --settings FILE", name)
+				return inputError("standin %s needs --settings FILE; see %s --help", name, c.FullName())
 			}
 			err := host.Load(c.String("settings"), s)
 			if c.Bool("check") {
 				return reportCheck(c.Root().Writer, c.Bool("json"), err)
 			}
 			if err != nil {
-				return err
+				return settingsError(err)
 			}
 			log, err := processLog(zap.String("StandIn", name))
 			if err != nil {
@@ -86,12 +88,21 @@
 		if e := json.NewEncoder(w).Encode(checkOutcome{err == nil, strict.FaultsOf(err)}); e != nil {
 			return fmt.Errorf("write outcome: %w", e)
 		}
-		return err
-	}
-	if err == nil {
+	} else if err == nil {
 		fmt.Fprintln(w, "valid")
 	}
-	return err
+	if err != nil {
+		return settingsError(err)
+	}
+	return nil
+}
+
+// settingsError ends the program because of a file that it was told to read.
+func settingsError(err error) error {
+	if pe := (*fs.PathError)(nil); errors.As(err, &pe) {
+		return inputError("%v; name a readable file", err)
+	}
+	return inputError("%v; correct it and check it again with --check", err)
 }
 
 func runStore(ctx context.Context, s *store.Settings, log *zap.Logger) error {
