--- a/cmd/trefoilramp/audit.go
+++ b/cmd/trefoilramp/audit.go
@@ -37,7 +37,8 @@
 	}
 	rows := make([][]string, len(list.Records))
 	for i, r := range list.Records {
-		rows[i] = []string{r.Time.Format(time.RFC3339Nano), r.Author, r.Action.String(), r.Object, r.Before, r.After}
+		from, to := r.Brief()
+		rows[i] = []string{r.Time.Format(time.RFC3339Nano), r.Author, r.Action.String(), r.Object, from, to}
 	}
 	return printTable(out(c), []string{"TIME", "AUTHOR", "ACTION", "OBJECT", "BEFORE", "AFTER"}, rows)
 }
--- a/internal/ops/audit/record.go
+++ b/internal/ops/audit/record.go
@@ -1,9 +1,11 @@
 package audit
 
 import (
+	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"math"
+	"regexp"
 	"time"
 
 	"trefoilramp.org/trefoilramp/internal/core/ident"
@@ -49,6 +51,15 @@
 	Version uint64 `json:",omitempty"` // of the configuration that the change made
 }
 
+const shownHash = 12 // digits; enough to tell versions apart at a glance
+
+var fullHash = regexp.MustCompile(fmt.Sprintf(`\b([0-9a-f]{%d})[0-9a-f]{%d}\b`, shownHash, 2*sha256.Size-shownHash))
+
+// Brief returns the states of r before and after the change as tables show them, with hashes shortened.
+func (r Record) Brief() (before, after string) {
+	return fullHash.ReplaceAllString(r.Before, "$1"), fullHash.ReplaceAllString(r.After, "$1")
+}
+
 // New returns a record of a change at the given time.
 func New(at time.Time, author string, action Action, object string) Record {
 	return Record{ID: string(ident.NewTxn()), Time: at.UTC(), Author: author, Action: action, Object: object}
--- a/internal/ops/cons/cons.go
+++ b/internal/ops/cons/cons.go
@@ -138,6 +138,9 @@
 	if err != nil {
 		status, v.Message = http.StatusServiceUnavailable, "The audit log cannot be read now: "+err.Error()
 	}
+	for i := range records {
+		records[i].Before, records[i].After = records[i].Brief()
+	}
 	v.Data = records
 	c.render(w, status, "audit.html", v)
 }
--- a/internal/ops/cons/cons_test.go
+++ b/internal/ops/cons/cons_test.go
@@ -196,6 +196,9 @@
 	}
 	b.send(http.MethodGet, "/audit", nil)
 	b.want(http.StatusOK, "amina", "Accept")
+	if regexp.MustCompile(`SHA-256 [0-9a-f]{13}`).MatchString(b.page) {
+		t.Errorf("audit page has full hashes, which make its table too wide to read:\n%s", b.page)
+	}
 }
 
 // Guards against a loser of a race who loses input, does not see both versions, or overwrites the winner unawares.
