--- a/cmd/trefoilramp/config.go
+++ b/cmd/trefoilramp/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"strconv"
 	"time"
@@ -92,8 +93,17 @@
 	Document model.Document
 }
 
+// readAccepted returns an accepted version, the newest for version 0.
+func readAccepted(ctx context.Context, api *admin.Client, version uint64) (model.Document, uint64, error) {
+	d, got, err := api.Config(ctx, version)
+	if pe := (*admin.ProblemError)(nil); version == 0 && errors.As(err, &pe) && pe.Problem.Status == http.StatusNotFound {
+		return d, 0, inputError("no configuration is accepted yet; submit the first with trefoilramp config apply --base 0 FILE")
+	}
+	return d, got, err
+}
+
 func getConfig(ctx context.Context, c *cli.Command, api *admin.Client) error {
-	d, version, err := api.Config(ctx, c.Uint64("version"))
+	d, version, err := readAccepted(ctx, api, c.Uint64("version"))
 	if err != nil {
 		return err
 	}
@@ -115,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	accepted, version, err := api.Config(ctx, 0)
+	accepted, version, err := readAccepted(ctx, api, 0)
 	if err != nil {
 		return err
 	}
--- a/cmd/trefoilramp/main_test.go
+++ b/cmd/trefoilramp/main_test.go
@@ -92,7 +92,7 @@
 		{"config check bad.json", 2, "$.Teams[0].Weight: 0 is not allowed", "2 faults"},
 		{"config check --json bad.json", 2, `"Path": "$.Teams[0].Wait"`, "2 faults"},
 		{"config check doc.json", 0, "valid: 1 services", ""},
-		{"config get", 2, "", "no configuration is accepted yet"},
+		{"config get", 2, "", "no configuration is accepted yet; submit the first with trefoilramp config apply --base 0 FILE\n"},
 		{"config apply doc.json", 2, "", "--base N"},
 		{"config apply --base 0 --token-file read doc.json", 2, "", "use the token of the changing role"},
 		{"config apply --base 0 doc.json", 0, "version 1 is accepted", ""},
--- a/cmd/trefoilramp/operate.go
+++ b/cmd/trefoilramp/operate.go
@@ -161,7 +161,7 @@
 var advice = map[int]string{
 	http.StatusUnauthorized:          "check the token file",
 	http.StatusForbidden:             "use the token of the changing role",
-	http.StatusNotFound:              "check the name",
+	http.StatusNotFound:              "check the name or version",
 	http.StatusBadRequest:            "correct it and try again",
 	http.StatusRequestEntityTooLarge: "make it smaller",
 	http.StatusUnprocessableEntity:   "correct it and try again",
