--- a/cmd/trefoilramp/config.go
+++ b/cmd/trefoilramp/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"strconv"
 	"time"
@@ -28,14 +29,14 @@
 			Name: "check", Usage: "validate a document, without an entry", ArgsUsage: "FILE",
 			Flags: []cli.Flag{jsonFlag()}, OnUsageError: usageError, Action: checkConfig,
 		},
-		remote("get", "print the accepted document", "", []cli.Flag{
+		apiCommand("get", "print the accepted document", "", []cli.Flag{
 			&cli.Uint64Flag{Name: "version", Usage: "print version `N` instead of the newest"},
 		}, getConfig),
-		remote("diff", "compare a document with the accepted one", "FILE", nil, diffConfig),
-		remote("apply", "submit a document", "FILE", []cli.Flag{
+		apiCommand("diff", "compare a document with the accepted one", "FILE", nil, diffConfig),
+		apiCommand("apply", "submit a document", "FILE", []cli.Flag{
 			&cli.Uint64Flag{Name: "base", Usage: "version `N` that the document was made from; 0 when there is none"},
 		}, applyConfig),
-		remote("history", "list accepted versions, newest first", "", []cli.Flag{
+		apiCommand("history", "list accepted versions, newest first", "", []cli.Flag{
 			&cli.IntFlag{Name: "limit", Usage: "list at most `N` versions", Value: 20},
 		}, listHistory),
 	)
@@ -64,6 +65,9 @@
 	if err != nil {
 		return d, explain(err)
 	}
+	if len(faults) == 1 {
+		return d, inputError("%s has 1 fault; correct it and run trefoilramp config check %s", path, path)
+	}
 	return d, inputError("%s has %d faults; correct them and run trefoilramp config check %s", path, len(faults), path)
 }
 
@@ -89,8 +93,17 @@
 	Document model.Document
 }
 
+// readAccepted returns an accepted version, the newest for version 0.
+func readAccepted(ctx context.Context, api *admin.Client, version uint64) (model.Document, uint64, error) {
+	d, got, err := api.Config(ctx, version)
+	if pe := (*admin.ProblemError)(nil); version == 0 && errors.As(err, &pe) && pe.Problem.Status == http.StatusNotFound {
+		return d, 0, inputError("no configuration is accepted yet; submit the first with trefoilramp config apply --base 0 FILE")
+	}
+	return d, got, err
+}
+
 func getConfig(ctx context.Context, c *cli.Command, api *admin.Client) error {
-	d, version, err := api.Config(ctx, c.Uint64("version"))
+	d, version, err := readAccepted(ctx, api, c.Uint64("version"))
 	if err != nil {
 		return err
 	}
@@ -112,7 +125,7 @@
 	if err != nil {
 		return err
 	}
-	accepted, version, err := api.Config(ctx, 0)
+	accepted, version, err := readAccepted(ctx, api, 0)
 	if err != nil {
 		return err
 	}
