--- a/internal/serve/claim/claim_test.go
+++ b/internal/serve/claim/claim_test.go
@@ -12,88 +12,35 @@
 	"go.uber.org/zap"
 
 	"trefoilramp.org/trefoilramp/internal/core/ident"
-	"trefoilramp.org/trefoilramp/internal/plat/table"
 	"trefoilramp.org/trefoilramp/internal/serve/claim"
+	"trefoilramp.org/trefoilramp/internal/stand/script"
+	"trefoilramp.org/trefoilramp/internal/stand/store"
 )
 
-// fault says what happens to one transaction.
-type fault int
-
-const (
-	none       fault = iota
-	down             // refused, no effect
-	lostBefore       // unknown, no effect
-	lostAfter        // unknown, took effect
-	lostLate         // unknown, takes effect before the next transaction
-)
-
-// store is a table in memory; the n-th transaction meets the n-th fault, and rest applies after the list.
-type store struct {
-	table.Store
-	mu      sync.Mutex
-	rows    map[string]table.Row
-	version uint64
-	faults  []fault
-	rest    fault
-	late    *table.Transaction
-}
-
-func (s *store) Transact(_ context.Context, t table.Transaction) (table.Result, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.late != nil {
-		s.apply(*s.late)
-		s.late = nil
-	}
-	f := s.rest
-	if len(s.faults) > 0 {
-		f, s.faults = s.faults[0], s.faults[1:]
-	}
-	switch f {
-	case down:
-		return table.Result{}, table.ErrUnavailable
-	case lostBefore:
-		return table.Result{}, table.ErrUnknown
-	case lostAfter:
-		s.apply(t)
-		return table.Result{}, table.ErrUnknown
-	case lostLate:
-		s.late = &t
-		return table.Result{}, table.ErrUnknown
-	}
-	return s.apply(t), nil
-}
-
-func (s *store) apply(t table.Transaction) table.Result {
-	var conflicts []table.Row
-	for _, c := range t.Conditions {
-		if r := s.rows[c.Key]; r.Version != c.Version {
-			r.Key = c.Key
-			conflicts = append(conflicts, r)
+// set makes the store meet the faults one after another, then rest.
+func set(t *testing.T, s *store.Store, rest script.Action, faults ...script.Action) {
+	t.Helper()
+	var rules []script.Rule
+	for i, f := range faults {
+		if f != script.None {
+			rules = append(rules, script.Rule{Action: f, Kind: store.KindTransact, First: int64(i + 1), Count: 1, Delay: late})
 		}
 	}
-	if conflicts != nil {
-		return table.Result{Conflicts: conflicts}
-	}
-	s.version++
-	for _, p := range t.Puts {
-		s.rows[p.Key] = table.Row{Key: p.Key, Value: p.Value, Version: s.version}
+	if rest != script.None {
+		rules = append(rules, script.Rule{Action: rest, Kind: store.KindTransact, First: int64(len(faults) + 1)})
 	}
-	for _, k := range t.Deletes {
-		delete(s.rows, k)
+	if err := s.Faults().Set(rules...); err != nil {
+		t.Fatal(err)
 	}
-	return table.Result{Committed: true, Version: s.version}
 }
 
-// set replaces the faults that are left.
-func (s *store) set(rest fault, faults ...fault) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults, s.rest = faults, rest
-}
+// late is the delay of lost responses and late effects.
+const late = script.Duration(5 * time.Millisecond)
 
-func newBook(faults ...fault) (*claim.Book, *store) {
-	s := &store{rows: make(map[string]table.Row), faults: faults}
+func newBook(t *testing.T, faults ...script.Action) (*claim.Book, *store.Store) {
+	t.Helper()
+	s := store.New(store.Options{})
+	set(t, s, script.None, faults...)
 	return claim.NewBook(s, "entry-1", 1, zap.NewNop(), nil), s
 }
 
@@ -117,24 +64,24 @@
 // Guards against a second run of a key, under each loss of a store response: the first request must get the claim in
 // spite of the loss, and no other may get it before it is released.
 func TestAtMostOnce(t *testing.T) {
-	for name, faults := range map[string][]fault{
+	for name, faults := range map[string][]script.Action{
 		"no fault":         nil,
-		"lost before":      {lostBefore},
-		"lost after":       {lostAfter},
-		"lost late":        {lostLate},
-		"lost, then down":  {lostAfter, down, down, down, down},
-		"down, then lost":  {down, lostAfter},
-		"lost three times": {lostAfter, lostBefore, lostAfter},
+		"lost before":      {script.LoseBefore},
+		"lost after":       {script.LoseAfter},
+		"lost late":        {script.LoseLate},
+		"lost, then down":  {script.LoseAfter, script.Down, script.Down, script.Down, script.Down},
+		"down, then lost":  {script.Down, script.LoseAfter},
+		"lost three times": {script.LoseAfter, script.LoseBefore, script.LoseAfter},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			b, s := newBook(faults...)
+			b, s := newBook(t, faults...)
 			first := want(t, name, b, "x", claim.Acquired)
 			if first.Claim == nil {
 				return
 			}
 			want(t, name+", repeated", b, "x", claim.InProgress)
 			want(t, name+", other content", b, "y", claim.Mismatch)
-			s.set(none, down, lostLate, lostBefore)
+			set(t, s, script.None, script.Down, script.LoseLate, script.LoseBefore)
 			if err := first.Claim.Record(t.Context(), claim.Response{Status: 201, Body: []byte("van 7")}); err != nil {
 				t.Errorf("%s: record: %v", name, err)
 			}
@@ -151,7 +98,7 @@
 // Guards against two entries that both run a key when they claim it at the same time.
 func TestConcurrentClaims(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		_, s := newBook(lostAfter, lostLate, none, lostBefore, lostAfter)
+		_, s := newBook(t, script.LoseAfter, script.LoseLate, script.None, script.LoseBefore, script.LoseAfter)
 		var mu sync.Mutex
 		acquired := 0
 		var wg sync.WaitGroup
@@ -173,11 +120,11 @@
 }
 
 // Guards against a request that runs although the store did not confirm its claim, against waiting for a store that is
-// down, and against a claim left behind by a request that did not run.
+// script.Down, and against a claim left behind by a request that did not run.
 func TestStoreDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b, s := newBook()
-		s.set(down)
+		b, s := newBook(t)
+		set(t, s, script.Down)
 		start := time.Now()
 		if _, err := acquire(t, b, "x"); !errors.Is(err, claim.ErrStore) {
 			t.Errorf("got %v, want ErrStore", err)
@@ -185,11 +132,11 @@
 		if d := time.Since(start); d > 200*time.Millisecond {
 			t.Errorf("refusal took %v", d)
 		}
-		s.set(down, lostAfter)
+		set(t, s, script.Down, script.LoseAfter)
 		if _, err := acquire(t, b, "x"); !errors.Is(err, claim.ErrStore) {
 			t.Errorf("got %v, want ErrStore", err)
 		}
-		s.set(none)
+		set(t, s, script.None)
 		time.Sleep(time.Minute)
 		want(t, "after the clean-up", b, "x", claim.Acquired)
 	})
@@ -198,13 +145,17 @@
 // Guards against a key that stays blocked when its request did not run, and against a new run after one that was lost.
 func TestReleaseAndLoss(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b, s := newBook()
+		b, s := newBook(t)
 		f := want(t, "first", b, "x", claim.Acquired)
-		s.set(none, lostAfter)
-		if err := f.Claim.Release(t.Context()); err != nil {
+		set(t, s, script.None, script.LoseAfter)
+		released := make(chan error)
+		go func() { released <- f.Claim.Release(t.Context()) }()
+		time.Sleep(time.Millisecond) // the effect is there, its response is not
+		f = want(t, "after release", b, "x", claim.Acquired)
+		if err := <-released; err != nil {
 			t.Fatal(err)
 		}
-		f = want(t, "after release", b, "x", claim.Acquired)
+		want(t, "after the repeated release", b, "x", claim.InProgress)
 		time.Sleep(time.Minute) // the holder died
 		want(t, "after the holder's death", b, "x", claim.RunLost)
 		if err := f.Claim.Record(t.Context(), claim.Response{Status: 200, Body: make([]byte, claim.MaxRecord+1)}); err != nil {
