Feed the metrics of an entry and serve operators over TLS

Cause: most metrics of the catalogue had no source, and OperatorTLS of the settings had no effect. Ruled out: tags from the request's path for undeclared services; callers could then create any number of series. Conclusion: requests, targets, sessions, store calls and versions are exposed; batch counters and retries still are not.

--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -94,6 +95,9 @@
 	if err := e.listen(ctx); err != nil {
 		return nil, err
 	}
+	e.metrics = metric.New(cfg.Log)
+	e.cfg.Store = meteredStore{cfg.Store, e.metrics}
+	cfg.Store = e.cfg.Store
 	e.holder = head.New(cfg.Store, head.Options{
 		Log: cfg.Log, Hook: cfg.Hook, Peers: &configPeers{e.directory}, Accepted: e.announceConfig,
 	})
@@ -121,7 +125,6 @@
 		Hook:      cfg.Hook,
 		Seed:      cfg.Seed,
 	})
-	e.metrics = metric.New(cfg.Log)
 	e.api = e.newAPI()
 	return e, nil
 }
@@ -192,6 +195,7 @@
 	wg.Go(func() { e.holder.Run(ctx) })
 	wg.Go(func() { e.distribute(ctx) })
 	wg.Go(func() { e.summarize(ctx) })
+	wg.Go(func() { e.measure(ctx) })
 	wg.Go(func() { e.network.run(ctx, stop) })
 	wg.Go(func() { e.owner.Run(ctx) })
 	wg.Go(func() {
@@ -200,9 +204,9 @@
 		}
 	})
 	wg.Go(func() { e.serve(ctx, e.listeners.callers, e.callerHandler()) })
-	wg.Go(func() { e.serve(ctx, e.listeners.admin, e.api) })
+	wg.Go(func() { e.serve(ctx, e.operatorListener(e.listeners.admin), e.api) })
 	if e.listeners.console != nil {
-		wg.Go(func() { e.serve(ctx, e.listeners.console, e.consoleHandler()) })
+		wg.Go(func() { e.serve(ctx, e.operatorListener(e.listeners.console), e.consoleHandler()) })
 	}
 	wg.Wait()
 	e.closeSessions()
@@ -215,6 +219,14 @@
 	return nil
 }
 
+// operatorListener adds TLS to a listener for operators if the settings ask for it.
+func (e *Entry) operatorListener(ln net.Listener) net.Listener {
+	if cfg := e.cfg.Settings.OperatorTLS.Config(); cfg != nil {
+		return tls.NewListener(ln, cfg)
+	}
+	return ln
+}
+
 // serve runs an HTTP server until ctx ends.
 func (e *Entry) serve(ctx context.Context, ln net.Listener, h http.Handler) {
 	s := &http.Server{
@@ -230,7 +242,7 @@
 // callerHandler serves callers, and the balancer's readiness check.
 func (e *Entry) callerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("/services/", e.front)
+	mux.Handle("/services/", e.measured(e.front))
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if err := e.ready(); err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/internal/role/entry/operate.go
+++ b/internal/role/entry/operate.go
@@ -166,6 +166,7 @@
 		Config: configStore{e.holder, e.cfg.Store},
 		Audit:  audit.Log{Store: e.cfg.Store},
 		Status: e,
+		Secure: s.OperatorTLS != nil,
 		Log:    e.cfg.Log,
 	})
 }
--- a/internal/role/entry/report.go
+++ b/internal/role/entry/report.go
@@ -49,3 +49,18 @@
 		return "Silent"
 	}
 }
+
+// readyTargets returns the number of targets of each service that take new work.
+func (d *directory) readyTargets() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := make(map[string]int)
+	for _, a := range d.agents {
+		for _, t := range a.targets {
+			if t.info.State == wire.TargetReady && !a.leaving {
+				n[t.info.Service]++
+			}
+		}
+	}
+	return n
+}
