Let measurements go before predictions of interference, and test the controller

Load swings alone caused 18 actions in 10 min: predictions from effects that chance had suggested. A prediction that measurements do not confirm now counts for 70%, and slowdowns must exceed their standard error. Seconds in which usage changed are not learned from, since a class that ran all the time was blamed for one that had just started.

--- a/internal/host/noise/bench_test.go
+++ b/internal/host/noise/bench_test.go
@@ -106,7 +106,7 @@
 				for i, v := range r.p99s {
 					worst = max(worst, v/none.p99s[i])
 				}
-				text += fmt.Sprintf("| %s | %v | %s | %.1f | %.1f | %.2f | %.2f | %.1f | %.0f%% | %.0f |\n", p.name, lag, mode,
+				text += fmt.Sprintf("| %s | %v | %s | %.1f | %.1f | %.2f | %.2f | %.1f | %.1f%% | %.0f |\n", p.name, lag, mode,
 					r.p50, r.p99, r.p99/none.p99, worst, r.progress, 100*r.progress/max(free.progress, 1), r.evictions)
 			}
 		}
--- a/internal/host/noise/decide.go
+++ b/internal/host/noise/decide.go
@@ -12,6 +12,7 @@
 	harmlessShare = 0.25 // of the allowed slowdown; a class that surely stays below is harmless
 	blameShare    = 0.2  // of a slowdown; a class that explains less is not throttled for it
 	lagPerStep    = 6.0  // s of lag for which a step is larger by restoreShare
+	trustShare    = 0.7  // of a predicted slowdown that measurements do not confirm
 	floorShare    = 0.05
 	measureShare  = 0.01             // of a task's need while the quiet tail is learned; below quietUsage for a full worker
 	restoreShare  = 0.25             // of a class's need per step
@@ -94,7 +95,10 @@
 		o.busy = append(o.busy, s)
 		slow := s.model(s.band).predict(x)
 		if v.judged {
-			slow = max(slow, v.slowdown)
+			// What was measured goes before what is predicted, but for the change of usage since.
+			then, _ := c.usedFrom(from, to)
+			since := max(0, slow-s.model(s.band).predict(then))
+			slow = max(trustShare*slow, v.slowdown+since)
 		}
 		if v.suspected && total(x) > quietUsage && !to.Before(c.nextMeasure) {
 			c.measuring = s
--- a/internal/host/noise/noise.go
+++ b/internal/host/noise/noise.go
@@ -235,11 +235,22 @@
 	c.history = append(c.history, u)
 }
 
-// usedFrom returns what the classes used on average between two times, and false where the history has a gap.
+// usedFrom returns what the classes used on average between two times. It reports false where the history has a gap or
+// the usage changed: samples do not say when in between, and the slowdown would be put on the wrong class.
 func (c *Controller) usedFrom(from, to time.Time) (vector, bool) {
-	var sum vector
-	n := 0
+	var sum, low, high vector
+	n, near := 0, 0
 	for _, u := range c.history {
+		if u.at.Before(from.Add(-bucketSpan)) || u.at.After(to.Add(requestMargin)) {
+			continue
+		}
+		for i, x := range u.used {
+			if near == 0 {
+				low[i], high[i] = x, x
+			}
+			low[i], high[i] = min(low[i], x), max(high[i], x)
+		}
+		near++
 		if !u.at.Before(from) && u.at.Before(to) {
 			n++
 			for i, x := range u.used {
@@ -247,10 +258,12 @@
 			}
 		}
 	}
+	change := 0.0
 	for i := range sum {
 		sum[i] /= float64(max(n, 1))
+		change += high[i] - low[i]
 	}
-	return sum, n > 0
+	return sum, n > 0 && change <= steadyUsage
 }
 
 // place returns the index of a class. A class without tasks gives its place, and what was learned of it, to a new one.
@@ -283,7 +296,7 @@
 func (c *Controller) Effect(service, name string) float64 {
 	s := c.services[service]
 	for i := range c.classes {
-		if s != nil && c.classes[i].name == name {
+		if s != nil && c.classes[i].name == name && s.model(s.band).sure(i) {
 			return exp(s.model(s.band).mean[i])
 		}
 	}
--- a/internal/host/noise/service.go
+++ b/internal/host/noise/service.go
@@ -9,14 +9,16 @@
 const (
 	bands        = 24  // of load; each spans a factor of √2 in requests/s, up to about 2,900
 	modelBands   = 2   // bands that share a model of effects
-	quietSamples = 128 // run times kept per band
+	quietSamples = 512 // run times kept per band
 	quietNeeded  = 120 // fewer leave the 95th percentile too uncertain
 	bucketCount  = 48  // seconds of requests kept; more than the largest lag and the window
 	bucketLimit  = 256 // run times kept per second
 	window       = 10 * time.Second
 	tailNeeded   = 60 // run times for a verdict on the tail
 	tail         = 0.95
+	doubts       = 1.5  // standard errors that a slowdown must exceed, so that chance alone causes no action
 	tailDoubt    = 2.1  // standard error of a 95th percentile times √n, in standard deviations of a normal distribution
+	steadyUsage  = 0.03 // share of the worker's processors by which usage may change around a second that is learned from
 	quietUsage   = 0.03 // share of the worker's processors below which batch is taken as absent
 	forgetAfter  = 10 * time.Minute
 )
@@ -95,8 +97,6 @@
 		from := time.Unix(second, 0)
 		if x, ok := used(from, from.Add(bucketSpan)); ok {
 			s.learn(b, x)
-		} else {
-			b.count, b.logs = 0, b.logs[:0]
 		}
 	}
 }
@@ -146,7 +146,7 @@
 func (s *service) sum(band int) {
 	q := &s.quiet[band]
 	all := slices.Clone(q.logs)
-	if len(all) < quietSamples {
+	if len(all) < quietNeeded {
 		for _, i := range []int{band - 1, band + 1} {
 			if i >= 0 && i < bands {
 				all = append(all, s.quiet[i].logs...)
@@ -209,7 +209,7 @@
 func (s *service) judge(from, to time.Time, limit float64) verdict {
 	var v verdict
 	var ratios, guesses []float64
-	mean, dev := 0.0, 0.0
+	mean, dev, known := 0.0, 0.0, math.Inf(1)
 	for i := range s.buckets {
 		b := &s.buckets[i]
 		start := time.Unix(b.second, 0)
@@ -226,7 +226,7 @@
 			case q.n >= quietNeeded:
 				ratios = append(ratios, x-q.tail)
 				mean += x - q.mean
-				dev = max(dev, q.dev)
+				dev, known = max(dev, q.dev), min(known, float64(q.n))
 			case near != nil:
 				guesses = append(guesses, x-near.tail)
 			default:
@@ -236,8 +236,8 @@
 	}
 	if len(ratios) >= tailNeeded {
 		n := float64(len(ratios))
-		doubt := tailDoubt * dev / math.Sqrt(n)
-		v.judged, v.slowdown = true, max(mean/n-dev/math.Sqrt(n), quantile(ratios, tail)-doubt)
+		doubt := doubts * dev * math.Sqrt(1/n+1/known)
+		v.judged, v.slowdown = true, max(mean/n-doubt, quantile(ratios, tail)-tailDoubt*doubt)
 	}
 	v.unknown = len(guesses) > len(ratios) && len(guesses) >= tailNeeded
 	v.suspected = v.unknown && quantile(guesses, tail) > limit
