Let entries of many zones find each other

With more than 8 zones an entry reads only its own zone and the next one. Where it had the higher name, it waited for a dial by an entry that did not know it. MeshOf lets the reader dial in that case, and Meet makes the other end of a session known. Reset now ends the context of a stream whose two directions have ended, so that a long-lived parent context does not hold it.

--- a/internal/link/roster/keeper.go
+++ b/internal/link/roster/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,7 +35,7 @@
 // KeeperConfig describes the sessions that a process dials.
 type KeeperConfig struct {
 	Roster   *Roster
-	Wanted   func() []wire.EntryInfo // see GroupOf and PeersOf
+	Wanted   func() []wire.EntryInfo // see GroupOf, PeersOf and MeshOf
 	Balancer string                  // address tried while there is no session; empty for none
 	Dial     Dial
 	Log      *zap.Logger
@@ -45,12 +46,23 @@
 	return func() []wire.EntryInfo { return r.Group(zone) }
 }
 
-// PeersOf returns what an entry dials: all entries with a higher name, so that each pair has one session.
+// PeersOf returns what an entry dials when every entry reads the rows of all zones: all entries with a higher name, so
+// that each pair has one session.
 func PeersOf(r *Roster, self ident.Entry) func() []wire.EntryInfo {
+	return MeshOf(r, wire.EntryInfo{Name: self}, nil)
+}
+
+// MeshOf returns what an entry dials for any number of zones. Of two entries, the one with the lower name dials; but when
+// only one of their zones reads the rows of the other, the reader dials, because at the start the other does not know it.
+func MeshOf(r *Roster, self wire.EntryInfo, zones func() []ident.AvailabilityZone) func() []wire.EntryInfo {
 	return func() []wire.EntryInfo {
+		var all []ident.AvailabilityZone
+		if zones != nil {
+			all = zones()
+		}
 		var list []wire.EntryInfo
 		for _, e := range r.Snapshot().Entries {
-			if e.Name > self {
+			if e.Name != self.Name && dials(self, e, all) {
 				list = append(list, e)
 			}
 		}
@@ -58,6 +70,19 @@
 	}
 }
 
+func dials(self, peer wire.EntryInfo, zones []ident.AvailabilityZone) bool {
+	if reads, isRead := readsOther(self, peer, zones), readsOther(peer, self, zones); reads != isRead {
+		return reads
+	}
+	return self.Name < peer.Name
+}
+
+// readsOther reports whether an entry reads the rows of a peer's zone.
+func readsOther(e, peer wire.EntryInfo, zones []ident.AvailabilityZone) bool {
+	read := neighbours(e.Zone, zones)
+	return read == nil || slices.Contains(read, peer.Zone)
+}
+
 // Keeper keeps one session with each wanted entry.
 type Keeper struct {
 	cfg KeeperConfig
--- a/internal/link/roster/keeper_test.go
+++ b/internal/link/roster/keeper_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"trefoilramp.org/trefoilramp/internal/core/ident"
 	"trefoilramp.org/trefoilramp/internal/link/roster"
 	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -114,13 +116,60 @@
 	})
 }
 
-// Guards against two sessions between a pair of entries, or none.
-func TestLowerNameDials(t *testing.T) {
-	r := roster.New()
-	r.Update("test", wire.Roster{Entries: []wire.EntryInfo{entry("a", "x"), entry("b", "y"), entry("c", "z")}})
-	for self, want := range map[string]int{"a": 2, "b": 1, "c": 0} {
-		if got := roster.PeersOf(r, entry(self, "").Name)(); len(got) != want {
-			t.Errorf("%s dials %v, want %d", self, got, want)
+// Guards against two sessions between a pair of entries, or none. Each of 12 entries knows only its own zone and the next
+// one at the start; names run against the order of the zones, so that the one who knows is never the one with the lower
+// name.
+func TestEntriesBecomeFullMesh(t *testing.T) {
+	var zones []ident.AvailabilityZone
+	var all []wire.EntryInfo
+	var rosters []*roster.Roster
+	for i := range 12 {
+		zones = append(zones, ident.AvailabilityZone(fmt.Sprintf("z%02d", i)))
+		all = append(all, entry(fmt.Sprintf("e%02d", 50-i), string(zones[i])))
+		rosters = append(rosters, roster.New())
+	}
+	for i, r := range rosters {
+		r.Update(roster.SourceStore, wire.Roster{Entries: []wire.EntryInfo{all[i], all[(i+1)%12]}})
+	}
+	sessions := make(map[[2]int]bool)
+	hello := func(i int) wire.Hello {
+		return wire.Hello{Name: string(all[i].Name), Incarnation: all[i].Incarnation, Zone: all[i].Zone, Address: all[i].Address}
+	}
+	for range 12 {
+		for i, r := range rosters {
+			for _, e := range roster.MeshOf(r, all[i], func() []ident.AvailabilityZone { return zones })() {
+				k := slices.IndexFunc(all, func(o wire.EntryInfo) bool { return o.Name == e.Name })
+				if sessions[[2]int{k, i}] {
+					t.Fatalf("%d and %d dial each other", i, k)
+				}
+				sessions[[2]int{i, k}] = true
+				r.Meet(hello(k))
+				rosters[k].Meet(hello(i))
+			}
+		}
+		for s := range sessions {
+			rosters[s[0]].Update(roster.SourceOf(hello(s[1])), rosters[s[1]].FirstHand())
+			rosters[s[1]].Update(roster.SourceOf(hello(s[0])), rosters[s[0]].FirstHand())
+		}
+	}
+	if len(sessions) != 12*11/2 {
+		t.Errorf("%d sessions between 12 entries, want one for each pair", len(sessions))
+	}
+	for i, r := range rosters { // entry 0 dies
+		r.Forget(roster.SourceOf(hello(0)))
+		if i > 0 {
+			r.Update(roster.SourceStore, wire.Roster{Version: 1, Entries: []wire.EntryInfo{all[i], all[max((i+1)%12, 1)]}})
+		}
+	}
+	for s := range sessions {
+		if s[0] != 0 && s[1] != 0 {
+			rosters[s[0]].Update(roster.SourceOf(hello(s[1])), rosters[s[1]].FirstHand())
+			rosters[s[1]].Update(roster.SourceOf(hello(s[0])), rosters[s[0]].FirstHand())
+		}
+	}
+	for i, r := range rosters[1:] {
+		if n := len(r.Snapshot().Entries); n != 11 {
+			t.Errorf("entry %d sees %d live entries after one death, want 11", i+1, n)
 		}
 	}
 }
--- a/internal/link/roster/member_test.go
+++ b/internal/link/roster/member_test.go
@@ -250,4 +250,9 @@
 	if got := r.Snapshot().Entries; len(got) != 1 {
 		t.Errorf("the list of an ended source still counts: %v", got)
 	}
+	r.Forget("other")
+	r.Update("other", wire.Roster{Version: 0, Entries: list[1:3]})
+	if got := r.Snapshot().Entries; len(got) != 2 {
+		t.Errorf("a source that came back counts for %v", got)
+	}
 }
--- a/internal/link/roster/roster.go
+++ b/internal/link/roster/roster.go
@@ -46,11 +46,12 @@
 	return &Roster{sources: make(map[string]source), changed: make(chan struct{})}
 }
 
-// Update replaces what the source listed before, unless list is older, and reports whether the union changed.
+// Update replaces what the source listed before, unless list is older, and reports whether the union changed. A source
+// that was forgotten starts anew.
 func (r *Roster) Update(name string, list wire.Roster) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if old, ok := r.sources[name]; ok && list.Version < old.version {
+	if old, ok := r.sources[name]; ok && !old.ended && list.Version < old.version {
 		return false
 	}
 	r.turn++
@@ -115,13 +116,27 @@
 	return wire.Roster{Version: r.version, Entries: slices.Clone(r.live)}
 }
 
-// FirstHand returns the entries that this process read from the store itself, for other entries. Entries pass on nothing
-// else to each other: two that repeat each other's lists would keep a dead entry alive.
+// Meet adds the entry at the other end of a session, until its own list arrives or Forget is called.
+func (r *Roster) Meet(h wire.Hello) {
+	r.Update(SourceOf(h), wire.Roster{Entries: []wire.EntryInfo{{Name: ident.Entry(h.Name), Incarnation: h.Incarnation,
+		Zone: h.Zone, Address: h.Address}}})
+}
+
+// FirstHand returns the entries that this process read from the store itself or has a session with, for other entries.
+// Entries pass on nothing else to each other: two that repeat each other's lists would keep a dead entry alive.
 func (r *Roster) FirstHand() wire.Roster {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.sources[SourceStore]
-	return wire.Roster{Version: s.version, Entries: slices.Clone(s.entries)}
+	list := slices.Clone(r.sources[SourceStore].entries)
+	for name, s := range r.sources {
+		for _, e := range s.entries {
+			met := !s.ended && name == SourceOf(wire.Hello{Name: string(e.Name), Incarnation: e.Incarnation})
+			if met && !slices.ContainsFunc(list, func(o wire.EntryInfo) bool { return o.Name == e.Name }) {
+				list = append(list, e)
+			}
+		}
+	}
+	return wire.Roster{Version: r.turn, Entries: list}
 }
 
 // Entry returns one live entry.
--- a/internal/link/sess/stream.go
+++ b/internal/link/sess/stream.go
@@ -192,8 +192,8 @@
 	return nil
 }
 
-// Reset ends both directions at once and drops what has not been written yet. It has no effect on a stream that has
-// ended. When Sent is false after Reset, the peer never learns of the stream.
+// Reset ends both directions at once and drops what has not been written yet. On a stream that has ended it only ends
+// Context. When Sent is false after Reset, the peer never learns of the stream.
 func (st *Stream) Reset(reason string) {
 	st.s.mu.Lock()
 	defer st.s.mu.Unlock()
@@ -201,7 +201,11 @@
 }
 
 func (st *Stream) reset(reason string) {
-	if st.err != nil || !st.inMap {
+	if st.err != nil {
+		return
+	}
+	if !st.inMap {
+		st.cancel() // both directions have ended; what arrived can still be read
 		return
 	}
 	st.kill(fmt.Errorf("%w here: %w", ErrReset, errors.New(reason)))
