Judge entries of read zones by own reading only

Two entries that listed a dead third to each other kept it in both unions, so neither union changed and, with lists sent on change only, neither heard that the other had dropped it: the takeover of its partitions would never have begun. An entry now counts only its own reading for the zones it reads, unless it has not read for 8 s, and Changed also reports changes of FirstHand alone.

TestOwnReadingOverridesPeers covers both.

--- a/internal/link/roster/keeper_test.go
+++ b/internal/link/roster/keeper_test.go
@@ -129,7 +129,7 @@
 		rosters = append(rosters, roster.New())
 	}
 	for i, r := range rosters {
-		r.Update(roster.SourceStore, wire.Roster{Entries: []wire.EntryInfo{all[i], all[(i+1)%12]}})
+		r.UpdateStore([]wire.EntryInfo{all[i], all[(i+1)%12]}, []ident.AvailabilityZone{zones[i], zones[(i+1)%12]})
 	}
 	sessions := make(map[[2]int]bool)
 	hello := func(i int) wire.Hello {
@@ -158,7 +158,7 @@
 	for i, r := range rosters { // entry 0 dies
 		r.Forget(roster.SourceOf(hello(0)))
 		if i > 0 {
-			r.Update(roster.SourceStore, wire.Roster{Version: 1, Entries: []wire.EntryInfo{all[i], all[max((i+1)%12, 1)]}})
+			r.UpdateStore([]wire.EntryInfo{all[i], all[max((i+1)%12, 1)]}, []ident.AvailabilityZone{zones[i], zones[(i+1)%12]})
 		}
 	}
 	for s := range sessions {
--- a/internal/link/roster/member.go
+++ b/internal/link/roster/member.go
@@ -193,12 +193,18 @@
 	ticker := time.NewTicker(Interval)
 	defer ticker.Stop()
 	w := &watch{rows: make(map[string]*seen)}
-	for version := uint64(1); ; version++ {
-		if err := m.readRows(ctx, w); err == nil {
-			m.cfg.Roster.Update(SourceStore, wire.Roster{Version: version, Entries: m.withSelf(w.live())})
+	last := time.Now()
+	for {
+		zones := m.zones()
+		if err := m.readRows(ctx, w, zones); err == nil {
+			last = time.Now()
+			m.cfg.Roster.UpdateStore(m.withSelf(w.live()), zones)
 			m.clean(ctx, w)
 		} else if ctx.Err() == nil {
 			w.gap()
+			if time.Since(last) >= DeadAfter {
+				m.cfg.Roster.LoseStore()
+			}
 			event.Log(m.cfg.Log, event.MembershipStale, zap.String("Duty", "Read"), zap.Error(err))
 		}
 		select {
@@ -209,7 +215,7 @@
 	}
 }
 
-func (m *Member) readRows(ctx context.Context, w *watch) error {
+func (m *Member) readRows(ctx context.Context, w *watch, zones []ident.AvailabilityZone) error {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	m.mu.Lock()
@@ -220,7 +226,7 @@
 	m.mu.Unlock()
 	start := time.Now()
 	var rows []table.Row
-	for _, prefix := range m.prefixes() {
+	for _, prefix := range prefixes(zones) {
 		// '0' is the character after '/'.
 		part, err := m.cfg.Store.Range(ctx, prefix, prefix[:len(prefix)-1]+"0", rowLimit)
 		if err != nil {
@@ -236,12 +242,15 @@
 	return nil
 }
 
-// prefixes returns the row prefixes to read.
-func (m *Member) prefixes() []string {
-	var zones []ident.AvailabilityZone
-	if m.cfg.Zones != nil {
-		zones = neighbours(m.cfg.Self.Zone, m.cfg.Zones())
+// zones returns the zones whose rows this entry reads, nil for all.
+func (m *Member) zones() []ident.AvailabilityZone {
+	if m.cfg.Zones == nil {
+		return nil
 	}
+	return neighbours(m.cfg.Self.Zone, m.cfg.Zones())
+}
+
+func prefixes(zones []ident.AvailabilityZone) []string {
 	if zones == nil {
 		return []string{rowPrefix}
 	}
--- a/internal/link/roster/member_test.go
+++ b/internal/link/roster/member_test.go
@@ -256,3 +256,48 @@
 		t.Errorf("a source that came back counts for %v", got)
 	}
 }
+
+// Guards against a dead entry that two others keep alive by listing it to each other, and against one whose takeover
+// waits for an entry that has lost the store.
+func TestOwnReadingOverridesPeers(t *testing.T) {
+	a, b, c := entry("a", "agadir"), entry("b", "agadir"), entry("c", "agadir")
+	ra, rb := roster.New(), roster.New()
+	exchange := func() {
+		ra.Update("b", rb.FirstHand())
+		rb.Update("a", ra.FirstHand())
+	}
+	ra.UpdateStore([]wire.EntryInfo{a, b, c}, nil)
+	rb.UpdateStore([]wire.EntryInfo{a, b, c}, nil)
+	exchange()
+	changed := ra.Changed()
+	ra.UpdateStore([]wire.EntryInfo{a, b}, nil)
+	if _, ok := ra.Entry("c"); ok {
+		t.Error("c lives on a peer's word")
+	}
+	select {
+	case <-changed:
+	default:
+		t.Error("the change was not reported")
+	}
+	rb.LoseStore()
+	exchange()
+	if _, ok := rb.Entry("c"); !ok {
+		t.Error("an entry without the store dropped what it had read")
+	}
+	rb.UpdateStore([]wire.EntryInfo{a, b}, nil)
+	exchange()
+	for _, r := range []*roster.Roster{ra, rb} {
+		if n := len(r.Snapshot().Entries); n != 2 {
+			t.Errorf("%d live entries, want 2", n)
+		}
+	}
+	peer := roster.New() // as an entry of a zone that is not read, or an agent
+	peer.Update("a", ra.FirstHand())
+	peer.Update("b", wire.Roster{Entries: []wire.EntryInfo{a, b, c}})
+	changed = peer.Changed()
+	peer.Update("b", rb.FirstHand())
+	if n := len(peer.Snapshot().Entries); n != 2 {
+		t.Errorf("%d live entries from lists, want 2", n)
+	}
+	<-changed
+}
--- a/internal/link/roster/roster.go
+++ b/internal/link/roster/roster.go
@@ -31,14 +31,18 @@
 func SourceOf(h wire.Hello) string { return h.Name + "/" + string(h.Incarnation) }
 
 // Roster is the set of live entries as this process sees it: the union of the latest list of each source. An entry
-// leaves when no source lists it any more.
+// leaves when no source lists it any more. For zones whose rows this process reads itself, only its own reading counts:
+// a peer that has lost the store must not keep a dead entry alive and so delay the takeover of its partitions.
 type Roster struct {
 	mu      sync.Mutex
 	sources map[string]source
 	turn    uint64
 	version uint64
 	live    []wire.EntryInfo // sorted by name
+	first   []wire.EntryInfo // see FirstHand, sorted by name
 	changed chan struct{}
+	reading bool                     // this process reads rows itself
+	direct  []ident.AvailabilityZone // of these zones; nil for all
 }
 
 // New returns an empty Roster.
@@ -59,6 +63,29 @@
 	return r.merge()
 }
 
+// UpdateStore replaces what this process has read from the store; zones are those it read, nil for all.
+func (r *Roster) UpdateStore(entries []wire.EntryInfo, zones []ident.AvailabilityZone) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reading, r.direct = true, slices.Clone(zones)
+	r.turn++
+	r.sources[SourceStore] = source{turn: r.turn, entries: slices.Clone(entries)}
+	r.merge()
+}
+
+// LoseStore lets the lists of peers count for all zones again, because this process can no longer read the store.
+func (r *Roster) LoseStore() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reading = false
+	r.merge()
+}
+
+// covers reports whether only own reading counts for a zone; r.mu is held.
+func (r *Roster) covers(zone ident.AvailabilityZone) bool {
+	return r.reading && (r.direct == nil || slices.Contains(r.direct, zone))
+}
+
 // Forget drops what the source listed, for example when its session has ended. While no other source is left, its list
 // still counts, because an old list is better than none.
 func (r *Roster) Forget(name string) {
@@ -84,25 +111,37 @@
 // merge builds the union; where sources differ on an entry, the list that arrived last counts. r.mu is held.
 func (r *Roster) merge() bool {
 	r.dropEnded()
-	sources := slices.SortedFunc(maps.Values(r.sources), func(a, b source) int { return cmp.Compare(a.turn, b.turn) })
-	union := make(map[ident.Entry]wire.EntryInfo)
-	for _, s := range sources {
+	names := slices.SortedFunc(maps.Keys(r.sources), func(a, b string) int { return cmp.Compare(r.sources[a].turn, r.sources[b].turn) })
+	union, first := make(map[ident.Entry]wire.EntryInfo), make(map[ident.Entry]wire.EntryInfo)
+	for _, name := range names {
+		s := r.sources[name]
 		for _, e := range s.entries {
+			if name != SourceStore && r.covers(e.Zone) {
+				continue
+			}
 			union[e.Name] = e
+			met := name == SourceOf(wire.Hello{Name: string(e.Name), Incarnation: e.Incarnation})
+			if name == SourceStore || met && !s.ended {
+				first[e.Name] = e
+			}
 		}
 	}
-	live := slices.SortedFunc(maps.Values(union), func(a, b wire.EntryInfo) int { return cmp.Compare(a.Name, b.Name) })
-	if slices.Equal(live, r.live) {
+	live, direct := byName(union), byName(first)
+	if slices.Equal(live, r.live) && slices.Equal(direct, r.first) {
 		return false
 	}
-	r.live = live
+	r.live, r.first = live, direct
 	r.version++
 	close(r.changed)
 	r.changed = make(chan struct{})
 	return true
 }
 
-// Changed returns a channel that is closed at the next change.
+func byName(m map[ident.Entry]wire.EntryInfo) []wire.EntryInfo {
+	return slices.SortedFunc(maps.Values(m), func(a, b wire.EntryInfo) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// Changed returns a channel that is closed at the next change of Snapshot or FirstHand.
 func (r *Roster) Changed() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -122,21 +161,13 @@
 		Zone: h.Zone, Address: h.Address}}})
 }
 
-// FirstHand returns the entries that this process read from the store itself or has a session with, for other entries.
-// Entries pass on nothing else to each other: two that repeat each other's lists would keep a dead entry alive.
+// FirstHand returns the entries that this process read from the store itself or, in other zones, has a session with, for
+// other entries. Entries pass on nothing else to each other: two that repeat each other's lists would keep a dead entry
+// alive.
 func (r *Roster) FirstHand() wire.Roster {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	list := slices.Clone(r.sources[SourceStore].entries)
-	for name, s := range r.sources {
-		for _, e := range s.entries {
-			met := !s.ended && name == SourceOf(wire.Hello{Name: string(e.Name), Incarnation: e.Incarnation})
-			if met && !slices.ContainsFunc(list, func(o wire.EntryInfo) bool { return o.Name == e.Name }) {
-				list = append(list, e)
-			}
-		}
-	}
-	return wire.Roster{Version: r.turn, Entries: list}
+	return wire.Roster{Version: r.version, Entries: slices.Clone(r.first)}
 }
 
 // Entry returns one live entry.
