batch/owner: release a partition that was taken and could not be loaded

Its head row named a live entry, so that nobody took over. Such an entry now clears the Owner. Drain waits for takeovers in progress as well.

--- a/internal/batch/commit/take.go
+++ b/internal/batch/commit/take.go
@@ -59,6 +59,26 @@
 	}, nil
 }
 
+// Release leaves a partition that this entry took and does not serve, so that another entry may take it.
+func Release(ctx context.Context, s table.Store, p ident.Partition, head Versioned) error {
+	return leave(ctx, s, p, head, false)
+}
+
+// leave clears the owner of a head row; clean becomes HandedOver.
+func leave(ctx context.Context, s table.Store, p ident.Partition, v Versioned, clean bool) error {
+	head := v.Head
+	head.Owner, head.Incarnation, head.HandedOver, head.Txn = "", "", clean, ident.NewTxn()
+	_, err := settle(ctx, s, table.Transaction{
+		Txn:        head.Txn,
+		Conditions: []table.Condition{{Key: headKey(p), Version: v.Version}},
+		Puts:       []table.Put{{Key: headKey(p), Value: encode(head)}},
+	})
+	if err != nil {
+		return fmt.Errorf("leave partition %s: %w", p, err)
+	}
+	return nil
+}
+
 // Tail is where the journal of a loaded partition goes on.
 type Tail struct {
 	Seq      uint64            // of the last row
--- a/internal/batch/owner/manage.go
+++ b/internal/batch/owner/manage.go
@@ -68,29 +68,46 @@
 	switch {
 	case p != nil && !should:
 		p.inbox.TryPut(p.handOver)
-	case p == nil && should && !o.taking[id] && o.isFree(head):
+	case p != nil || o.taking[id]:
+	case should && o.isFree(head):
 		o.taking[id] = true
-		o.running.Add(1)
-		go o.own(ctx, id, head)
+		o.running.Go(func() { o.own(ctx, id, head) })
+	case !should && o.isOwn(head):
+		o.taking[id] = true
+		o.running.Go(func() { o.release(ctx, id, head) })
+	}
+}
+
+// isOwn reports whether a head row names this process, which is alive to the others, so that none of them takes over.
+func (o *Owner) isOwn(head commit.Versioned) bool {
+	return head.Owner == o.cfg.Self.Name && head.Incarnation == o.cfg.Self.Incarnation
+}
+
+// release leaves a partition that this process took but could not load before another entry became the choice.
+func (o *Owner) release(ctx context.Context, id ident.Partition, head commit.Versioned) {
+	defer o.forget(id)
+	if err := commit.Release(ctx, o.cfg.Store, id, head); err != nil {
+		o.cfg.Log.Debug("partition not released", zap.Error(err))
 	}
 }
 
+// forget ends the attempt to own a partition.
+func (o *Owner) forget(id ident.Partition) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.parts, id)
+	delete(o.taking, id)
+}
+
 // isFree reports whether a partition may be taken over: it never had an owner, its owner left it, its owner is not alive,
 // or its owner is this process, which failed to load it or lost it.
 func (o *Owner) isFree(head commit.Versioned) bool {
-	return head.Version == 0 || head.Owner == "" || !o.cfg.Members.IsAlive(head.Owner, head.Incarnation) ||
-		(head.Owner == o.cfg.Self.Name && head.Incarnation == o.cfg.Self.Incarnation)
+	return head.Version == 0 || head.Owner == "" || o.isOwn(head) || !o.cfg.Members.IsAlive(head.Owner, head.Incarnation)
 }
 
 // own takes a partition over and serves it until it is handed over or lost.
 func (o *Owner) own(ctx context.Context, id ident.Partition, head commit.Versioned) {
-	defer o.running.Done()
-	defer func() {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		delete(o.parts, id)
-		delete(o.taking, id)
-	}()
+	defer o.forget(id)
 	taken, err := commit.Take(ctx, o.cfg.Store, id, o.cfg.Self, head)
 	if err != nil {
 		return // another entry was faster, or ctx ended
--- a/internal/batch/owner/owner.go
+++ b/internal/batch/owner/owner.go
@@ -208,19 +208,25 @@
 	}
 }
 
+// isIdle reports whether no partition is owned, taken over or released.
+func (o *Owner) isIdle() bool {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	return len(o.taking) == 0
+}
+
 // Drain hands all partitions over and takes no more; it returns once none is left or ctx ends.
 func (o *Owner) Drain(ctx context.Context) error {
 	o.mu.Lock()
 	o.draining = true
 	o.mu.Unlock()
 	for {
-		list := o.owned()
-		if len(list) == 0 {
-			return nil
-		}
-		for _, p := range list {
+		for _, p := range o.owned() {
 			p.inbox.TryPut(p.handOver)
 		}
+		if o.isIdle() {
+			return nil
+		}
 		if !sleep(ctx, drainPoll) {
 			return context.Cause(ctx)
 		}
