--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -42,21 +42,21 @@
 
 // Agent is a running agent.
 type Agent struct {
-	cfg          Config
-	incarnation  ident.Incarnation
-	means        worker.Means
-	ledger       *ledger.Ledger
-	registry     *beside.Registry
-	runner       *runner.Runner
-	relay        *relay.Server
-	limits       limits
-	interference interference
-	listener     net.Listener // announcements
-	admin        net.Listener // health; nil for none
-	roster       *roster.Roster
-	leaving      atomic.Bool
-	drain        chan struct{} // closed when an operator asks for a drain
-	drainOnce    sync.Once
+	cfg         Config
+	incarnation ident.Incarnation
+	means       worker.Means
+	ledger      *ledger.Ledger
+	registry    *beside.Registry
+	runner      *runner.Runner
+	relay       *relay.Server
+	limits      limits
+	noise       interference
+	listener    net.Listener // announcements
+	admin       net.Listener // health; nil for none
+	roster      *roster.Roster
+	leaving     atomic.Bool
+	drain       chan struct{} // closed when an operator asks for a drain
+	drainOnce   sync.Once
 
 	mu       sync.Mutex
 	sessions map[*sess.Session]*link
@@ -77,13 +77,13 @@
 		return nil, err
 	}
 	a.ledger = ledger.New(a.means.Total)
-	a.interference.controller = noise.New(noise.Config{Processors: a.means.Total.Processors})
+	a.noise.controller = noise.New(noise.Config{Processors: a.means.Total.Processors})
 	a.runner = runner.New(runner.Config{
 		Incarnation: a.incarnation, Worker: cfg.Worker, Ledger: a.ledger, Log: cfg.Log, Hook: cfg.Hook,
 	})
 	a.relay = relay.New(relay.Config{
 		Ledger: requestLedger{a.ledger}, Targets: targets{a.registry}, Limits: &a.limits, Log: cfg.Log, Hook: cfg.Hook,
-		Finished: a.interference.finished,
+		Finished: a.noise.finished,
 	})
 	var lc net.ListenConfig
 	if a.listener, err = lc.Listen(ctx, "tcp", cfg.Settings.Announcements); err != nil {
