--- a/internal/core/event/event_test.go
+++ b/internal/core/event/event_test.go
@@ -9,11 +9,13 @@
 	"go/token"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
 
 	gocmp "github.com/google/go-cmp/cmp"
+	"go.uber.org/zap/zapcore"
 
 	"trefoilramp.org/trefoilramp/internal/core/event"
 )
@@ -97,3 +99,24 @@
 	}
 	return n
 }
+
+// Guards against an alarm without advice for operators, and advice on an event that does not exist.
+func TestAlarmsAreDescribed(t *testing.T) {
+	b, err := os.ReadFile("../../../docs/operating.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	named := make(map[string]bool)
+	for _, number := range regexp.MustCompile(`\bE[0-9]{3}\b`).FindAllString(string(b), -1) {
+		named[number] = true
+	}
+	for _, e := range event.Catalogue() {
+		if e.Level >= zapcore.WarnLevel && !named[e.Number.String()] {
+			t.Errorf("%v is a warning or an error, but docs/operating.md does not name it", e.Number)
+		}
+		delete(named, e.Number.String())
+	}
+	for number := range named {
+		t.Errorf("docs/operating.md names %s, which is not in the catalogue", number)
+	}
+}
