--- a/internal/role/entry/operate.go
+++ b/internal/role/entry/operate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"trefoilramp.org/trefoilramp/internal/batch/lease"
+	"trefoilramp.org/trefoilramp/internal/batch/owner"
 	"trefoilramp.org/trefoilramp/internal/conf/head"
 	"trefoilramp.org/trefoilramp/internal/conf/model"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -187,6 +188,7 @@
 	_, err := e.cfg.Store.Range(readCtx, "config/head", "config/head\x00", 1)
 	st.StoreAvailable = err == nil
 	e.directory.report(&st)
+	st.Jobs = jobCounts(e.owner.Totals(readCtx))
 	for i := range st.Zones {
 		z := &st.Zones[i]
 		for _, w := range st.Workers {
@@ -210,6 +212,14 @@
 	return st
 }
 
+func jobCounts(t owner.Totals) admin.JobCounts {
+	return admin.JobCounts{
+		Jobs: t.Jobs, JobsFinished: t.Finished, Queued: int64(t.Counts.Queued), Running: int64(t.Counts.Running),
+		Done: int64(t.Counts.Done), Failed: int64(t.Counts.Failed), Cancelled: int64(t.Counts.Cancelled),
+		Evictions: int64(t.Counts.Evictions),
+	}
+}
+
 func zoneStatus(d model.Document, t *head.Tracker) []admin.ZoneStatus {
 	known := make(map[string]head.ZoneVersions)
 	for _, z := range t.Zones() {
