Wait for stream slots by condition instead of a fixed time

TestEndedStreamsFreeTheirSlots allowed 100 ms for the last ends of streams, which a busy machine may exceed; it now waits up to 10 s for all slots. 10 runs under the race detector pass.

--- a/internal/link/sess/session_test.go
+++ b/internal/link/sess/session_test.go
@@ -281,10 +281,16 @@
 	if _, r := right.seen(); len(l)+len(r) > 0 {
 		t.Fatalf("session closed with %v and %v", l, r)
 	}
-	time.Sleep(100 * time.Millisecond) // the last ends are under way
-	for i := range sess.MaxStreams {
-		if _, err := d.Open(ctx, &wire.RequestHead{Service: "held"}); err != nil {
-			t.Fatalf("stream %d of %d: %v", i, sess.MaxStreams, err)
+	limit := time.Now().Add(10 * time.Second) // the last ends are under way
+	for n := 0; n < sess.MaxStreams; {
+		_, err := d.Open(ctx, &wire.RequestHead{Service: "held"})
+		switch {
+		case err == nil:
+			n++
+		case !errors.Is(err, sess.ErrBacklog) || time.Now().After(limit):
+			t.Fatalf("stream %d of %d: %v", n, sess.MaxStreams, err)
+		default:
+			time.Sleep(time.Millisecond)
 		}
 	}
 	if _, err := d.Open(ctx, &wire.RequestHead{}); !errors.Is(err, sess.ErrBacklog) {
