--- a/internal/host/beside/registry.go
+++ b/internal/host/beside/registry.go
@@ -39,27 +39,28 @@
 	return &Registry{targets: make(map[string]*Target), changed: make(chan struct{}, 1)}
 }
 
-// Announce records an announcement made at the given time; it returns an error that names the first invalid field.
+// Announce records an announcement made at the given time and reports whether the target was not known; it returns an
+// error that names the first invalid field.
 //
 // A target that announced TargetLeaving stays in that state until it has been silent: announcements that arrive late
 // must not bring it back.
-func (r *Registry) Announce(info wire.TargetInfo, address string, at time.Time) error {
+func (r *Registry) Announce(info wire.TargetInfo, address string, at time.Time) (isNew bool, err error) {
 	if err := validate(info, address); err != nil {
-		return err
+		return false, err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t, ok := r.targets[info.Target]
 	if !ok {
 		if len(r.targets) >= maxTargets {
-			return errors.Newf("there are already %d targets beside this agent", maxTargets)
+			return false, errors.Newf("there are already %d targets beside this agent", maxTargets)
 		}
 		t = &Target{ReadyAt: at}
 		r.targets[info.Target] = t
 	}
 	if t.Info.State == wire.TargetLeaving && info.State == wire.TargetReady {
 		if at.Sub(t.SeenAt) < silentAfter {
-			return nil
+			return false, nil
 		}
 	}
 	if t.Info.State != wire.TargetReady && info.State == wire.TargetReady {
@@ -70,7 +71,7 @@
 		r.noteChange()
 	}
 	t.SeenAt = at
-	return nil
+	return !ok, nil
 }
 
 func validate(info wire.TargetInfo, address string) error {
--- a/internal/host/beside/registry_test.go
+++ b/internal/host/beside/registry_test.go
@@ -35,7 +35,7 @@
 	for _, s := range steps {
 		now := start.Add(s.after)
 		if s.state != 0 {
-			if err := r.Announce(info(s.state), address, now); err != nil {
+			if _, err := r.Announce(info(s.state), address, now); err != nil {
 				t.Fatalf("%s: %v", s.name, err)
 			}
 		}
@@ -50,11 +50,11 @@
 func TestAnnounceRefusesInvalid(t *testing.T) {
 	r := beside.NewRegistry()
 	for _, address := range []string{"", "localhost:80", "127.0.0.1"} {
-		if err := r.Announce(info(wire.TargetReady), address, start); err == nil {
+		if _, err := r.Announce(info(wire.TargetReady), address, start); err == nil {
 			t.Errorf("address %q was accepted", address)
 		}
 	}
-	if err := r.Announce(info(wire.TargetSilent), "127.0.0.1:80", start); err == nil {
+	if _, err := r.Announce(info(wire.TargetSilent), "127.0.0.1:80", start); err == nil {
 		t.Error("state Silent was accepted")
 	}
 }
--- a/internal/role/agent/listen.go
+++ b/internal/role/agent/listen.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/plat/notice"
 )
@@ -36,10 +39,15 @@
 	if n.State == notice.Leaving {
 		info.State = wire.TargetLeaving
 	}
-	if err := a.registry.Announce(info, n.Address, time.Now()); err != nil {
+	isNew, err := a.registry.Announce(info, n.Address, time.Now())
+	if err != nil {
 		http.Error(w, "announcement: "+err.Error(), http.StatusUnprocessableEntity)
 		return
 	}
+	if isNew {
+		event.Log(a.cfg.Log, event.TargetAnnounced, zap.String("Target", n.Target), zap.String("Service", n.Service),
+			zap.String("Address", n.Address))
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -189,6 +189,7 @@
 	event.Log(e.cfg.Log, event.ProcessStarted, zap.String("Role", "entry"), zap.String("Callers", e.Callers()),
 		zap.String("Administration", e.Administration()), zap.String("Sessions", e.Sessions()),
 		zap.Stringer("Listening", e.listeners.sessions.Addr()))
+	event.Log(e.cfg.Log, event.ServingStarted, zap.String("Address", e.Callers()))
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	var wg sync.WaitGroup
--- a/internal/role/entry/network.go
+++ b/internal/role/entry/network.go
@@ -31,7 +31,7 @@
 		Self: self, Store: e.cfg.Store, Roster: n.roster, Zones: n.zones, Log: e.cfg.Log,
 	})
 	n.keeper = roster.NewKeeper(roster.KeeperConfig{
-		Roster: n.roster, Wanted: roster.PeersOf(n.roster, self.Name), Dial: n.dial, Log: e.cfg.Log,
+		Roster: n.roster, Wanted: roster.MeshOf(n.roster, self, n.zones), Dial: n.dial, Log: e.cfg.Log,
 	})
 	return n
 }
--- a/internal/role/entry/session.go
+++ b/internal/role/entry/session.go
@@ -36,6 +36,7 @@
 	e.tracker.Applied(memberOf(p), p.ConfigVersion)
 	if p.Role == wire.RoleEntry {
 		e.directory.addPeer(s)
+		e.network.roster.Meet(p)
 		e.send(s, e.directory.summary(e.holder.Version()))
 		e.network.send(s)
 		return
