--- a/cmd/trefoilramp/audit.go
+++ b/cmd/trefoilramp/audit.go
@@ -13,7 +13,7 @@
 //
 //	trefoilramp audit [--limit N] [--before TIME]
 func auditCommand() *cli.Command {
-	return remote("audit", "list who changed what, newest first", "", []cli.Flag{
+	return apiCommand("audit", "list who changed what, newest first", "", []cli.Flag{
 		&cli.IntFlag{Name: "limit", Usage: "list at most `N` records", Value: 50},
 		&cli.StringFlag{Name: "before", Usage: "list only records older than `TIME`, as in RFC 3339"},
 	}, listAudit)
@@ -37,7 +37,8 @@
 	}
 	rows := make([][]string, len(list.Records))
 	for i, r := range list.Records {
-		rows[i] = []string{r.Time.Format(time.RFC3339Nano), r.Author, r.Action.String(), r.Object, r.Before, r.After}
+		from, to := r.Brief()
+		rows[i] = []string{r.Time.Format(time.RFC3339Nano), r.Author, r.Action.String(), r.Object, from, to}
 	}
 	return printTable(out(c), []string{"TIME", "AUTHOR", "ACTION", "OBJECT", "BEFORE", "AFTER"}, rows)
 }
--- a/internal/host/runner/runner.go
+++ b/internal/host/runner/runner.go
@@ -17,15 +17,13 @@
 )
 
 const (
-	maxTasks      = 512 // bounds the memory of an agent; a worker of the largest size runs about 30
-	inboxSize     = 4 * maxTasks
-	executors     = 4                      // concurrent calls to the worker
-	callTimeout   = 5 * time.Second        // of one call to the worker
-	pollEvery     = 500 * time.Millisecond // the worker's status is read this often while it holds tasks
-	resendEvery   = 2 * time.Second        // final reports are sent again this often until acknowledged
-	renewEvery    = 4 * time.Second        // less than a quarter of the agent lease of 20 s
-	retryEvery    = 500 * time.Millisecond // between repeated calls to the worker
-	renewalLeeway = time.Second            // the worker's deadline is brought up to date at once when it is this near
+	maxTasks    = 512 // bounds the memory of an agent; a worker of the largest size runs about 30
+	inboxSize   = 4 * maxTasks
+	executors   = 4                      // concurrent calls to the worker
+	callTimeout = 5 * time.Second        // of one call to the worker
+	pollEvery   = 500 * time.Millisecond // the worker's status is read this often while it holds tasks
+	resendEvery = 2 * time.Second        // final reports are sent again this often until acknowledged
+	retryEvery  = 500 * time.Millisecond // between repeated calls to the worker
 )
 
 // Owner is a session with the entry that owns a partition.
@@ -63,7 +61,6 @@
 	partitions map[ident.Partition]*partition
 	tasks      map[ident.Task]*task
 	renewing   bool
-	renewedAt  time.Time
 	leaving    bool
 }
 
@@ -78,6 +75,7 @@
 	owner      Owner // nil without a session
 	reconciled bool  // the owner has seen the inventory in this session
 	until      int64 // lease deadline, ns since base
+	passedOn   int64 // lease deadline that the worker was told last
 }
 
 // New returns a runner; Restore and Run make it work.
@@ -117,11 +115,11 @@
 	defer r.mu.Unlock()
 	held := make(map[ledger.Holder]sizes.Resources)
 	for _, s := range list {
-		p, err := ident.ParsePartition(s.Label)
+		p, class, err := parseLabel(s.Label)
 		if err != nil {
 			r.cfg.Log.Warn("worker holds a task without a partition", zap.Stringer("Task", s.Task), zap.Error(err))
 		}
-		t := &task{partition: p, ref: s.Ref, size: s.Size, phase: phaseRunning, status: s, given: true}
+		t := &task{partition: p, ref: s.Ref, class: class, size: s.Size, phase: phaseRunning, status: s, given: true}
 		if s.State.HasEnded() {
 			t.end(reportOf(t, s))
 		} else {
--- a/internal/serve/relay/request.go
+++ b/internal/serve/relay/request.go
@@ -17,6 +17,7 @@
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/point"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/plat/notice"
 )
 
 var (
@@ -51,17 +52,20 @@
 	return r
 }
 
-// end gives back everything that is reserved; it runs once. The stream must not be left while the transport still reads
-// from it: the peer resets a stream whose response it has, which ends that read.
+// end is called when the handler ends; it runs once.
 func (r *request) end() {
 	r.cancel(nil)
+	r.giveBack()
+	r.server.leave(r)
+}
+
+// giveBack ends what is reserved. It comes before the last frame of an answer, because the entry may send the next
+// request for the same slot as soon as it has that frame.
+func (r *request) giveBack() {
 	r.yieldSlot()
 	if r.releaseConn != nil {
 		r.releaseConn()
-	}
-	r.server.leave(r)
-	if r.body != nil {
-		r.body.stop()
+		r.releaseConn = nil
 	}
 }
 
@@ -85,6 +89,7 @@
 	if err != nil {
 		return notRun(wire.ReasonNoTarget, err.Error())
 	}
+	started := time.Now()
 	resp, err := r.transport(req).RoundTrip(req)
 	if err != nil {
 		return r.classify(err)
@@ -96,6 +101,8 @@
 	timer.Stop()
 	if IsOpen(resp.Header) {
 		r.yieldSlot()
+	} else if f := r.server.cfg.Finished; f != nil && !r.head.Long {
+		f(r.head.Service, started, time.Now())
 	}
 	if err := r.server.cfg.Hook.At(point.ServeAnswered, string(r.head.Request)); err != nil {
 		return r.unknown(err)
@@ -141,6 +148,7 @@
 	if req.Header == nil {
 		req.Header = make(http.Header)
 	}
+	req.Header[notice.RequestHeader] = []string{string(r.head.Request)}
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header["User-Agent"] = nil // keeps net/http from adding its own
 	}
@@ -248,6 +256,7 @@
 			return fmt.Errorf("read response: %w", err)
 		}
 	}
+	r.giveBack()
 	if len(resp.Trailer) > 0 {
 		if err := r.stream.Send(r.ctx, &wire.Trailers{Header: resp.Trailer}); err != nil {
 			return fmt.Errorf("pass trailers on: %w", err)
