Accept starts only on a session that has adopted the partition

Cause: an agent accepted a StartTask without Adopt when it knew no epoch, and an Adopt that a replaced session delivered late could take a partition back from the current session. Ruled out: relying on the end of the old session; it may come seconds after the new one has started.

--- a/internal/batch/owner/fault_test.go
+++ b/internal/batch/owner/fault_test.go
@@ -51,9 +51,9 @@
 
 func storeFault(name string, r script.Rule) fault {
 	return fault{name, func(c *cell, e *entry, _ *agent) {
-		ofEntry := r // cells run in parallel
-		ofEntry.Client = string(e.self.Name)
-		if err := c.store.Faults().Set(ofEntry); err != nil {
+		rule := r // cells run in parallel
+		rule.Client = string(e.self.Name)
+		if err := c.store.Faults().Set(rule); err != nil {
 			c.t.Error(err)
 		}
 	}}
--- a/internal/host/runner/runner.go
+++ b/internal/host/runner/runner.go
@@ -60,6 +60,8 @@
 	mu         sync.Mutex // guards what follows
 	partitions map[ident.Partition]*partition
 	tasks      map[ident.Task]*task
+	sessions   map[Owner]uint64 // order in which open sessions were first heard
+	met        uint64
 	renewing   bool
 	leaving    bool
 }
@@ -87,6 +89,7 @@
 		calls:      queue.NewRing[call](2 * maxTasks),
 		partitions: make(map[ident.Partition]*partition),
 		tasks:      make(map[ident.Task]*task),
+		sessions:   make(map[Owner]uint64),
 	}
 }
 
--- a/internal/host/runner/runner_test.go
+++ b/internal/host/runner/runner_test.go
@@ -112,6 +112,12 @@
 	synctest.Wait()
 }
 
+// adopt makes o the owner of the partition, with nothing to drop.
+func (f *fixture) adopt(o *owner, epoch ident.Epoch) {
+	f.send(o, &wire.Adopt{Partition: partition, Epoch: epoch})
+	f.send(o, &wire.Reconcile{Partition: partition, Epoch: epoch})
+}
+
 // startTask starts the first attempt of the plan under epoch 1.
 func (f *fixture) startTask(o *owner, command string) {
 	f.send(o, &wire.StartTask{
@@ -153,8 +159,7 @@
 func TestTaskRunsToItsEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, o := newFixture(t), &owner{}
-		f.send(o, &wire.Adopt{Partition: partition, Epoch: 1})
-		f.send(o, &wire.Reconcile{Partition: partition, Epoch: 1})
+		f.adopt(o, 1)
 		f.startTask(o, "run=60s")
 		if got := f.ledger.Given().Memory; got != 400 {
 			t.Errorf("%d bytes reserved, want 400", got)
@@ -181,6 +186,7 @@
 		{"older epoch", func(_ *fixture, m *wire.StartTask) { m.Epoch = 1 }},
 		{"incarnation before a restart", func(_ *fixture, m *wire.StartTask) { m.Incarnation = "before" }},
 		{"lapsed lease", func(f *fixture, m *wire.StartTask) { m.Until = f.runner.Now() }},
+		{"partition not adopted", func(_ *fixture, m *wire.StartTask) { m.Partition.Number = 9 }},
 		{"too large", func(_ *fixture, m *wire.StartTask) { m.Size.Memory = 1001 }},
 		{"leaving", func(f *fixture, _ *wire.StartTask) { f.runner.SetLeaving() }},
 	}
@@ -207,6 +213,7 @@
 func TestLapsedLeasePausesAndResumes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, o := newFixture(t), &owner{}
+		f.adopt(o, 1)
 		f.startTask(o, "run=30s")
 		time.Sleep(60 * time.Second)
 		f.wantStates(o, wire.TaskRunning)
@@ -227,6 +234,7 @@
 func TestRestartedAgentKeepsTasksAndFences(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, before, after := newFixture(t), &owner{}, &owner{}
+		f.adopt(before, 1)
 		f.startTask(before, "run=10s")
 		f.restart("second")
 		if got := f.ledger.Given().Memory; got != 400 {
@@ -251,6 +259,7 @@
 func TestEvictionLeavesCheckpoint(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, o := newFixture(t), &owner{}
+		f.adopt(o, 1)
 		f.startTask(o, "run=60s")
 		time.Sleep(5 * time.Second)
 		f.send(o, &wire.StopTask{Partition: partition, Epoch: 1, Task: plan, Attempt: 1, Reason: wire.StopEvict})
@@ -271,6 +280,7 @@
 func TestReconcileStopsSuperseded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, o := newFixture(t), &owner{}
+		f.adopt(o, 1)
 		f.startTask(o, "run=60s")
 		f.send(o, &wire.Adopt{Partition: partition, Epoch: 2})
 		f.send(o, &wire.Reconcile{Partition: partition, Epoch: 2, Drop: o.inventory().Held})
@@ -295,6 +305,7 @@
 func TestLimitsReachTheWorker(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, o := newFixture(t), &owner{}
+		f.adopt(o, 1)
 		f.send(o, &wire.StartTask{Partition: partition, Epoch: 1, Task: plan, Attempt: 1, Incarnation: f.self, Class: "scan",
 			Command: "run=60s", Size: sizes.Resources{Processors: 1000}, Until: f.runner.Now() + int64(agentLease)})
 		f.restart("second")
@@ -314,3 +325,18 @@
 		f.wantStates(o, wire.TaskRunning, wire.TaskEvicted)
 	})
 }
+
+// Guards against a session that its owner has replaced: what it still delivers must not take the partition back.
+func TestReplacedSessionChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, old, current := newFixture(t), &owner{}, &owner{}
+		f.adopt(old, 1)
+		f.adopt(current, 1)
+		f.send(old, &wire.Adopt{Partition: partition, Epoch: 1})
+		f.startTask(old, "run=10s")
+		f.wantStates(old, wire.TaskRefused)
+		f.startTask(current, "run=10s")
+		f.renewFor(current, 1, 15*time.Second)
+		f.wantStates(current, wire.TaskRunning, wire.TaskFinished)
+	})
+}
