--- a/internal/demo/whole/system.go
+++ b/internal/demo/whole/system.go
@@ -30,6 +30,7 @@
 const (
 	loopback   = "127.0.0.1:0"
 	standDrain = time.Second
+	drainLimit = 30 * time.Second
 	startLimit = 30 * time.Second
 	pollEvery  = 50 * time.Millisecond
 )
--- a/internal/demo/whole/worker.go
+++ b/internal/demo/whole/worker.go
@@ -90,9 +90,25 @@
 			w.system.options.Log.Error("agent failed", zap.Error(err))
 		}
 	})
+	w.system.running.Go(func() {
+		select {
+		case <-life.Done():
+		case <-a.DrainAsked():
+			w.drainAsked(life)
+		}
+	})
 	return nil
 }
 
+// drainAsked drains the worker at the request of an operator, as the process of an agent does.
+func (w *Worker) drainAsked(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, drainLimit)
+	defer cancel()
+	if err := w.Drain(ctx); err != nil {
+		w.system.options.Log.Warn("drain was cut off", zap.Error(err))
+	}
+}
+
 func (w *Worker) startTarget(ctx, life context.Context) error {
 	ln, err := listen(ctx)
 	if err != nil {
--- a/internal/role/entry/jobs.go
+++ b/internal/role/entry/jobs.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -61,21 +63,43 @@
 
 // List implements admin.Jobs.
 func (j *jobs) List(ctx context.Context) (wire.JobReply, error) {
+	partitions := j.members.Partitions()
+	replies := make([]wire.JobReply, len(partitions))
+	var wg sync.WaitGroup
+	for i, p := range partitions {
+		wg.Go(func() { replies[i] = j.listOne(ctx, p) })
+	}
+	wg.Wait()
 	all := wire.JobReply{Status: http.StatusOK}
-	for _, p := range j.members.Partitions() {
-		reply, err := j.ask(ctx, p, &wire.JobQuery{Home: p})
-		if err != nil {
-			return wire.JobReply{}, err
+	for _, r := range replies {
+		if r.Status != http.StatusOK {
+			return r, nil
 		}
-		if reply.Status != http.StatusOK {
-			return reply, nil
+		all.Jobs = append(all.Jobs, r.Jobs...)
+		all.Detail = cmp.Or(all.Detail, r.Detail)
+	}
+	if len(all.Jobs) > maxListing {
+		all.Jobs, all.More = all.Jobs[:maxListing], true
+	}
+	return all, nil
+}
+
+// listOne returns the jobs at home in a partition, page by page.
+func (j *jobs) listOne(ctx context.Context, p ident.Partition) wire.JobReply {
+	var all wire.JobReply
+	query := &wire.JobQuery{Home: p}
+	for {
+		reply, err := j.ask(ctx, p, query)
+		if err != nil {
+			return wire.JobReply{Status: http.StatusServiceUnavailable, Detail: err.Error()}
 		}
-		all.Jobs = append(all.Jobs, reply.Jobs...)
-		if len(all.Jobs) > maxListing {
-			return all, nil
+		reply.Jobs = append(all.Jobs, reply.Jobs...)
+		all = reply
+		if !reply.More || len(reply.Jobs) > maxListing {
+			return all
 		}
+		query = &wire.JobQuery{Home: p, After: reply.Jobs[len(reply.Jobs)-1].Spec.Job}
 	}
-	return all, nil
 }
 
 func noPartitions() wire.JobReply {
