--- a/internal/role/agent/noise.go
+++ b/internal/role/agent/noise.go
@@ -43,7 +43,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			for _, act := range a.interference.decide(now, a.running()) {
+			for _, act := range a.noise.decide(now, a.running()) {
 				a.perform(act)
 			}
 		}
