Audit the submission of jobs

Cause: every change has to be in the audit trail; submissions were only kept with the job. The record is written before, as for cancellations and drains. Conclusion: who submitted, cancelled, drained and changed the configuration is listed by audit.

--- a/internal/ops/admin/job.go
+++ b/internal/ops/admin/job.go
@@ -157,8 +157,14 @@
 		return faultsProblem(err)
 	}
 	class, _ := c.Document.JobClass(j.Class)
+	spec := j.spec(class, author, a.Now())
+	record := audit.New(a.Now(), author, audit.ActionSubmit, "job/"+string(spec.Job))
+	record.After = fmt.Sprintf("%d tasks of class %s for team %s", spec.Tasks, spec.Class, spec.Team)
+	if p := a.record(r.Context(), record); p != nil {
+		return p
+	}
 	return a.answerJobs(w, http.StatusCreated, false, func(jobs Jobs) (wire.JobReply, error) {
-		return jobs.Submit(r.Context(), j.spec(class, author, a.Now()))
+		return jobs.Submit(r.Context(), spec)
 	})
 }
 
--- a/internal/ops/audit/action_string.go
+++ b/internal/ops/audit/action_string.go
@@ -11,11 +11,12 @@
 	_ = x[ActionAccept-1]
 	_ = x[ActionCancel-2]
 	_ = x[ActionDrain-3]
+	_ = x[ActionSubmit-4]
 }
 
-const _Action_name = "AcceptCancelDrain"
+const _Action_name = "AcceptCancelDrainSubmit"
 
-var _Action_index = [...]uint8{0, 6, 12, 17}
+var _Action_index = [...]uint8{0, 6, 12, 17, 23}
 
 func (i Action) String() string {
 	idx := int(i) - 1
--- a/internal/ops/audit/record.go
+++ b/internal/ops/audit/record.go
@@ -22,6 +22,7 @@
 	ActionAccept Action = iota + 1 // of a configuration
 	ActionCancel                   // of a job
 	ActionDrain                    // of a worker
+	ActionSubmit                   // of a job
 )
 
 // MarshalText implements encoding.TextMarshaler.
@@ -31,7 +32,7 @@
 // so that an older one can still list it.
 func (a *Action) UnmarshalText(b []byte) error {
 	*a = 0
-	for known := ActionAccept; known <= ActionDrain; known++ {
+	for known := ActionAccept; known <= ActionSubmit; known++ {
 		if known.String() == string(b) {
 			*a = known
 		}
