Count batch work in the metrics; leave no audit record of a drain that cannot begin

Cause: the batch metrics of the catalogue had no source, and a drain of an unknown worker was recorded before it was refused. Measured: TestRoles still demands 404 for the unknown worker. Conclusion: serve_retries, serve_relayed and batch_quarantined_workers are the metrics without a source.

--- a/internal/batch/owner/finish.go
+++ b/internal/batch/owner/finish.go
@@ -113,6 +113,7 @@
 
 // ended runs when the end of an attempt is durable.
 func (p *partition) ended(s *session, r *wire.TaskReport) {
+	p.o.cfg.Observer.TaskEnded(r.State)
 	step := point.FinishCommitted
 	if r.State == wire.TaskEvicted {
 		step = point.EvictCommitted
--- a/internal/batch/owner/manage.go
+++ b/internal/batch/owner/manage.go
@@ -123,6 +123,7 @@
 		return
 	}
 	p := o.enter(taken, state, tail)
+	o.cfg.Observer.PartitionTaken()
 	o.log(event.PartitionTaken, zap.Stringer("Partition", id), zap.Uint64("Epoch", uint64(p.epoch)),
 		zap.Bool("HandedOver", taken.HandedOver))
 	err = p.run(ctx)
--- a/internal/batch/owner/outside.go
+++ b/internal/batch/owner/outside.go
@@ -45,6 +45,13 @@
 	Policy(team ident.Team) (weight float64, quota sizes.Resources) // of the configuration; quota of the deployment
 }
 
+// Observer counts what has become durable; its methods must not block.
+type Observer interface {
+	TaskStarted()
+	TaskEnded(s wire.TaskState)
+	PartitionTaken()
+}
+
 // Config configures an Owner.
 type Config struct {
 	Self    commit.Self
@@ -55,6 +62,8 @@
 	Writes  float64 // store writes/s that commits of all partitions of the deployment may use
 	Log     *zap.Logger
 	Hook    point.Hook // for tests
+
+	Observer Observer // nil for none
 }
 
 const (
@@ -86,3 +95,15 @@
 	w, q := c.Members.Policy(t)
 	return place.Policy{Weight: w, Quota: place.Split(q, int64(max(1, len(c.Members.Partitions()))))}
 }
+
+// noObserver counts nothing.
+type noObserver struct{}
+
+// TaskStarted implements Observer.
+func (noObserver) TaskStarted() {}
+
+// TaskEnded implements Observer.
+func (noObserver) TaskEnded(wire.TaskState) {}
+
+// PartitionTaken implements Observer.
+func (noObserver) PartitionTaken() {}
--- a/internal/batch/owner/owner.go
+++ b/internal/batch/owner/owner.go
@@ -29,6 +29,9 @@
 
 // New returns an owner that owns nothing until Run.
 func New(cfg Config) *Owner {
+	if cfg.Observer == nil {
+		cfg.Observer = noObserver{}
+	}
 	return &Owner{
 		cfg: cfg, board: place.NewBoard(), parts: map[ident.Partition]*partition{},
 		taking: map[ident.Partition]bool{}, sessions: map[ident.Worker]*session{},
--- a/internal/batch/owner/start.go
+++ b/internal/batch/owner/start.go
@@ -98,6 +98,7 @@
 
 // started runs when the attempt is durable.
 func (p *partition) started(id ident.Task, n ident.Attempt) {
+	p.o.cfg.Observer.TaskStarted()
 	if p.o.cfg.Hook.At(point.StartCommitted, id.String()) == nil {
 		p.sendStart(id, n)
 	}
--- a/internal/ops/admin/admin.go
+++ b/internal/ops/admin/admin.go
@@ -32,6 +32,8 @@
 
 // Workers drains workers.
 type Workers interface {
+	// Knows reports whether an agent of that name has a session with this entry.
+	Knows(worker string) bool
 	// Drain tells a worker's agent to take no new work; it returns ErrNotFound when no agent of that name is known.
 	Drain(ctx context.Context, worker string) error
 }
--- a/internal/ops/admin/admin_test.go
+++ b/internal/ops/admin/admin_test.go
@@ -51,6 +51,8 @@
 	return wire.JobReply{Status: http.StatusOK, Jobs: make([]wire.JobStatus, 1)}, nil
 }
 
+func (p *parts) Knows(worker string) bool { return worker == "worker-1" }
+
 func (p *parts) Drain(_ context.Context, worker string) error {
 	if worker != "worker-1" {
 		return admin.ErrNotFound
--- a/internal/ops/admin/operate.go
+++ b/internal/ops/admin/operate.go
@@ -56,6 +56,9 @@
 	if p != nil {
 		return p
 	}
+	if !a.Workers.Knows(name) {
+		return problem(http.StatusNotFound, "no agent of this name has a session with the entry")
+	}
 	record := audit.New(a.Now(), author, audit.ActionDrain, "worker/"+name)
 	record.Before, record.After = "in service", "draining"
 	if p := a.record(r.Context(), record); p != nil {
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -115,6 +115,8 @@
 		Writes:  journalWrites,
 		Log:     cfg.Log,
 		Hook:    cfg.Hook,
+
+		Observer: batchCounters{e.metrics},
 	})
 	e.jobs = &jobs{e.members, e.owner}
 	e.front = front.New(front.Config{
@@ -197,6 +199,7 @@
 	wg.Go(func() { e.distribute(ctx) })
 	wg.Go(func() { e.summarize(ctx) })
 	wg.Go(func() { e.measure(ctx) })
+	wg.Go(func() { e.measureTasks(ctx) })
 	wg.Go(func() { e.network.run(ctx, stop) })
 	wg.Go(func() { e.owner.Run(ctx) })
 	wg.Go(func() {
--- a/internal/role/entry/measure.go
+++ b/internal/role/entry/measure.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/ops/metric"
 	"trefoilramp.org/trefoilramp/internal/plat/table"
 	"trefoilramp.org/trefoilramp/internal/serve/front"
@@ -16,6 +17,8 @@
 // unknownService is the tag of requests for services that are not declared; callers must not be able to create tags.
 const unknownService = "unknown"
 
+const totalsEvery = 5 * time.Second
+
 // measured counts the requests of callers by service and outcome.
 func (e *Entry) measured(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -127,3 +130,39 @@
 	m.note("DeleteObject", start, err)
 	return err
 }
+
+// batchCounters counts what has become durable; it implements owner.Observer.
+type batchCounters struct{ metrics *metric.Set }
+
+// TaskStarted implements owner.Observer.
+func (b batchCounters) TaskStarted() { b.metrics.Counter(metric.TaskStarts).Inc(1) }
+
+// TaskEnded implements owner.Observer.
+func (b batchCounters) TaskEnded(s wire.TaskState) {
+	b.metrics.Counter(metric.TaskEnds, s.String()).Inc(1)
+	if s == wire.TaskEvicted {
+		b.metrics.Counter(metric.Evictions).Inc(1)
+	}
+}
+
+// PartitionTaken implements owner.Observer.
+func (b batchCounters) PartitionTaken() { b.metrics.Counter(metric.Takeovers).Inc(1) }
+
+// measureTasks sets the gauges of batch work until ctx ends. Sums over all jobs are costlier than the other gauges, and
+// so are taken less often.
+func (e *Entry) measureTasks(ctx context.Context) {
+	ticker := time.NewTicker(totalsEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		read, cancel := context.WithTimeout(ctx, totalsEvery)
+		t := e.owner.Totals(read)
+		cancel()
+		e.metrics.Gauge(metric.TasksQueued).Update(float64(t.Counts.Queued))
+		e.metrics.Gauge(metric.TasksRunning).Update(float64(t.Counts.Running))
+	}
+}
--- a/internal/role/entry/operate.go
+++ b/internal/role/entry/operate.go
@@ -11,6 +11,7 @@
 	"trefoilramp.org/trefoilramp/internal/batch/owner"
 	"trefoilramp.org/trefoilramp/internal/conf/head"
 	"trefoilramp.org/trefoilramp/internal/conf/model"
+	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/ops/admin"
 	"trefoilramp.org/trefoilramp/internal/ops/audit"
@@ -142,6 +143,13 @@
 // drainer drains workers at the request of operators; it implements admin.Workers.
 type drainer struct{ entry *Entry }
 
+// Knows implements admin.Workers.
+func (d drainer) Knows(worker string) bool {
+	return slices.ContainsFunc(d.entry.directory.agentSessions(), func(s *sess.Session) bool {
+		return s.Peer().Name == worker
+	})
+}
+
 // Drain implements admin.Workers.
 func (d drainer) Drain(_ context.Context, worker string) error {
 	found := false
