--- a/internal/host/runner/runner_test.go
+++ b/internal/host/runner/runner_test.go
@@ -321,7 +321,7 @@
 		if !f.runner.Evict(ref) || f.runner.Evict(worker.Ref{Task: plan, Attempt: 2}) {
 			t.Error("evictions must reach exactly the attempt that the runner holds")
 		}
-		f.send(o, &wire.Adopt{Partition: partition, Epoch: 2})
+		f.adopt(o, 2)
 		f.wantStates(o, wire.TaskRunning, wire.TaskEvicted)
 	})
 }
