--- a/internal/batch/commit/journal.go
+++ b/internal/batch/commit/journal.go
@@ -13,6 +13,7 @@
 	"trefoilramp.org/trefoilramp/internal/batch/part"
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/plat/table"
 )
@@ -190,7 +191,7 @@
 			break
 		}
 		event.Log(j.cfg.Log, event.SnapshotDelayed, zap.Stringer("Partition", j.taken.Partition), zap.Error(err))
-		if !sleep(ctx, lastPause) {
+		if !pause.For(ctx, lastPause) {
 			return
 		}
 	}
@@ -368,7 +369,7 @@
 	switch {
 	case errors.Is(err, table.ErrNotFound), err == nil && r.Version != j.head.Version:
 		return fmt.Errorf("confirm %s: %w", j.taken.Partition, ErrDeposed)
-	case err != nil && !sleep(ctx, lastPause):
+	case err != nil && !pause.For(ctx, lastPause):
 		return context.Cause(ctx)
 	case err != nil:
 		return nil // tried again by the next step
--- a/internal/batch/commit/settle.go
+++ b/internal/batch/commit/settle.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/plat/table"
 )
 
@@ -31,7 +32,7 @@
 // its conditions. A conflict with a row that carries the transaction's own Txn means that it was committed.
 func settle(ctx context.Context, s table.Store, t table.Transaction) (settled, error) {
 	var out settled
-	for pause := firstPause; ; pause = min(2*pause, lastPause) {
+	for delay := firstPause; ; delay = min(2*delay, lastPause) {
 		out.sent = time.Now()
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		res, err := s.Transact(call, t)
@@ -50,7 +51,7 @@
 		case errors.Is(err, table.ErrOverBudget):
 			out.overBudget = true
 		}
-		if !sleep(ctx, pause/2+rand.N(pause/2)) {
+		if !pause.For(ctx, delay/2+rand.N(delay/2)) {
 			return out, context.Cause(ctx)
 		}
 	}
@@ -73,15 +74,3 @@
 	}
 	return version, version != 0
 }
-
-// sleep waits and reports false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/batch/owner/manage.go
+++ b/internal/batch/owner/manage.go
@@ -12,29 +12,18 @@
 	"trefoilramp.org/trefoilramp/internal/batch/part"
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/core/point"
 )
 
 const drainPoll = 50 * time.Millisecond
 
-// sleep waits and reports false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Run takes over and hands over partitions until ctx ends; it returns when all work of the owner has stopped.
 func (o *Owner) Run(ctx context.Context) {
 	defer o.running.Wait()
 	for {
 		o.review(ctx)
-		if !sleep(ctx, headInterval) {
+		if !pause.For(ctx, headInterval) {
 			return
 		}
 	}
@@ -142,7 +131,7 @@
 			return state, tail, nil
 		}
 		o.log(event.PartitionUnreadable, zap.Stringer("Partition", t.Partition), zap.Error(err))
-		if errors.Is(err, commit.ErrCorrupt) || !o.cfg.Members.ShouldOwn(t.Partition) || !sleep(ctx, headInterval) {
+		if errors.Is(err, commit.ErrCorrupt) || !o.cfg.Members.ShouldOwn(t.Partition) || !pause.For(ctx, headInterval) {
 			return nil, nil, err
 		}
 	}
--- a/internal/batch/owner/owner.go
+++ b/internal/batch/owner/owner.go
@@ -9,6 +9,7 @@
 	"trefoilramp.org/trefoilramp/internal/batch/place"
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/core/point"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
@@ -230,7 +231,7 @@
 		if o.isIdle() {
 			return nil
 		}
-		if !sleep(ctx, drainPoll) {
+		if !pause.For(ctx, drainPoll) {
 			return context.Cause(ctx)
 		}
 	}
--- /dev/null
+++ b/internal/core/pause/doc.go
@@ -0,0 +1,2 @@
+// Package pause waits for a time that a context can cut short.
+package pause
--- a/internal/demo/check/scenario.go
+++ b/internal/demo/check/scenario.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"trefoilramp.org/trefoilramp/internal/conf/model"
+	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/demo/whole"
 	"trefoilramp.org/trefoilramp/internal/ops/admin"
 	standworker "trefoilramp.org/trefoilramp/internal/stand/worker"
@@ -125,7 +126,7 @@
 
 // loseWorker ends the agent, the target and the interface of a worker that runs tasks of the job.
 func (c *scenario) loseWorker(ctx context.Context) {
-	pause(ctx, beforeLoss)
+	pause.For(ctx, beforeLoss)
 	w := c.system.Workers[len(c.system.Workers)-1]
 	c.lost = w.Name
 	w.Lose()
@@ -150,7 +151,7 @@
 	behind := "no status yet"
 	for behind != "" && time.Since(start) < inForceLimit {
 		behind = c.behind(ctx, accepted.Version)
-		pause(ctx, pollEvery/10)
+		pause.For(ctx, pollEvery/10)
 	}
 	c.report.InForceIn = time.Since(start).Round(time.Millisecond).String()
 	if behind != "" {
@@ -187,7 +188,7 @@
 	if !c.system.IgnoresLeave() {
 		t.Leave()
 	}
-	pause(ctx, leaveLimit)
+	pause.For(ctx, leaveLimit)
 	before := t.Counts().Runs
 	load, cancel := context.WithTimeout(ctx, leaveLoad)
 	defer cancel()
@@ -276,7 +277,7 @@
 		if err == nil && job.Finished {
 			return job, nil
 		}
-		pause(ctx, pollEvery)
+		pause.For(ctx, pollEvery)
 	}
 	return last, nil
 }
@@ -293,10 +294,3 @@
 	}
 	c.report.note("Capacity", err, "%d workers stayed within processors, memory and slots", len(c.system.Workers))
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/host/runner/poll.go
+++ b/internal/host/runner/poll.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/plat/worker"
 )
@@ -18,27 +19,23 @@
 
 // poll reads the worker's attempts while there are any.
 func (r *Runner) poll(ctx context.Context) {
-	ticker := time.NewTicker(pollEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+	pause.Every(ctx, pollEvery, func() {
+		if r.Unreported() > 0 {
+			r.pollOnce(ctx)
 		}
-		if r.Unreported() == 0 {
-			continue
-		}
-		asked := time.Now()
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		list, err := r.cfg.Worker.Tasks(call)
-		cancel()
-		if err != nil {
-			r.cfg.Log.Debug("worker did not list its tasks", zap.Error(err))
-			continue
-		}
-		r.inbox.Put(ctx, polled{list, asked})
+	})
+}
+
+func (r *Runner) pollOnce(ctx context.Context) {
+	asked := time.Now()
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	list, err := r.cfg.Worker.Tasks(call)
+	if err != nil {
+		r.cfg.Log.Debug("worker did not list its tasks", zap.Error(err))
+		return
 	}
+	r.inbox.Put(ctx, polled{list, asked})
 }
 
 func (in polled) apply(r *Runner) {
@@ -97,16 +94,7 @@
 
 // tick sends final reports again until they are acknowledged.
 func (r *Runner) tick(ctx context.Context) {
-	ticker := time.NewTicker(resendEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			r.inbox.Put(ctx, resend{})
-		}
-	}
+	pause.Every(ctx, resendEvery, func() { r.inbox.Put(ctx, resend{}) })
 }
 
 // resend asks for unacknowledged reports to be sent again.
--- a/internal/link/roster/keeper.go
+++ b/internal/link/roster/keeper.go
@@ -11,6 +11,7 @@
 
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
 
@@ -181,7 +182,7 @@
 	for ctx.Err() == nil {
 		if k.Open() > 0 {
 			b = backoff{}
-			sleep(ctx, reviewEvery)
+			pause.For(ctx, reviewEvery)
 			continue
 		}
 		if s := k.dial(ctx, k.cfg.Balancer, &b); s != nil {
@@ -287,14 +288,5 @@
 	if b.failures < 6 {
 		p = min(p, firstPause<<b.failures)
 	}
-	sleep(ctx, p/2+rand.N(p/2))
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	pause.For(ctx, p/2+rand.N(p/2))
 }
--- a/internal/plat/table/resolve.go
+++ b/internal/plat/table/resolve.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/pause"
 )
 
 // Backoff between repetitions of a transaction; each pause is drawn between half and the whole of its bound.
@@ -30,7 +31,7 @@
 		return Result{}, err
 	}
 	uncertain := false
-	for pause := firstPause; ; pause = min(2*pause, maxPause) {
+	for delay := firstPause; ; delay = min(2*delay, maxPause) {
 		res, err := s.Transact(ctx, t)
 		if err == nil {
 			return ownCommit(res, t.Txn, marker), nil
@@ -39,7 +40,7 @@
 		if !uncertain {
 			return Result{}, err
 		}
-		if !sleep(ctx, pause/2+rand.N(pause/2)) {
+		if !pause.For(ctx, delay/2+rand.N(delay/2)) {
 			return Result{}, fmt.Errorf("repeat transaction %s: %w: %w", t.Txn, ErrUnknown, err)
 		}
 	}
@@ -81,14 +82,3 @@
 	}
 	return fmt.Errorf("row %q does not carry transaction %q under a condition: %w", marker, t.Txn, ErrMalformed)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/role/entry/measure.go
+++ b/internal/role/entry/measure.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/ops/metric"
 	"trefoilramp.org/trefoilramp/internal/plat/table"
@@ -46,14 +47,7 @@
 
 // measure sets the gauges until ctx ends.
 func (e *Entry) measure(ctx context.Context) {
-	ticker := time.NewTicker(summaryEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	pause.Every(ctx, summaryEvery, func() {
 		e.metrics.Gauge(metric.ConfigVersion).Update(float64(e.holder.Version()))
 		for _, z := range e.tracker.Zones() {
 			e.metrics.Gauge(metric.ConfigLowest, string(z.Zone)).Update(float64(z.Lowest))
@@ -66,7 +60,7 @@
 		for name, n := range e.directory.readyTargets() {
 			e.metrics.Gauge(metric.Targets, name).Update(float64(n))
 		}
-	}
+	})
 }
 
 // meteredStore counts and times the requests to the store.
@@ -151,18 +145,11 @@
 // measureTasks sets the gauges of batch work until ctx ends. Sums over all jobs are costlier than the other gauges, and
 // so are taken less often.
 func (e *Entry) measureTasks(ctx context.Context) {
-	ticker := time.NewTicker(totalsEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	pause.Every(ctx, totalsEvery, func() {
 		read, cancel := context.WithTimeout(ctx, totalsEvery)
+		defer cancel()
 		t := e.owner.Totals(read)
-		cancel()
 		e.metrics.Gauge(metric.TasksQueued).Update(float64(t.Counts.Queued))
 		e.metrics.Gauge(metric.TasksRunning).Update(float64(t.Counts.Running))
-	}
+	})
 }
--- a/internal/role/entry/operate.go
+++ b/internal/role/entry/operate.go
@@ -11,6 +11,7 @@
 	"trefoilramp.org/trefoilramp/internal/batch/owner"
 	"trefoilramp.org/trefoilramp/internal/conf/head"
 	"trefoilramp.org/trefoilramp/internal/conf/model"
+	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/ops/admin"
@@ -94,19 +95,12 @@
 
 // summarize tells the other entries at intervals what this one reaches.
 func (e *Entry) summarize(ctx context.Context) {
-	ticker := time.NewTicker(summaryEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	pause.Every(ctx, summaryEvery, func() {
 		m := e.directory.summary(e.holder.Version())
 		for _, s := range e.directory.peerSessions() {
 			e.send(s, m)
 		}
-	}
+	})
 }
 
 func (e *Entry) newAPI() *admin.API {
