serve/front: never take the rest of a body for the next request

Cause: a body over 256 KiB is sent on in full duplex. When the target answered before the whole body had arrived, the read of the caller's connection was interrupted by a deadline. net/http then failed to discard the rest of the body within that deadline, did not count that as an early close, kept the connection and parsed the rest of the body as the next request. A body could thus carry a request of its own.

Ruled out: the client (a raw connection shows the same), the target and the agent (the second response comes from the entry).

A response that does not wait for the whole request now carries Connection: close, and the entry reads on for at most 1 s so that the caller gets the response.

--- a/internal/serve/front/answer.go
+++ b/internal/serve/front/answer.go
@@ -43,8 +43,9 @@
 	rc     *http.ResponseController
 	method string
 	memory *memory
-	via    string // field value of Via
-	old    bool   // the caller's version of HTTP has no informational responses
+	via    string      // field value of Via
+	unread func() bool // whether bytes of the request may still come; nil for no
+	old    bool        // the caller's version of HTTP has no informational responses
 
 	mu       sync.Mutex
 	taken    int
@@ -107,6 +108,14 @@
 	return nil
 }
 
+// closeIfUnread ends the connection after a response that does not wait for the whole request. In full duplex, net/http
+// keeps a connection whose last read was interrupted and would take the rest of the body for the next request.
+func (a *httpAnswer) closeIfUnread() {
+	if a.unread != nil && a.unread() {
+		a.w.Header().Set("Connection", "close")
+	}
+}
+
 // startLate begins to stream a response that trickles in.
 func (a *httpAnswer) startLate() {
 	a.mu.Lock()
@@ -128,6 +137,7 @@
 	}
 	h.Set(HeaderOutcome, string(Complete))
 	addVia(h, a.via)
+	a.closeIfUnread()
 	if len(a.head.Trailer) > 0 {
 		h["Trailer"] = a.head.Trailer
 	}
@@ -262,6 +272,7 @@
 		return
 	}
 	a.started = true
+	a.closeIfUnread()
 	problemOf(v).write(a.w, time.Duration(v.RetryAfter))
 }
 
@@ -270,6 +281,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.started = true
+	a.closeIfUnread()
 	p.write(a.w, time.Second)
 }
 
--- a/internal/serve/front/body.go
+++ b/internal/serve/front/body.go
@@ -35,9 +35,10 @@
 	memory  *memory
 	taken   int
 	buf     []byte
-	rest    io.Reader // nil when buf is the whole body
-	length  int64     // -1 when unknown
-	begun   bool      // the rest is being read, so that the body cannot be sent again
+	rest    io.Reader   // nil when buf is the whole body
+	length  int64       // -1 when unknown
+	begun   bool        // the rest is being read, so that the body cannot be sent again
+	whole   atomic.Bool // the rest was read to its end
 	trailer func() http.Header
 	names   []string // announced trailers
 }
@@ -101,6 +102,9 @@
 	return true
 }
 
+// isUnread reports whether bytes of the body may still come from the caller.
+func (b *body) isUnread() bool { return b.rest != nil && !b.whole.Load() }
+
 func (b *body) isReplayable() bool { return b.rest == nil || !b.begun }
 
 // release gives back the memory; the buffer must not be used after that.
@@ -144,6 +148,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			b.whole.Store(true)
 			return true, nil
 		}
 		if err != nil {
--- a/internal/serve/front/http.go
+++ b/internal/serve/front/http.go
@@ -18,6 +18,10 @@
 	viaName     = "trefoilramp"
 	allMethods  = "GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS, TRACE"
 	maxForwards = "Max-Forwards"
+
+	// lingerTime bounds the reading of the rest of a request after its response; a connection that is closed with bytes
+	// unread is reset, and the caller may lose the response.
+	lingerTime = time.Second
 )
 
 // ServeHTTP implements http.Handler.
@@ -102,10 +106,14 @@
 		}
 	}
 	if c.body.rest != nil {
+		a.unread = c.body.isUnread
 		_ = a.rc.EnableFullDuplex() // not needed by the versions of HTTP that do not support it
 	}
 	c.serve(ctx)
 	c.awaitPump(func() { _ = a.rc.SetReadDeadline(time.Now()) })
+	if c.body.isUnread() {
+		_ = a.rc.SetReadDeadline(time.Now().Add(lingerTime))
+	}
 	if a.end() {
 		if r.Context().Err() == nil {
 			logBroken(f.cfg.Log, c, "response was cut off after its status line")
--- /dev/null
+++ b/internal/serve/front/unread_test.go
@@ -0,0 +1,46 @@
+package front_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against an entry that takes the unread rest of a body for the next request on the connection, and runs it: the
+// target answers before the caller has sent the whole body, whose rest is a request in form.
+func TestUnreadBodyIsNoRequest(t *testing.T) {
+	const inside = "POST /services/book/x HTTP/1.1\r\nHost: book\r\nX-Id: inside\r\nContent-Length: 0\r\n\r\n"
+	p := newPeer(t, 64, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "early") })
+	w := newWorld(t, nil, p)
+	conn, err := new(net.Dialer).DialContext(context.Background(), "tcp", w.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	first := bytes.Repeat([]byte("a"), 300<<10) // more than an entry buffers
+	fmt.Fprintf(conn, "POST /services/book/x HTTP/1.1\r\nHost: book\r\nX-Id: outside\r\nContent-Length: %d\r\n\r\n",
+		len(first)+len(inside))
+	if _, err := conn.Write(first); err != nil {
+		t.Fatal(err)
+	}
+	got := make([]byte, 4<<10)
+	n, err := conn.Read(got)
+	if err != nil || !strings.HasPrefix(string(got[:n]), "HTTP/1.1 200") {
+		t.Fatalf("got %q, %v", got[:n], err)
+	}
+	time.Sleep(50 * time.Millisecond) // the entry waits for the next request by then, if it keeps the connection
+	_, _ = io.WriteString(conn, inside)
+	_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+	if rest, err := io.ReadAll(conn); err != nil || bytes.Contains(rest, []byte("HTTP/1.1")) {
+		t.Errorf("after the response the entry sent %q, %v", rest, err)
+	}
+	if p.ran("outside") != 1 || p.ran("inside") != 0 {
+		t.Errorf("the request ran %d times, the rest of its body %d times", p.ran("outside"), p.ran("inside"))
+	}
+}
