--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -115,6 +115,7 @@
 	e.jobs = &jobs{e.members, e.owner}
 	e.front = front.New(front.Config{
 		Services:  services{e.holder},
+		Ready:     func() bool { return e.holder.Current() != nil },
 		Directory: e.directory,
 		Claims:    claim.NewBook(cfg.ClaimStore, e.members.self, cfg.Seed, cfg.Log, cfg.Hook),
 		Log:       cfg.Log,
--- a/internal/serve/front/unread_test.go
+++ b/internal/serve/front/unread_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"trefoilramp.org/trefoilramp/internal/serve/front"
 )
 
 // Guards against an entry that takes the unread rest of a body for the next request on the connection, and runs it: the
@@ -44,3 +46,13 @@
 		t.Errorf("the request ran %d times, the rest of its body %d times", p.ran("outside"), p.ran("inside"))
 	}
 }
+
+// Guards against an entry that calls a service unknown before it has read the configuration.
+func TestServiceBeforeConfiguration(t *testing.T) {
+	w := newWorld(t, nil)
+	ready := false
+	w.front.Store(front.New(front.Config{Services: w, Directory: w, Ready: func() bool { return ready }}))
+	w.do("GET", "/services/other/x", nil).want(t, "before", http.StatusServiceUnavailable, front.NotRun)
+	ready = true
+	w.do("GET", "/services/other/x", nil).want(t, "after", http.StatusNotFound, front.NotRun)
+}
