--- a/internal/serve/admit/pool.go
+++ b/internal/serve/admit/pool.go
@@ -13,6 +13,8 @@
 	defaultShortShare   = 0.25 // a quarter of the slots stays free of long work
 	defaultShortPerSlot = 4
 	defaultLongPerSlot  = 1
+	shrinkFactor        = 0.9
+	shrinkEvery         = 50 * time.Millisecond // one burst of refusals counts once
 	minRetryAfter       = 100 * time.Millisecond
 )
 
@@ -60,6 +62,7 @@
 	learned  *learner
 	slots    int
 	limit    float64 // at most slots; shrinks when agents refuse because other entries use the same slots
+	shrunk   time.Time
 	inFlight int
 	longs    int // of inFlight
 	short    lane
@@ -95,13 +98,17 @@
 	p.dispatch(time.Now())
 }
 
-// Shrink lowers the number of requests in progress by one after an agent refused one for lack of slots; it grows back
-// with each request that completes. One refusal disproves one slot. A step of 10% of all slots left a third of them idle
-// at the peak, because a few targets are full by chance long before all are.
+// Shrink lowers the number of requests in progress after an agent refused one for lack of slots; it grows back with
+// each request that completes.
 func (p *Pool) Shrink() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit = max(1, p.limit-1)
+	now := time.Now()
+	if now.Sub(p.shrunk) < shrinkEvery {
+		return
+	}
+	p.shrunk = now
+	p.limit = max(1, p.limit*shrinkFactor)
 }
 
 // Acquire waits for a slot. It returns a *RefusalError when the request cannot complete before its deadline, and the error of
