Queue a request at one entry only, and trust a refusal more than an older summary

At the peak of the month-end swing a third of all slots were idle while entries refused requests, one of them with 3 of 24 slots in use: a relayed request queued at the second entry too, the first entry learned that wait as run time, and then refused requests to its own idle targets. A relayed request now gets a slot at once or a refusal.

--- a/internal/serve/admit/pool.go
+++ b/internal/serve/admit/pool.go
@@ -131,6 +131,21 @@
 	return p.wait(ctx, w)
 }
 
+// TryAcquire is Acquire without a wait: it refuses the request when no slot is free for it now.
+func (p *Pool) TryAcquire(kind string, deadline time.Time) (*Grant, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	w := p.newWaiter(kind, deadline, now)
+	if r := p.judge(w, now); r != nil {
+		return nil, r
+	}
+	if !p.hasRoom(w.long) || !p.isFirst(w) {
+		return nil, &RefusalError{wire.ReasonOverloaded, "no slot is free at once", minRetryAfter}
+	}
+	return p.grant(w, now), nil
+}
+
 func (p *Pool) newWaiter(kind string, deadline, now time.Time) *waiter {
 	expected := p.learned.expect(kind)
 	return &waiter{
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -125,7 +125,7 @@
 
 func (c *call) acquire(ctx context.Context) *wire.Verdict {
 	pool := c.front.pool(c.service)
-	grant, err := pool.Acquire(ctx, kindOf(c.head.Method, c.head.Path), c.deadline)
+	grant, err := c.take(ctx, pool)
 	var refusal *admit.RefusalError
 	switch {
 	case errors.As(err, &refusal):
@@ -145,6 +145,16 @@
 	return nil
 }
 
+// take waits for a slot, but not for a request that another entry relays: that entry holds a slot meanwhile, and would
+// learn the wait as run time and refuse requests to idle targets of its own zone.
+func (c *call) take(ctx context.Context, pool *admit.Pool) (*admit.Grant, error) {
+	kind := kindOf(c.head.Method, c.head.Path)
+	if c.isHop {
+		return pool.TryAcquire(kind, c.deadline)
+	}
+	return pool.Acquire(ctx, kind, c.deadline)
+}
+
 func (c *call) candidates() route.Set {
 	set := c.front.cfg.Directory.Candidates(c.head.Service)
 	if c.isHop {
@@ -180,7 +190,7 @@
 		if !v.NotRun {
 			c.mayHaveRun = true
 		}
-		if v.Reason == wire.ReasonOverloaded && v.NotRun {
+		if v.Reason == wire.ReasonOverloaded && v.NotRun && cand.Target != "" {
 			f.pool(c.service).Shrink()
 		}
 		if n+1 == maxAttempts || !c.mayRetry(ctx, v) || !c.pause(ctx, n) {
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -125,7 +125,7 @@
 	}
 	if !ok || !isSame(p.own, set.Own) || !isSame(p.other, set.Other) {
 		p.own, p.other = set.Own, set.Other
-		p.pool.SetSlots(set.Slots())
+		p.pool.SetSlots(f.picker.Slots(set))
 	}
 	return p.pool
 }
--- a/internal/serve/route/route.go
+++ b/internal/serve/route/route.go
@@ -66,6 +66,21 @@
 	return &Picker{rng: rand.New(rand.NewPCG(seed, 1)), known: make(map[string]*target)}
 }
 
+// Slots returns the number of requests that the candidates run at the same time, without the entries that have refused
+// a request since their last summary.
+func (p *Picker) Slots(set Set) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := set.Slots()
+	for i := range set.Other {
+		c := &set.Other[i]
+		if t, ok := p.known[c.Name]; ok && !c.Leaving && !c.Closed && t.isOutdated(c) {
+			n -= int(c.Slots)
+		}
+	}
+	return n
+}
+
 // Pick chooses a candidate for a request with the given expected run time and counts it as in progress until Done. It
 // skips the names in tried and reports false when no candidate is left.
 func (p *Picker) Pick(set Set, expected time.Duration, tried []string) (Candidate, bool) {
@@ -78,13 +93,18 @@
 	switch {
 	case !ok && !okOther:
 		return Candidate{}, false
-	case !ok, okOther && ownScore > crossZoneGain*(otherScore+linkCost(other)):
+	case !ok, okOther && ownScore > crossZoneGain*(otherScore+linkCost(other)) && !p.isWorse(other, own, tried, now):
 		own = other
 	}
 	p.state(own.Name, now).inFlight++
 	return *own, true
 }
 
+// isWorse reports whether a is ejected or refuses, and b does not.
+func (p *Picker) isWorse(a, b *Candidate, tried []string, now time.Time) bool {
+	return p.fitness(a, tried, now) == ejected && p.fitness(b, tried, now) > ejected
+}
+
 // linkCost is what a request loses on the way to another zone and back.
 func linkCost(c *Candidate) float64 {
 	return 2*float64(c.Delay) + c.Loss*float64(retransmission)
@@ -153,7 +173,7 @@
 	switch {
 	case !ok:
 		return fit
-	case now.Before(t.ejectedUntil) || now.Before(t.pausedUntil):
+	case now.Before(t.ejectedUntil) || now.Before(t.pausedUntil) || t.isOutdated(c):
 		return ejected
 	case float64(t.inFlight) >= t.effectiveSlots(c, now):
 		return full
--- a/internal/serve/route/route_test.go
+++ b/internal/serve/route/route_test.go
@@ -56,6 +56,34 @@
 	}
 }
 
+// Guards against an entry whose summary of free slots is still believed after it has refused a request.
+func TestRefusalOutdatesSummary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := route.NewPicker(1)
+		own, other := ready(1), ready(1)
+		own[0].Target, own[0].Slots = "t", 1
+		other[0].Name, other[0].HintAt = "entry", time.Now()
+		set := route.Set{Own: own, Other: other}
+		pick := func(want string, slots int) {
+			t.Helper()
+			if got := p.Slots(set); got != slots {
+				t.Errorf("%d slots, want %d", got, slots)
+			}
+			if c, ok := p.Pick(set, run, nil); !ok || c.Name != want {
+				t.Errorf("picked %q, want %q", c.Name, want)
+			}
+		}
+		pick("a", 9)
+		pick("entry", 9)
+		time.Sleep(ms)
+		p.Done("entry", route.Refused, run, ms)
+		time.Sleep(100 * ms)
+		pick("a", 1)
+		other[0].HintAt = time.Now()
+		pick("entry", 9)
+	})
+}
+
 // Guards against load that ignores requests in progress, including those that other entries started.
 func TestLoadSpreads(t *testing.T) {
 	p := route.NewPicker(1)
--- a/internal/serve/route/target.go
+++ b/internal/serve/route/target.go
@@ -41,6 +41,7 @@
 	ejections    int
 	ejectedUntil time.Time
 	pausedUntil  time.Time // after a refusal for lack of slots
+	refusedAt    time.Time // the last such refusal
 	failedAt     time.Time
 }
 
@@ -63,6 +64,10 @@
 	return max(1, float64(c.Slots)*share)
 }
 
+// isOutdated reports whether an entry refused a request after it told of free slots. Its summary comes once a second, and
+// until the next one the refusal is the better information.
+func (t *target) isOutdated(c *Candidate) bool { return c.Target == "" && t.refusedAt.After(c.HintAt) }
+
 // learn updates the knowledge. Run times of failures are left out: a target that fails fast must not look fast.
 func (t *target) learn(r Result, expected, elapsed time.Duration, now time.Time) {
 	switch r {
@@ -82,6 +87,7 @@
 		}
 	case Refused:
 		t.pausedUntil = now.Add(refusedTime)
+		t.refusedAt = now
 	case Abandoned:
 	}
 }
