Leave the queue early enough for a slow run

Waiters were started up to deadline less mean run time. Under overload all of them wait that long, so a large share passed the deadline while it ran: the caller got Unknown, and the slot was used for nothing. The latest start from the queue now leaves two mean deviations more.

--- a/internal/serve/admit/admit_test.go
+++ b/internal/serve/admit/admit_test.go
@@ -164,6 +164,47 @@
 	})
 }
 
+// Guards against a relayed request that queues at a second entry, whose wait the first one would learn as run time.
+func TestTryAcquireDoesNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := admit.NewPool(admit.Config{})
+		p.SetSlots(1)
+		g, err := p.TryAcquire("short", time.Now().Add(time.Second))
+		if err != nil {
+			t.Fatal(err)
+		}
+		start := time.Now()
+		var r *admit.RefusalError
+		if _, err := p.TryAcquire("short", time.Now().Add(time.Hour)); !errors.As(err, &r) || time.Since(start) != 0 {
+			t.Errorf("got %v after %v, want a refusal at once", err, time.Since(start))
+		}
+		g.Release(true)
+		if _, err := p.TryAcquire("short", time.Now().Add(time.Second)); err != nil {
+			t.Errorf("a free slot was refused: %v", err)
+		}
+	})
+}
+
+// Guards against requests that leave the queue so late that a run which is only a little slow passes the deadline.
+func TestQueueLeavesSlack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := admit.NewPool(admit.Config{})
+		p.SetSlots(1)
+		for i := range 40 {
+			run(t, p, "short", time.Duration(80+40*(i%2))*ms) // mean 100 ms, mean deviation 20 ms
+		}
+		g, err := acquire(t, p, "short", time.Hour)
+		if err != nil {
+			t.Fatal(err)
+		}
+		start := time.Now()
+		if _, err := acquire(t, p, "short", 300*ms); err == nil || time.Since(start) > 180*ms {
+			t.Errorf("left the queue with %v after %v, want a refusal 120 ms or more before the deadline", err, time.Since(start))
+		}
+		g.Release(true)
+	})
+}
+
 // Guards against an estimate that was once too high and refuses its kind for ever.
 func TestProbeCorrectsEstimate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/serve/admit/grant.go
+++ b/internal/serve/admit/grant.go
@@ -56,7 +56,7 @@
 
 // wait returns when w is granted or refused, when its latest start has passed, or when ctx ends.
 func (p *Pool) wait(ctx context.Context, w *waiter) (*Grant, error) {
-	timer := time.NewTimer(time.Until(w.deadline.Add(-w.expected)))
+	timer := time.NewTimer(time.Until(w.latest))
 	defer timer.Stop()
 	select {
 	case r := <-w.done:
--- a/internal/serve/admit/learn.go
+++ b/internal/serve/admit/learn.go
@@ -5,6 +5,7 @@
 const (
 	meanGain   = 1.0 / 8 // gains of RFC 6298: they follow a shift within some ten samples
 	devGain    = 1.0 / 4
+	slackDevs  = 2 // mean deviations; a uniform spread ends at twice its mean deviation
 	medianStep = 1.0 / 32
 	longFactor = 4 // a kind is long when its mean run is this many times the service's median run
 	probeEvery = time.Second
@@ -96,6 +97,12 @@
 	return time.Duration(l.median)
 }
 
+// slack returns the time beyond the expected run that a run of this kind may need. Without it a request that starts at its
+// latest time has an even chance to pass its deadline, and the slot that it held was used for nothing.
+func (l *learner) slack(name string) time.Duration {
+	return time.Duration(slackDevs * l.kind(name).dev)
+}
+
 // isLong reports whether a kind runs long, by the declared threshold or, without one, relative to the median. A kind that
 // most requests have is never long relative to itself; the median follows a shift of its run time only slowly.
 func (l *learner) isLong(name string) bool {
--- a/internal/serve/admit/pool.go
+++ b/internal/serve/admit/pool.go
@@ -152,6 +152,7 @@
 		position: p.cfg.Order(now, expected),
 		expected: expected,
 		deadline: deadline,
+		latest:   deadline.Add(-expected - p.learned.slack(kind)),
 		kind:     kind,
 		long:     p.learned.isLong(kind),
 		index:    -1,
@@ -177,7 +178,7 @@
 	if bound := p.bound(w.long); p.laneOf(w).Len() >= bound {
 		return &RefusalError{wire.ReasonOverloaded, "the queue is full", max(wait, minRetryAfter)}
 	}
-	if now.Add(wait + w.expected).After(w.deadline) {
+	if now.Add(wait).After(w.latest) {
 		return late(w, wait)
 	}
 	return nil
@@ -256,7 +257,7 @@
 func (p *Pool) dispatch(now time.Time) {
 	for w := p.next(); w != nil; w = p.next() {
 		p.laneOf(w).remove(w)
-		if now.Add(w.expected).After(w.deadline) {
+		if now.After(w.latest) {
 			w.done <- late(w, 0)
 			continue
 		}
--- a/internal/serve/admit/queue.go
+++ b/internal/serve/admit/queue.go
@@ -25,6 +25,7 @@
 	position time.Time
 	expected time.Duration
 	deadline time.Time
+	latest   time.Time // start from the queue, with slack for a slow run
 	kind     string
 	long     bool
 	index    int                // in its lane, -1 when it has left
