--- a/internal/serve/admit/grant.go
+++ b/internal/serve/admit/grant.go
@@ -77,8 +77,6 @@
 	defer p.mu.Unlock()
 	if w.index >= 0 {
 		p.laneOf(w).remove(w)
-		now := time.Now()
-		p.learned.addWait(w.kind, w.predicted, now.Sub(w.arrived), now)
 		return nil, err
 	}
 	if r := <-w.done; r != nil {
--- a/internal/serve/admit/learn.go
+++ b/internal/serve/admit/learn.go
@@ -1,21 +1,17 @@
 package admit
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
-	meanGain       = 1.0 / 8 // gains of RFC 6298: they follow a shift within some ten samples
-	devGain        = 1.0 / 4
-	slackDevs      = 2 // mean deviations; a uniform spread ends at twice its mean deviation
-	medianStep     = 1.0 / 32
-	longFactor     = 4 // a kind is long when its mean run is this many times the service's median run
-	probeEvery     = time.Second
-	excessHalfLife = time.Second
-	maxKinds       = 256 // bounds memory when callers invent paths; further kinds share one estimate
-	otherKind      = "other"
-	window         = 1024 // samples after which the weight of older ones is halved
+	meanGain   = 1.0 / 8 // gains of RFC 6298: they follow a shift within some ten samples
+	devGain    = 1.0 / 4
+	slackDevs  = 2 // mean deviations; a uniform spread ends at twice its mean deviation
+	medianStep = 1.0 / 32
+	longFactor = 4 // a kind is long when its mean run is this many times the service's median run
+	probeEvery = time.Second
+	maxKinds   = 256 // bounds memory when callers invent paths; further kinds share one estimate
+	otherKind  = "other"
+	window     = 1024 // samples after which the weight of older ones is halved
 )
 
 // estimate follows the mean and the mean deviation of run times, in ns.
@@ -23,8 +19,6 @@
 	mean, dev float64
 	n         int
 	recent    int
-	excess    float64 // wait beyond the predicted one, which shorter requests that come later cause
-	excessAt  time.Time
 	probe     time.Time // of the last request let through although the estimate spoke against it
 }
 
@@ -109,20 +103,6 @@
 	return time.Duration(slackDevs * l.kind(name).dev)
 }
 
-// addWait records how much longer than predicted a request of this kind has waited.
-func (l *learner) addWait(name string, predicted, waited time.Duration, now time.Time) {
-	e := l.kind(name)
-	e.excess = float64(l.excess(name, now))
-	e.excess += meanGain * (max(0, float64(waited-predicted)) - e.excess)
-	e.excessAt = now
-}
-
-// excess returns the wait beyond the predicted one. It ages, since a kind that is refused for it gives no new samples.
-func (l *learner) excess(name string, now time.Time) time.Duration {
-	e := l.kind(name)
-	return time.Duration(e.excess * math.Exp2(-float64(now.Sub(e.excessAt))/float64(excessHalfLife)))
-}
-
 // isLong reports whether a kind runs long, by the declared threshold or, without one, relative to the median. A kind that
 // most requests have is never long relative to itself; the median follows a shift of its run time only slowly.
 func (l *learner) isLong(name string) bool {
--- a/internal/serve/admit/pool.go
+++ b/internal/serve/admit/pool.go
@@ -178,8 +178,7 @@
 	if bound := p.bound(w.long); p.laneOf(w).Len() >= bound {
 		return &RefusalError{wire.ReasonOverloaded, "the queue is full", max(wait, minRetryAfter)}
 	}
-	w.arrived, w.predicted = now, wait
-	if now.Add(wait + p.learned.excess(w.kind, now)).After(w.latest) {
+	if now.Add(wait).After(w.latest) {
 		return late(w, wait)
 	}
 	return nil
@@ -258,7 +257,6 @@
 func (p *Pool) dispatch(now time.Time) {
 	for w := p.next(); w != nil; w = p.next() {
 		p.laneOf(w).remove(w)
-		p.learned.addWait(w.kind, w.predicted, now.Sub(w.arrived), now)
 		if now.After(w.latest) {
 			w.done <- late(w, 0)
 			continue
--- a/internal/serve/admit/queue.go
+++ b/internal/serve/admit/queue.go
@@ -22,16 +22,14 @@
 
 // waiter is a request in a queue.
 type waiter struct {
-	position  time.Time
-	expected  time.Duration
-	deadline  time.Time
-	latest    time.Time // start from the queue, with slack for a slow run
-	arrived   time.Time
-	predicted time.Duration // wait
-	kind      string
-	long      bool
-	index     int                // in its lane, -1 when it has left
-	done      chan *RefusalError // nil when granted
+	position time.Time
+	expected time.Duration
+	deadline time.Time
+	latest   time.Time // start from the queue, with slack for a slow run
+	kind     string
+	long     bool
+	index    int                // in its lane, -1 when it has left
+	done     chan *RefusalError // nil when granted
 }
 
 // lane is a heap of waiters by position.
