serve/front: refuse with NotRun before the configuration is known

Cause: an entry that has started, but has not read the configuration yet, answered every service with 404, which a caller takes as final.

TestUnreadBodyIsNoRequest also sends the rest of the body after the linger time: with 50 ms alone it passed without Connection: close.

--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -49,6 +49,7 @@
 // Config joins a front with the other parts of the entry.
 type Config struct {
 	Services  Services
+	Ready     func() bool // whether Services are known; nil means always
 	Directory Directory
 	Claims    *claim.Book // nil refuses requests that need a claim
 	Log       *zap.Logger
--- a/internal/serve/front/http.go
+++ b/internal/serve/front/http.go
@@ -59,6 +59,10 @@
 		return fail(http.StatusNotFound, err.Error())
 	}
 	svc, ok := f.cfg.Services.Service(name)
+	if !ok && f.cfg.Ready != nil && !f.cfg.Ready() {
+		p := problemOf(notRun(wire.ReasonConfig, "the entry has no configuration yet"))
+		return order{}, Service{}, &p
+	}
 	if !ok {
 		return fail(http.StatusNotFound, fmt.Sprintf("service %q is unknown", name))
 	}
--- a/internal/serve/front/unread_test.go
+++ b/internal/serve/front/unread_test.go
@@ -7,14 +7,30 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoilramp.org/trefoilramp/internal/serve/front"
 )
 
 // Guards against an entry that takes the unread rest of a body for the next request on the connection, and runs it: the
-// target answers before the caller has sent the whole body, whose rest is a request in form.
+// target answers before the caller has sent the whole body, whose rest is a request in form and comes while the entry
+// still reads it, or later.
 func TestUnreadBodyIsNoRequest(t *testing.T) {
+	for _, after := range []time.Duration{50 * time.Millisecond, 1500 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			t.Parallel()
+			sendRestLate(t, after)
+		})
+	}
+}
+
+func sendRestLate(t *testing.T, after time.Duration) {
+	t.Helper()
 	const inside = "POST /services/book/x HTTP/1.1\r\nHost: book\r\nX-Id: inside\r\nContent-Length: 0\r\n\r\n"
 	p := newPeer(t, 64, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "early") })
 	w := newWorld(t, nil, p)
@@ -34,13 +50,23 @@
 	if err != nil || !strings.HasPrefix(string(got[:n]), "HTTP/1.1 200") {
 		t.Fatalf("got %q, %v", got[:n], err)
 	}
-	time.Sleep(50 * time.Millisecond) // the entry waits for the next request by then, if it keeps the connection
+	time.Sleep(after)
 	_, _ = io.WriteString(conn, inside)
 	_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
-	if rest, err := io.ReadAll(conn); err != nil || bytes.Contains(rest, []byte("HTTP/1.1")) {
+	if rest, err := io.ReadAll(conn); errors.Is(err, os.ErrDeadlineExceeded) || bytes.Contains(rest, []byte("HTTP/1.1")) {
 		t.Errorf("after the response the entry sent %q, %v", rest, err)
 	}
 	if p.ran("outside") != 1 || p.ran("inside") != 0 {
 		t.Errorf("the request ran %d times, the rest of its body %d times", p.ran("outside"), p.ran("inside"))
 	}
 }
+
+// Guards against an entry that calls a service unknown before it has read the configuration.
+func TestServiceBeforeConfiguration(t *testing.T) {
+	w := newWorld(t, nil)
+	ready := false
+	w.front.Store(front.New(front.Config{Services: w, Directory: w, Ready: func() bool { return ready }}))
+	w.do("GET", "/services/other/x", nil).want(t, "before", http.StatusServiceUnavailable, front.NotRun)
+	ready = true
+	w.do("GET", "/services/other/x", nil).want(t, "after", http.StatusNotFound, front.NotRun)
+}
