host/beside: test silence of a target without Expire

Without the check of silence in Lookup the test passed, since it always called Expire first. It now runs with and without Expire, and fails without the check.

--- a/internal/host/beside/registry_test.go
+++ b/internal/host/beside/registry_test.go
@@ -31,17 +31,21 @@
 		{"late ready announcement", 3200 * time.Millisecond, wire.TargetReady, false},
 		{"restarted after silence", 5200 * time.Millisecond, wire.TargetReady, true},
 	}
-	r := beside.NewRegistry()
-	for _, s := range steps {
-		now := start.Add(s.after)
-		if s.state != 0 {
-			if err := r.Announce(info(s.state), address, now); err != nil {
-				t.Fatalf("%s: %v", s.name, err)
+	for _, expires := range []bool{true, false} { // a request may come between the end of the silence and Expire
+		r := beside.NewRegistry()
+		for _, s := range steps {
+			now := start.Add(s.after)
+			if s.state != 0 {
+				if err := r.Announce(info(s.state), address, now); err != nil {
+					t.Fatalf("%s: %v", s.name, err)
+				}
+			}
+			if expires {
+				r.Expire(now)
+			}
+			if _, got := r.Lookup("booking", "", now); got != s.want {
+				t.Errorf("%s, Expire %v: takes new work = %v, want %v", s.name, expires, got, s.want)
 			}
-		}
-		r.Expire(now)
-		if _, got := r.Lookup("booking", "", now); got != s.want {
-			t.Errorf("%s: takes new work = %v, want %v", s.name, got, s.want)
 		}
 	}
 }
