Do not cut off requests when an agent is replaced; rounds of faults on processes

Causes: (1) the agent closed its sessions when the handler of the last request had ended, although the end of the stream was still queued; closing drops streams. Session.Flush now waits until it was written, and the process waits for its sessions before it ends. (2) The agent closed its sessions at once after Leaving, so that requests under way from an entry that had not heard of it yet found a closed session. It now refuses them for 1 s. Ruled out: the drain of the relay, which waits for its requests. The entry flushes and waits in the same way.

An entry that is paused for longer than 1 s meanwhile still reports Unknown for requests that never ran; a close that names the last stream that was taken would end that.

--- /dev/null
+++ b/cmd/trefoilramp/fault_test.go
@@ -0,0 +1,318 @@
+package main_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"trefoilramp.org/trefoilramp/internal/conf/model"
+	"trefoilramp.org/trefoilramp/internal/core/event"
+	"trefoilramp.org/trefoilramp/internal/link/relay"
+	"trefoilramp.org/trefoilramp/internal/ops/admin"
+	"trefoilramp.org/trefoilramp/internal/stand/script"
+	"trefoilramp.org/trefoilramp/internal/stand/store"
+	standworker "trefoilramp.org/trefoilramp/internal/stand/worker"
+)
+
+const (
+	killAfter   = 4 * time.Second // kill deadline of the roles under test
+	taskMilli   = 1000            // processors of a task
+	workerMilli = 4000
+	targetSlots = 8
+)
+
+// member is a process that is replaced under the same name and addresses.
+type member struct {
+	name       string
+	kind       string // first argument of the program: entry, agent or standin
+	args       []string
+	settings   object
+	generation int // of the process
+	started    time.Time
+	proc       *process
+	line       logLine
+	logs       []string // names of the logs of all processes
+}
+
+// field is a platform whose parts are replaced and whose sessions run through relays.
+type field struct {
+	*deployment
+	store   string
+	entries []*member
+	agents  []*member
+	targets []*member
+	workers []string   // base URLs
+	hosts   []*process // of the workers
+	relays  []*relay.Relay
+	api     []*admin.Client
+
+	processes names
+}
+
+func (f *field) launch(m *member) {
+	f.t.Helper()
+	m.generation++
+	until := event.ProcessStarted
+	if m.kind == "standin" {
+		until = event.StandInStarted
+	}
+	m.started = time.Now()
+	f.processes.update(f)
+	log := fmt.Sprintf("%s.%d", m.name, m.generation)
+	m.logs = append(m.logs, log)
+	m.proc, m.line = f.start(log, until, m.settings, m.args...)
+}
+
+func newField(t testing.TB, workers int, d model.Document) *field {
+	f := &field{deployment: newDeployment(t)}
+	_, l := f.start("store", event.StandInStarted, object{
+		"Address": "127.0.0.1:0", "WritesPerSecond": 300, "ReadsPerSecond": 2000, "Latency": "2ms",
+	}, "standin", "store")
+	f.store = "http://" + l.Address
+	for i := range 2 {
+		f.addEntry(fmt.Sprintf("entry-%d", i+1))
+	}
+	b, err := d.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.api[0].Apply(t.Context(), 0, b); err != nil {
+		t.Fatalf("apply configuration: %v", err)
+	}
+	for i := range workers {
+		f.addWorker(i)
+	}
+	f.awaitTargets(startLimit)
+	return f
+}
+
+// addEntry starts an entry whose sessions run through a relay.
+func (f *field) addEntry(name string) {
+	r, err := relay.New(f.t.Context(), "127.0.0.1:1")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(r.Close)
+	f.relays = append(f.relays, r)
+	m := &member{name: name, kind: "entry", args: []string{"entry"}, settings: object{
+		"Name": name, "AvailabilityZone": processZone, "Callers": "127.0.0.1:0", "Administration": "127.0.0.1:0",
+		"Sessions": "127.0.0.1:0", "Advertise": r.Address(), "Store": f.store, "Key": secretOf(processKey),
+		"ReadToken": secretOf(readToken), "ChangeToken": secretOf(changeToken), "KillDeadline": killAfter.String(),
+	}}
+	f.launch(m)
+	r.SetTarget(m.line.Listening)
+	m.settings["Callers"], m.settings["Administration"] = m.line.Callers, m.line.Administration
+	f.entries = append(f.entries, m)
+	f.api = append(f.api, admin.NewClient("http://"+m.line.Administration, changeToken, "test", nil))
+}
+
+func (f *field) addWorker(i int) {
+	name := fmt.Sprintf("w%d", i+1)
+	host, l := f.start("worker-"+name, event.StandInStarted, object{
+		"Worker": name, "AvailabilityZone": processZone, "Rack": "rack-1", "Address": "127.0.0.1:0", "Store": f.store,
+		"Total": object{"Processors": workerMilli, "Memory": int64(processMemory), "Slots": targetSlots, "Connections": 64},
+		"Lag":   "500ms",
+	}, "standin", "worker")
+	f.workers, f.hosts = append(f.workers, "http://"+l.Address), append(f.hosts, host)
+	a := &member{name: "agent-" + name, kind: "agent", args: []string{"agent"}, settings: object{
+		"Name": name, "AvailabilityZone": processZone, "Rack": "rack-1", "Announcements": "127.0.0.1:0",
+		"Balancer": f.relays[i%len(f.relays)].Address(), "Worker": "http://" + l.Address, "Key": secretOf(processKey),
+		"KillDeadline": killAfter.String(),
+	}}
+	f.launch(a)
+	a.settings["Announcements"] = a.line.Announcements
+	f.agents = append(f.agents, a)
+	m := &member{name: "target-" + name, kind: "standin", args: []string{"standin", "target"}, settings: object{
+		"Target": "booking-" + name, "Service": "booking", "Address": "127.0.0.1:0",
+		"Agent": "http://" + a.line.Announcements, "Slots": targetSlots, "Connections": 64,
+		"Times": object{"Service": "5ms"}, "LogRuns": true,
+	}}
+	f.launch(m)
+	f.targets = append(f.targets, m)
+}
+
+// awaitTargets waits until every entry routes to every target.
+func (f *field) awaitTargets(limit time.Duration) {
+	f.t.Helper()
+	for end := time.Now().Add(limit); ; time.Sleep(50 * time.Millisecond) {
+		missing := ""
+		for i, api := range f.api {
+			st, err := api.Status(f.t.Context())
+			switch {
+			case err != nil:
+				missing = fmt.Sprintf("entry %d: %v", i+1, err)
+			case st.InForce == 0 || len(st.Services) == 0 || len(st.Services[0].Targets) < len(f.targets):
+				missing = fmt.Sprintf("entry %d knows %+v at version %d", i+1, st.Services, st.InForce)
+			}
+		}
+		if missing == "" {
+			return
+		}
+		if time.Now().After(end) {
+			f.t.Fatalf("not all targets are known after %s: %s", limit, missing)
+		}
+	}
+}
+
+// replace starts a new process under the name and at the addresses of one that has ended.
+func (f *field) replace(m *member) {
+	f.launch(m)
+	if m.kind == "entry" {
+		f.relays[slices.Index(f.entries, m)].SetTarget(m.line.Listening)
+	}
+}
+
+func (f *field) signal(m *member, s syscall.Signal) {
+	f.t.Helper()
+	if err := m.proc.cmd.Process.Signal(s); err != nil {
+		f.t.Fatalf("signal %v to %s: %v", s, m.name, err)
+	}
+}
+
+func (f *field) storeFaults(rules ...script.Rule) {
+	f.t.Helper()
+	b, err := json.Marshal(store.FaultsRequest{Rules: rules})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, f.store+"/v1/faults", bytes.NewReader(b))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	w, err := http.DefaultClient.Do(r)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer w.Body.Close()
+	if w.StatusCode != http.StatusOK {
+		f.t.Fatalf("store refuses faults: %s", w.Status)
+	}
+}
+
+// histories returns what every worker ran and the most that it held.
+func (f *field) histories() []standworker.HistoryResponse {
+	f.t.Helper()
+	list := make([]standworker.HistoryResponse, len(f.workers))
+	for i, base := range f.workers {
+		if err := getJSON(f.t.Context(), base+"/v1/history", &list[i]); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	return list
+}
+
+// outage is a fault in force.
+type outage struct {
+	part string // that no other fault touches meanwhile
+	ends time.Time
+	heal func()
+}
+
+// storm draws faults, injects them and ends them.
+type storm struct {
+	*field
+	rng     *rand.Rand
+	outages []outage
+	counts  map[string]int
+}
+
+// round injects one or two faults.
+func (s *storm) round() {
+	for range 1 + s.rng.IntN(2) {
+		s.inject()
+	}
+}
+
+// inject draws a fault for a part that has none.
+func (s *storm) inject() {
+	brief := time.Duration(100+s.rng.IntN(1400)) * time.Millisecond
+	switch s.rng.IntN(10) {
+	case 0, 1:
+		m := s.drawMember(s.entries, s.agents)
+		s.add("kill "+m.kind, m.name, brief, func() { m.proc.kill() }, func() { s.replace(m) })
+	case 2, 3:
+		m := s.drawMember(s.entries, s.agents, s.targets)
+		if s.rng.IntN(4) == 0 {
+			brief += 3 * time.Second // longer than the agent lease
+		}
+		s.add("pause "+m.args[len(m.args)-1], m.name, brief, func() { s.signal(m, syscall.SIGSTOP) },
+			func() { s.signal(m, syscall.SIGCONT) })
+	case 4, 5:
+		i := s.rng.IntN(len(s.relays))
+		r, way := s.relays[i], relay.Direction(1+s.rng.IntN(3))
+		s.add(fmt.Sprintf("cut way %d", way), fmt.Sprintf("relay-%d", i), brief, func() { r.Drop(way) }, r.Restore)
+	case 6:
+		rule := []script.Rule{
+			{Action: script.Down},
+			{Action: script.Slow, Delay: model.Duration(400 * time.Millisecond)},
+			{Action: script.LoseAfter, Count: 20, Delay: model.Duration(50 * time.Millisecond)},
+			{Action: script.LoseLate, Count: 20, Delay: model.Duration(300 * time.Millisecond)},
+		}[s.rng.IntN(4)]
+		s.add("store "+rule.Action.String(), "store", brief, func() { s.storeFaults(rule) }, func() { s.storeFaults() })
+	case 7, 8:
+		m := s.drawMember(s.targets)
+		s.add("kill target", m.name, brief, func() { m.proc.kill() }, func() { s.replace(m) })
+	case 9:
+		m := s.drawMember(s.entries, s.agents)
+		s.add("terminate "+m.kind, m.name, brief, func() { s.signal(m, syscall.SIGTERM) }, func() {
+			select {
+			case <-m.proc.done:
+			case <-time.After(killAfter + 5*time.Second):
+				s.t.Errorf("%s did not end %s after SIGTERM", m.name, killAfter+5*time.Second)
+			}
+			m.proc.kill()
+			s.replace(m)
+		})
+	}
+}
+
+func (s *storm) drawMember(groups ...[]*member) *member {
+	g := groups[s.rng.IntN(len(groups))]
+	return g[s.rng.IntN(len(g))]
+}
+
+// add injects a fault unless the part has one.
+func (s *storm) add(what, part string, lasts time.Duration, inject, heal func()) {
+	if slices.ContainsFunc(s.outages, func(o outage) bool { return o.part == part }) {
+		return
+	}
+	s.counts[what]++
+	s.t.Logf("%s %s %s for %s", time.Now().Format("05.000"), what, part, lasts)
+	inject()
+	s.outages = append(s.outages, outage{part, time.Now().Add(lasts), heal})
+}
+
+// healUntil ends the faults that are due until the time end.
+func (s *storm) healUntil(end time.Time) {
+	for ; time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		s.heal(time.Now())
+	}
+}
+
+func (s *storm) heal(now time.Time) {
+	var left []outage
+	for _, o := range s.outages {
+		if o.ends.After(now) {
+			left = append(left, o)
+			continue
+		}
+		o.heal()
+	}
+	s.outages = left
+}
+
+func (s *storm) summary() string {
+	var list []string
+	for what, n := range s.counts {
+		list = append(list, fmt.Sprintf("%s: %d", what, n))
+	}
+	slices.Sort(list)
+	return strings.Join(list, ", ")
+}
--- a/cmd/trefoilramp/process_test.go
+++ b/cmd/trefoilramp/process_test.go
@@ -237,6 +237,7 @@
 // Guards against answers that are cut, mixed up or lost between processes, and against a batch job that does not finish
 // or a configuration that does not reach agents.
 func TestProcessesServeAndRunJobs(t *testing.T) {
+	t.Parallel()
 	p := newPlatform(t, 2, 3)
 	job := []byte(`{"Job":"plan","Team":"team-1","Class":"standard","Command":"run=100ms","Tasks":200}`)
 	if _, err := p.api[1].Submit(t.Context(), job); err != nil {
--- a/cmd/trefoilramp/standin.go
+++ b/cmd/trefoilramp/standin.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"io/fs"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -138,10 +139,22 @@
 	return host.Serve(ctx, l, w.Handler(), standinDrain, log)
 }
 
+// logRun writes a run in one call, past the log and its sampling.
+func logRun(r target.Run) {
+	b, err := json.Marshal(r)
+	if err == nil {
+		_, _ = os.Stderr.Write(append(b, '\n')) // a target whose log is gone still serves
+	}
+}
+
 func runTarget(ctx context.Context, s *target.Settings, log *zap.Logger) error {
+	var runs func(target.Run)
+	if s.LogRuns {
+		runs = logRun
+	}
 	t := target.New(target.Options{
 		Target: s.Target, Service: s.Service, Slots: s.Slots, Connections: s.Connections,
-		Times: s.Times.Times(), Seed: uint64(s.Seed), Log: log,
+		Times: s.Times.Times(), Seed: uint64(s.Seed), Log: log, Runs: runs,
 	})
 	if err := t.Faults().Set(s.Faults...); err != nil {
 		return err
--- a/internal/link/relay/relay.go
+++ b/internal/link/relay/relay.go
@@ -42,10 +42,10 @@
 // Relay forwards each connection that it accepts to one address.
 type Relay struct {
 	ln      net.Listener
-	address string
 	running sync.WaitGroup
 
 	mu      sync.Mutex
+	address string
 	flows   [2]flow // forward, backward
 	changed chan struct{}
 	refuse  bool
@@ -83,6 +83,13 @@
 // Address returns the host:port on which the relay listens.
 func (r *Relay) Address() string { return r.ln.Addr().String() }
 
+// SetTarget forwards connections from now on to address, as after the replacement of a process.
+func (r *Relay) SetTarget(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.address = address
+}
+
 // Close closes all connections and the listener, and waits until the relay's goroutines have ended.
 func (r *Relay) Close() {
 	r.mu.Lock()
@@ -170,14 +177,14 @@
 func (r *Relay) open(near net.Conn) {
 	defer r.running.Done()
 	r.mu.Lock()
-	refuse := r.refuse || r.closed
+	refuse, address := r.refuse || r.closed, r.address
 	r.mu.Unlock()
 	if refuse {
 		near.Close()
 		return
 	}
 	d := net.Dialer{Timeout: time.Second}
-	far, err := d.DialContext(context.Background(), "tcp", r.address)
+	far, err := d.DialContext(context.Background(), "tcp", address)
 	if err != nil {
 		near.Close()
 		return
--- /dev/null
+++ b/internal/link/sess/flush.go
@@ -0,0 +1,32 @@
+package sess
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+const flushPoll = 2 * time.Millisecond
+
+// Flush waits until everything that is queued, such as the ends of streams, was written to the connection. It returns
+// the cause of ctx, or ErrClosed when the session ends first.
+func (s *Session) Flush(ctx context.Context) error {
+	ticker := time.NewTicker(flushPoll)
+	defer ticker.Stop()
+	for !s.isFlushed() {
+		select {
+		case <-s.done:
+			return ErrClosed
+		case <-ctx.Done():
+			return fmt.Errorf("flush session: %w", context.Cause(ctx))
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (s *Session) isFlushed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.writing && s.control.Len() == 0 && len(s.urgent) == 0 && len(s.ready) == 0
+}
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"trefoilramp.org/trefoilramp/internal/conf/setup"
@@ -29,6 +30,10 @@
 	meansRetry  = 500 * time.Millisecond // between tries to reach the worker at the start
 	drainPoll   = 50 * time.Millisecond
 	headerLimit = 5 * time.Second // for the header of an announcement
+
+	// refuseTime is how long a leaving agent keeps its sessions at least. An entry that has not heard of the leave yet
+	// sends requests for about a round trip more; they get NotRun on the session and Unknown once it is closed.
+	refuseTime = time.Second
 )
 
 // Config is what an agent needs besides its settings.
@@ -154,7 +159,7 @@
 func (a *Agent) Drain(ctx context.Context) error {
 	a.leave()
 	a.runner.EvictAll()
-	err := a.relay.Drain(ctx)
+	err := a.drainRequests(ctx)
 	for a.runner.Unreported() > 0 {
 		select {
 		case <-ctx.Done():
@@ -172,7 +177,22 @@
 // agent that replaces this one on the same worker.
 func (a *Agent) HandOver(ctx context.Context) error {
 	a.leave()
-	return a.relay.Drain(ctx)
+	return a.drainRequests(ctx)
+}
+
+// drainRequests finishes the requests in progress; a request has ended only when its response was written.
+func (a *Agent) drainRequests(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+	case <-time.After(refuseTime):
+	}
+	err := a.relay.Drain(ctx)
+	for _, l := range a.links() {
+		if flushed := l.session.Flush(ctx); flushed != nil && !errors.Is(flushed, sess.ErrClosed) {
+			err = errors.CombineErrors(err, flushed)
+		}
+	}
+	return err
 }
 
 // leave tells every entry that this agent takes no new work; requests that are under way already are refused.
--- a/internal/role/agent/session.go
+++ b/internal/role/agent/session.go
@@ -100,7 +100,11 @@
 }
 
 func (a *Agent) closeSessions() {
-	for _, l := range a.links() {
+	list := a.links()
+	for _, l := range list {
 		l.session.Close(nil)
 	}
+	for _, l := range list {
+		l.session.Wait() // bounded by the session; the process must not end before the last messages are written
+	}
 }
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -115,6 +115,7 @@
 	e.jobs = &jobs{e.members, e.owner}
 	e.front = front.New(front.Config{
 		Services:  services{e.holder},
+		Ready:     func() bool { return e.holder.Current() != nil },
 		Directory: e.directory,
 		Claims:    claim.NewBook(cfg.ClaimStore, e.members.self, cfg.Seed, cfg.Log, cfg.Hook),
 		Log:       cfg.Log,
@@ -291,16 +292,24 @@
 	delete(e.introduced, s)
 }
 
-func (e *Entry) closeSessions() {
+func (e *Entry) sessions() []*sess.Session {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	list := make([]*sess.Session, 0, len(e.introduced))
 	for s := range e.introduced {
 		list = append(list, s)
 	}
-	e.mu.Unlock()
+	return list
+}
+
+func (e *Entry) closeSessions() {
+	list := e.sessions()
 	for _, s := range list {
 		s.Close(nil)
 	}
+	for _, s := range list {
+		s.Wait() // bounded by the session; the process must not end before the last messages are written
+	}
 }
 
 // Drain ends this entry gracefully: readiness fails first, callers in progress finish, and partitions are handed over.
@@ -317,8 +326,13 @@
 	}
 	served := make(chan error, 1)
 	go func() { served <- e.front.Drain(ctx) }()
-	err := e.owner.Drain(ctx)
-	return errors.CombineErrors(<-served, err)
+	err := errors.CombineErrors(e.owner.Drain(ctx), <-served)
+	for _, s := range e.sessions() { // responses to requests that other entries relayed
+		if flushed := s.Flush(ctx); flushed != nil && !errors.Is(flushed, sess.ErrClosed) {
+			err = errors.CombineErrors(err, flushed)
+		}
+	}
+	return err
 }
 
 // balancerDelay is the time for the balancer to see that readiness fails before requests are refused.
--- a/internal/stand/target/handler.go
+++ b/internal/stand/target/handler.go
@@ -114,7 +114,7 @@
 	id := ident.Request(r.Header.Get(notice.RequestHeader))
 	if strings.HasPrefix(r.URL.Path, pathStream) {
 		defer t.records.arrive(0)()
-		t.records.run(id, r.Method, r.URL.Path)
+		t.noteRun(id, r)
 		t.stream(w, r, id)
 		return
 	}
@@ -134,13 +134,21 @@
 	case <-r.Context().Done():
 		return
 	}
-	t.records.run(id, r.Method, r.URL.Path)
+	t.noteRun(id, r)
 	if !pause(r.Context(), t.serviceTime(r.URL.Path)) {
 		return
 	}
 	t.respond(w, r, id, body)
 }
 
+// noteRun records that a request runs.
+func (t *Target) noteRun(id ident.Request, r *http.Request) {
+	if t.o.Runs != nil {
+		t.o.Runs(Run{Time: time.Now(), Request: id, Path: r.URL.Path})
+	}
+	t.records.run(id, r.Method, r.URL.Path)
+}
+
 func (t *Target) respond(w http.ResponseWriter, r *http.Request, id ident.Request, body []byte) {
 	w.Header().Set(notice.RequestHeader, string(id))
 	var err error
--- a/internal/stand/target/record.go
+++ b/internal/stand/target/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"trefoilramp.org/trefoilramp/internal/core/ident"
 )
@@ -17,6 +18,13 @@
 	Completed int // times that the whole response was written
 }
 
+// Run is the start of a request on a target.
+type Run struct {
+	Time    time.Time
+	Request ident.Request
+	Path    string
+}
+
 // Counts sums up what a target did.
 type Counts struct {
 	Runs            uint64
--- a/internal/stand/target/settings.go
+++ b/internal/stand/target/settings.go
@@ -35,6 +35,7 @@
 	Leave       model.Duration // for which Leaving is announced before the listener closes; 2s if absent
 	Drain       model.Duration // for which requests in progress may go on after that; 30s if absent
 	Faults      []script.Rule
+	LogRuns     bool // each run is written to standard error as JSON, so that it is known after the process was killed
 }
 
 // TimesSettings are the service times in settings.
--- a/internal/stand/target/target.go
+++ b/internal/stand/target/target.go
@@ -22,6 +22,7 @@
 	Times       Times
 	Seed        uint64      // of the variation of service times
 	Log         *zap.Logger // nil for none
+	Runs        func(Run)   // told of each run before it starts; nil for none
 }
 
 // Times states how long requests take.
--- a/internal/stand/worker/server.go
+++ b/internal/stand/worker/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"trefoilramp.org/trefoilramp/internal/core/sizes"
 	"trefoilramp.org/trefoilramp/internal/plat/worker"
 	"trefoilramp.org/trefoilramp/internal/stand/script"
 )
@@ -23,6 +24,7 @@
 // HistoryResponse is the body of a response to GET /v1/history.
 type HistoryResponse struct {
 	Intervals []Interval
+	Peak      sizes.Resources // highest sum of the declared sizes of attempts held at one time
 }
 
 // Handler returns the HTTP server of the worker.
@@ -37,7 +39,7 @@
 		respond(rw, worker.TasksResponse{Tasks: list}, err)
 	})
 	mux.HandleFunc("GET /v1/history", func(rw http.ResponseWriter, _ *http.Request) {
-		respond(rw, HistoryResponse{w.History()}, nil)
+		respond(rw, HistoryResponse{w.History(), w.Peak()}, nil)
 	})
 	handle(mux, "start", func(ctx context.Context, s worker.Start) (struct{}, error) {
 		return struct{}{}, w.Start(ctx, s)
