--- a/internal/batch/commit/journal.go
+++ b/internal/batch/commit/journal.go
@@ -13,6 +13,7 @@
 	"trefoilramp.org/trefoilramp/internal/batch/part"
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/plat/table"
 )
@@ -190,7 +191,7 @@
 			break
 		}
 		event.Log(j.cfg.Log, event.SnapshotDelayed, zap.Stringer("Partition", j.taken.Partition), zap.Error(err))
-		if !sleep(ctx, lastPause) {
+		if !pause.For(ctx, lastPause) {
 			return
 		}
 	}
@@ -368,7 +369,7 @@
 	switch {
 	case errors.Is(err, table.ErrNotFound), err == nil && r.Version != j.head.Version:
 		return fmt.Errorf("confirm %s: %w", j.taken.Partition, ErrDeposed)
-	case err != nil && !sleep(ctx, lastPause):
+	case err != nil && !pause.For(ctx, lastPause):
 		return context.Cause(ctx)
 	case err != nil:
 		return nil // tried again by the next step
@@ -380,18 +381,7 @@
 // HandOver leaves the partition without an owner after Run has returned nil and the owner lease has ended. clean tells
 // that no grant of an earlier owner can last either, so that the next owner waits for agent leases only.
 func (j *Journal) HandOver(ctx context.Context, clean bool) error {
-	head := j.head.Head
-	head.Owner, head.Incarnation, head.HandedOver, head.Txn = "", "", clean, ident.NewTxn()
-	key := headKey(j.taken.Partition)
-	_, err := settle(ctx, j.cfg.Store, table.Transaction{
-		Txn:        head.Txn,
-		Conditions: []table.Condition{{Key: key, Version: j.head.Version}},
-		Puts:       []table.Put{{Key: key, Value: encode(head)}},
-	})
-	if err != nil {
-		return fmt.Errorf("hand over %s: %w", j.taken.Partition, err)
-	}
-	return nil
+	return leave(ctx, j.cfg.Store, j.taken.Partition, j.head, clean)
 }
 
 // discard deletes a snapshot that the head row no longer names. A failure leaves an object that nothing reads.
--- a/internal/batch/owner/manage.go
+++ b/internal/batch/owner/manage.go
@@ -12,29 +12,18 @@
 	"trefoilramp.org/trefoilramp/internal/batch/part"
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/core/point"
 )
 
 const drainPoll = 50 * time.Millisecond
 
-// sleep waits and reports false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Run takes over and hands over partitions until ctx ends; it returns when all work of the owner has stopped.
 func (o *Owner) Run(ctx context.Context) {
 	defer o.running.Wait()
 	for {
 		o.review(ctx)
-		if !sleep(ctx, headInterval) {
+		if !pause.For(ctx, headInterval) {
 			return
 		}
 	}
@@ -68,29 +57,46 @@
 	switch {
 	case p != nil && !should:
 		p.inbox.TryPut(p.handOver)
-	case p == nil && should && !o.taking[id] && o.isFree(head):
+	case p != nil || o.taking[id]:
+	case should && o.isFree(head):
+		o.taking[id] = true
+		o.running.Go(func() { o.own(ctx, id, head) })
+	case !should && o.isOwn(head):
 		o.taking[id] = true
-		o.running.Add(1)
-		go o.own(ctx, id, head)
+		o.running.Go(func() { o.release(ctx, id, head) })
 	}
 }
 
+// isOwn reports whether a head row names this process, which is alive to the others, so that none of them takes over.
+func (o *Owner) isOwn(head commit.Versioned) bool {
+	return head.Owner == o.cfg.Self.Name && head.Incarnation == o.cfg.Self.Incarnation
+}
+
+// release leaves a partition that this process took but could not load before another entry became the choice.
+func (o *Owner) release(ctx context.Context, id ident.Partition, head commit.Versioned) {
+	defer o.forget(id)
+	if err := commit.Release(ctx, o.cfg.Store, id, head); err != nil {
+		o.cfg.Log.Debug("partition not released", zap.Error(err))
+	}
+}
+
+// forget ends the attempt to own a partition.
+func (o *Owner) forget(id ident.Partition) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.parts, id)
+	delete(o.taking, id)
+}
+
 // isFree reports whether a partition may be taken over: it never had an owner, its owner left it, its owner is not alive,
 // or its owner is this process, which failed to load it or lost it.
 func (o *Owner) isFree(head commit.Versioned) bool {
-	return head.Version == 0 || head.Owner == "" || !o.cfg.Members.IsAlive(head.Owner, head.Incarnation) ||
-		(head.Owner == o.cfg.Self.Name && head.Incarnation == o.cfg.Self.Incarnation)
+	return head.Version == 0 || head.Owner == "" || o.isOwn(head) || !o.cfg.Members.IsAlive(head.Owner, head.Incarnation)
 }
 
 // own takes a partition over and serves it until it is handed over or lost.
 func (o *Owner) own(ctx context.Context, id ident.Partition, head commit.Versioned) {
-	defer o.running.Done()
-	defer func() {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		delete(o.parts, id)
-		delete(o.taking, id)
-	}()
+	defer o.forget(id)
 	taken, err := commit.Take(ctx, o.cfg.Store, id, o.cfg.Self, head)
 	if err != nil {
 		return // another entry was faster, or ctx ended
@@ -106,6 +112,7 @@
 		return
 	}
 	p := o.enter(taken, state, tail)
+	o.cfg.Observer.PartitionTaken()
 	o.log(event.PartitionTaken, zap.Stringer("Partition", id), zap.Uint64("Epoch", uint64(p.epoch)),
 		zap.Bool("HandedOver", taken.HandedOver))
 	err = p.run(ctx)
@@ -124,7 +131,7 @@
 			return state, tail, nil
 		}
 		o.log(event.PartitionUnreadable, zap.Stringer("Partition", t.Partition), zap.Error(err))
-		if errors.Is(err, commit.ErrCorrupt) || !o.cfg.Members.ShouldOwn(t.Partition) || !sleep(ctx, headInterval) {
+		if errors.Is(err, commit.ErrCorrupt) || !o.cfg.Members.ShouldOwn(t.Partition) || !pause.For(ctx, headInterval) {
 			return nil, nil, err
 		}
 	}
--- a/internal/batch/owner/owner.go
+++ b/internal/batch/owner/owner.go
@@ -9,6 +9,7 @@
 	"trefoilramp.org/trefoilramp/internal/batch/place"
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/core/point"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
@@ -29,6 +30,9 @@
 
 // New returns an owner that owns nothing until Run.
 func New(cfg Config) *Owner {
+	if cfg.Observer == nil {
+		cfg.Observer = noObserver{}
+	}
 	return &Owner{
 		cfg: cfg, board: place.NewBoard(), parts: map[ident.Partition]*partition{},
 		taking: map[ident.Partition]bool{}, sessions: map[ident.Worker]*session{},
@@ -208,20 +212,26 @@
 	}
 }
 
+// isIdle reports whether no partition is owned, taken over or released.
+func (o *Owner) isIdle() bool {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	return len(o.taking) == 0
+}
+
 // Drain hands all partitions over and takes no more; it returns once none is left or ctx ends.
 func (o *Owner) Drain(ctx context.Context) error {
 	o.mu.Lock()
 	o.draining = true
 	o.mu.Unlock()
 	for {
-		list := o.owned()
-		if len(list) == 0 {
-			return nil
-		}
-		for _, p := range list {
+		for _, p := range o.owned() {
 			p.inbox.TryPut(p.handOver)
 		}
-		if !sleep(ctx, drainPoll) {
+		if o.isIdle() {
+			return nil
+		}
+		if !pause.For(ctx, drainPoll) {
 			return context.Cause(ctx)
 		}
 	}
--- a/internal/host/runner/control.go
+++ b/internal/host/runner/control.go
@@ -16,6 +16,7 @@
 }
 
 func (in received) apply(r *Runner) {
+	r.meet(in.owner)
 	switch m := in.m.(type) {
 	case *wire.Adopt:
 		r.adopt(in.owner, m)
@@ -38,6 +39,7 @@
 type closed struct{ owner Owner }
 
 func (in closed) apply(r *Runner) {
+	delete(r.sessions, in.owner)
 	for _, p := range r.partitions {
 		if p.owner == in.owner {
 			p.owner, p.reconciled = nil, false
@@ -45,6 +47,20 @@
 	}
 }
 
+// meet notes the order in which sessions were first heard.
+func (r *Runner) meet(o Owner) {
+	if _, ok := r.sessions[o]; !ok {
+		r.met++
+		r.sessions[o] = r.met
+	}
+}
+
+// isOlder reports whether both sessions are open and o was heard first.
+func (r *Runner) isOlder(o, than Owner) bool {
+	newer, ok := r.sessions[than]
+	return ok && r.sessions[o] < newer
+}
+
 // adopt binds a partition to the sender; an older epoch than the one known is refused by an inventory that names the
 // newer one, which tells a deposed owner.
 func (r *Runner) adopt(o Owner, m *wire.Adopt) {
@@ -53,6 +69,9 @@
 		r.send(o, &wire.Inventory{Partition: m.Partition, Epoch: p.epoch})
 		return
 	}
+	if m.Epoch == p.epoch && r.isOlder(o, p.owner) {
+		return // delivered late by a session that the owner has replaced
+	}
 	p.epoch, p.owner, p.reconciled = m.Epoch, o, false
 	inventory := &wire.Inventory{Partition: m.Partition, Epoch: m.Epoch}
 	for _, t := range r.tasks {
@@ -103,6 +122,7 @@
 	t := &task{
 		partition: m.Partition,
 		ref:       worker.Ref{Task: m.Task, Attempt: m.Attempt},
+		class:     m.Class,
 		size:      m.Size,
 		phase:     phaseStarting,
 	}
@@ -120,7 +140,7 @@
 		Command:    m.Command,
 		Size:       m.Size,
 		Checkpoint: m.Checkpoint,
-		Label:      m.Partition.String(),
+		Label:      label(m.Partition, m.Class),
 	}
 	r.tasks[m.Task] = t
 	r.at(point.StartReserved, m.Task)
@@ -130,12 +150,9 @@
 // refusal returns why a start is refused, or an empty string after the resources are reserved.
 func (r *Runner) refusal(o Owner, m *wire.StartTask) string {
 	p := r.partition(m.Partition)
-	if p.epoch == 0 && m.Epoch != 0 {
-		p.epoch, p.owner, p.reconciled = m.Epoch, o, true
-	}
 	switch {
 	case m.Epoch != p.epoch || p.owner != o:
-		return "partition is owned under another epoch"
+		return "partition was not adopted on this session under this epoch"
 	case m.Incarnation != r.cfg.Incarnation:
 		return "attempt is meant for another incarnation of the agent"
 	case m.Until <= r.Now():
--- a/internal/host/runner/runner.go
+++ b/internal/host/runner/runner.go
@@ -60,6 +60,8 @@
 	mu         sync.Mutex // guards what follows
 	partitions map[ident.Partition]*partition
 	tasks      map[ident.Task]*task
+	sessions   map[Owner]uint64 // order in which open sessions were first heard
+	met        uint64
 	renewing   bool
 	leaving    bool
 }
@@ -87,6 +89,7 @@
 		calls:      queue.NewRing[call](2 * maxTasks),
 		partitions: make(map[ident.Partition]*partition),
 		tasks:      make(map[ident.Task]*task),
+		sessions:   make(map[Owner]uint64),
 	}
 }
 
@@ -115,11 +118,11 @@
 	defer r.mu.Unlock()
 	held := make(map[ledger.Holder]sizes.Resources)
 	for _, s := range list {
-		p, err := ident.ParsePartition(s.Label)
+		p, class, err := parseLabel(s.Label)
 		if err != nil {
 			r.cfg.Log.Warn("worker holds a task without a partition", zap.Stringer("Task", s.Task), zap.Error(err))
 		}
-		t := &task{partition: p, ref: s.Ref, size: s.Size, phase: phaseRunning, status: s, given: true}
+		t := &task{partition: p, ref: s.Ref, class: class, size: s.Size, phase: phaseRunning, status: s, given: true}
 		if s.State.HasEnded() {
 			t.end(reportOf(t, s))
 		} else {
--- a/internal/host/runner/runner_test.go
+++ b/internal/host/runner/runner_test.go
@@ -112,6 +112,12 @@
 	synctest.Wait()
 }
 
+// adopt makes o the owner of the partition under epoch 1, with nothing to drop.
+func (f *fixture) adopt(o *owner) {
+	f.send(o, &wire.Adopt{Partition: partition, Epoch: 1})
+	f.send(o, &wire.Reconcile{Partition: partition, Epoch: 1})
+}
+
 // startTask starts the first attempt of the plan under epoch 1.
 func (f *fixture) startTask(o *owner, command string) {
 	f.send(o, &wire.StartTask{
@@ -153,8 +159,7 @@
 func TestTaskRunsToItsEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, o := newFixture(t), &owner{}
-		f.send(o, &wire.Adopt{Partition: partition, Epoch: 1})
-		f.send(o, &wire.Reconcile{Partition: partition, Epoch: 1})
+		f.adopt(o)
 		f.startTask(o, "run=60s")
 		if got := f.ledger.Given().Memory; got != 400 {
 			t.Errorf("%d bytes reserved, want 400", got)
@@ -181,6 +186,7 @@
 		{"older epoch", func(_ *fixture, m *wire.StartTask) { m.Epoch = 1 }},
 		{"incarnation before a restart", func(_ *fixture, m *wire.StartTask) { m.Incarnation = "before" }},
 		{"lapsed lease", func(f *fixture, m *wire.StartTask) { m.Until = f.runner.Now() }},
+		{"partition not adopted", func(_ *fixture, m *wire.StartTask) { m.Partition.Number = 9 }},
 		{"too large", func(_ *fixture, m *wire.StartTask) { m.Size.Memory = 1001 }},
 		{"leaving", func(f *fixture, _ *wire.StartTask) { f.runner.SetLeaving() }},
 	}
@@ -207,6 +213,7 @@
 func TestLapsedLeasePausesAndResumes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, o := newFixture(t), &owner{}
+		f.adopt(o)
 		f.startTask(o, "run=30s")
 		time.Sleep(60 * time.Second)
 		f.wantStates(o, wire.TaskRunning)
@@ -227,6 +234,7 @@
 func TestRestartedAgentKeepsTasksAndFences(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, before, after := newFixture(t), &owner{}, &owner{}
+		f.adopt(before)
 		f.startTask(before, "run=10s")
 		f.restart("second")
 		if got := f.ledger.Given().Memory; got != 400 {
@@ -251,6 +259,7 @@
 func TestEvictionLeavesCheckpoint(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, o := newFixture(t), &owner{}
+		f.adopt(o)
 		f.startTask(o, "run=60s")
 		time.Sleep(5 * time.Second)
 		f.send(o, &wire.StopTask{Partition: partition, Epoch: 1, Task: plan, Attempt: 1, Reason: wire.StopEvict})
@@ -271,6 +280,7 @@
 func TestReconcileStopsSuperseded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, o := newFixture(t), &owner{}
+		f.adopt(o)
 		f.startTask(o, "run=60s")
 		f.send(o, &wire.Adopt{Partition: partition, Epoch: 2})
 		f.send(o, &wire.Reconcile{Partition: partition, Epoch: 2, Drop: o.inventory().Held})
@@ -289,3 +299,44 @@
 		}
 	})
 }
+
+// Guards against a limit or an eviction for the sake of a service that does not reach the worker, and against an agent
+// that forgets after its restart of which class a task is.
+func TestLimitsReachTheWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, o := newFixture(t), &owner{}
+		f.adopt(o)
+		f.send(o, &wire.StartTask{Partition: partition, Epoch: 1, Task: plan, Attempt: 1, Incarnation: f.self, Class: "scan",
+			Command: "run=60s", Size: sizes.Resources{Processors: 1000}, Until: f.runner.Now() + int64(agentLease)})
+		f.restart("second")
+		ref := worker.Ref{Task: plan, Attempt: 1}
+		if !f.runner.Throttle(ref, 250) {
+			t.Fatal("the throttle was refused")
+		}
+		time.Sleep(2 * time.Second)
+		list := f.runner.Snapshot()
+		if len(list) != 1 || list[0].Class != "scan" || list[0].Status.Limit != 250 {
+			t.Fatalf("snapshot %+v, want one task of class scan with a limit of 250", list)
+		}
+		if !f.runner.Evict(ref) || f.runner.Evict(worker.Ref{Task: plan, Attempt: 2}) {
+			t.Error("evictions must reach exactly the attempt that the runner holds")
+		}
+		f.adopt(o)
+		f.wantStates(o, wire.TaskRunning, wire.TaskEvicted)
+	})
+}
+
+// Guards against a session that its owner has replaced: what it still delivers must not take the partition back.
+func TestReplacedSessionChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, old, current := newFixture(t), &owner{}, &owner{}
+		f.adopt(old)
+		f.adopt(current)
+		f.send(old, &wire.Adopt{Partition: partition, Epoch: 1})
+		f.startTask(old, "run=10s")
+		f.wantStates(old, wire.TaskRefused)
+		f.startTask(current, "run=10s")
+		f.renewFor(current, 1, 15*time.Second)
+		f.wantStates(current, wire.TaskRunning, wire.TaskFinished)
+	})
+}
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -18,6 +18,7 @@
 	"trefoilramp.org/trefoilramp/internal/core/point"
 	"trefoilramp.org/trefoilramp/internal/host/beside"
 	"trefoilramp.org/trefoilramp/internal/host/ledger"
+	"trefoilramp.org/trefoilramp/internal/host/noise"
 	"trefoilramp.org/trefoilramp/internal/host/runner"
 	"trefoilramp.org/trefoilramp/internal/link/roster"
 	"trefoilramp.org/trefoilramp/internal/link/sess"
@@ -42,6 +43,9 @@
 	Worker   worker.Platform
 	Log      *zap.Logger
 	Hook     point.Hook
+	// Route replaces the address of an entry before it is dialed, so that a test can put a slow link in between; nil
+	// dials the address itself.
+	Route func(address string) string
 }
 
 // Agent is a running agent.
@@ -54,6 +58,7 @@
 	runner      *runner.Runner
 	relay       *relay.Server
 	limits      limits
+	noise       interference
 	listener    net.Listener // announcements
 	admin       net.Listener // health; nil for none
 	roster      *roster.Roster
@@ -80,11 +85,13 @@
 		return nil, err
 	}
 	a.ledger = ledger.New(a.means.Total)
+	a.noise.controller = noise.New(noise.Config{Processors: a.means.Total.Processors})
 	a.runner = runner.New(runner.Config{
 		Incarnation: a.incarnation, Worker: cfg.Worker, Ledger: a.ledger, Log: cfg.Log, Hook: cfg.Hook,
 	})
 	a.relay = relay.New(relay.Config{
 		Ledger: requestLedger{a.ledger}, Targets: targets{a.registry}, Limits: &a.limits, Log: cfg.Log, Hook: cfg.Hook,
+		Finished: a.noise.finished,
 	})
 	var lc net.ListenConfig
 	if a.listener, err = lc.Listen(ctx, "tcp", cfg.Settings.Announcements); err != nil {
@@ -129,6 +136,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { a.runner.Run(ctx) })
 	wg.Go(func() { a.beat(ctx) })
+	wg.Go(func() { a.control(ctx) })
 	wg.Go(func() { a.newKeeper().Run(ctx) })
 	wg.Go(func() { a.serve(ctx, a.listener, a.announcements()) })
 	if a.admin != nil {
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -46,6 +47,9 @@
 	Log      *zap.Logger
 	Hook     point.Hook
 	Seed     uint64 // of random choices in routing
+	// Route replaces the address of another process before it is dialed, so that a test can put a slow link in between;
+	// nil dials the address itself.
+	Route func(address string) string
 	// ClaimStore holds the claims of idempotency keys; nil means Store.
 	ClaimStore table.Store
 }
@@ -94,6 +98,9 @@
 	if err := e.listen(ctx); err != nil {
 		return nil, err
 	}
+	e.metrics = metric.New(cfg.Log)
+	e.cfg.Store = meteredStore{cfg.Store, e.metrics}
+	cfg.Store = e.cfg.Store
 	e.holder = head.New(cfg.Store, head.Options{
 		Log: cfg.Log, Hook: cfg.Hook, Peers: &configPeers{e.directory}, Accepted: e.announceConfig,
 	})
@@ -111,6 +118,8 @@
 		Writes:  journalWrites,
 		Log:     cfg.Log,
 		Hook:    cfg.Hook,
+
+		Observer: batchCounters{e.metrics},
 	})
 	e.jobs = &jobs{e.members, e.owner}
 	e.front = front.New(front.Config{
@@ -122,7 +131,6 @@
 		Hook:      cfg.Hook,
 		Seed:      cfg.Seed,
 	})
-	e.metrics = metric.New(cfg.Log)
 	e.api = e.newAPI()
 	return e, nil
 }
@@ -187,12 +195,15 @@
 	event.Log(e.cfg.Log, event.ProcessStarted, zap.String("Role", "entry"), zap.String("Callers", e.Callers()),
 		zap.String("Administration", e.Administration()), zap.String("Sessions", e.Sessions()),
 		zap.Stringer("Listening", e.listeners.sessions.Addr()))
+	event.Log(e.cfg.Log, event.ServingStarted, zap.String("Address", e.Callers()))
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
 	var wg sync.WaitGroup
 	wg.Go(func() { e.holder.Run(ctx) })
 	wg.Go(func() { e.distribute(ctx) })
 	wg.Go(func() { e.summarize(ctx) })
+	wg.Go(func() { e.measure(ctx) })
+	wg.Go(func() { e.measureTasks(ctx) })
 	wg.Go(func() { e.network.run(ctx, stop) })
 	wg.Go(func() { e.owner.Run(ctx) })
 	wg.Go(func() {
@@ -201,9 +212,9 @@
 		}
 	})
 	wg.Go(func() { e.serve(ctx, e.listeners.callers, e.callerHandler()) })
-	wg.Go(func() { e.serve(ctx, e.listeners.admin, e.api) })
+	wg.Go(func() { e.serve(ctx, e.operatorListener(e.listeners.admin), e.api) })
 	if e.listeners.console != nil {
-		wg.Go(func() { e.serve(ctx, e.listeners.console, e.consoleHandler()) })
+		wg.Go(func() { e.serve(ctx, e.operatorListener(e.listeners.console), e.consoleHandler()) })
 	}
 	wg.Wait()
 	e.closeSessions()
@@ -216,6 +227,14 @@
 	return nil
 }
 
+// operatorListener adds TLS to a listener for operators if the settings ask for it.
+func (e *Entry) operatorListener(ln net.Listener) net.Listener {
+	if cfg := e.cfg.Settings.OperatorTLS.Config(); cfg != nil {
+		return tls.NewListener(ln, cfg)
+	}
+	return ln
+}
+
 // serve runs an HTTP server until ctx ends.
 func (e *Entry) serve(ctx context.Context, ln net.Listener, h http.Handler) {
 	s := &http.Server{
@@ -231,7 +250,7 @@
 // callerHandler serves callers, and the balancer's readiness check.
 func (e *Entry) callerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("/services/", e.front)
+	mux.Handle("/services/", e.measured(e.front))
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if err := e.ready(); err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/internal/role/entry/network.go
+++ b/internal/role/entry/network.go
@@ -31,7 +31,7 @@
 		Self: self, Store: e.cfg.Store, Roster: n.roster, Zones: n.zones, Log: e.cfg.Log,
 	})
 	n.keeper = roster.NewKeeper(roster.KeeperConfig{
-		Roster: n.roster, Wanted: roster.PeersOf(n.roster, self.Name), Dial: n.dial, Log: e.cfg.Log,
+		Roster: n.roster, Wanted: roster.MeshOf(n.roster, self, n.zones), Dial: n.dial, Log: e.cfg.Log,
 	})
 	return n
 }
@@ -80,6 +80,9 @@
 
 // dial opens a session with another entry.
 func (n *network) dial(ctx context.Context, address string) (roster.Session, error) {
+	if f := n.entry.cfg.Route; f != nil {
+		address = f(address)
+	}
 	s, err := sess.Dial(ctx, address, n.entry.sessionConfig(), n.entry)
 	if err != nil {
 		return nil, err
--- a/internal/role/entry/operate.go
+++ b/internal/role/entry/operate.go
@@ -8,8 +8,11 @@
 	"time"
 
 	"trefoilramp.org/trefoilramp/internal/batch/lease"
+	"trefoilramp.org/trefoilramp/internal/batch/owner"
 	"trefoilramp.org/trefoilramp/internal/conf/head"
 	"trefoilramp.org/trefoilramp/internal/conf/model"
+	"trefoilramp.org/trefoilramp/internal/core/pause"
+	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/ops/admin"
 	"trefoilramp.org/trefoilramp/internal/ops/audit"
@@ -92,19 +95,12 @@
 
 // summarize tells the other entries at intervals what this one reaches.
 func (e *Entry) summarize(ctx context.Context) {
-	ticker := time.NewTicker(summaryEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	pause.Every(ctx, summaryEvery, func() {
 		m := e.directory.summary(e.holder.Version())
 		for _, s := range e.directory.peerSessions() {
 			e.send(s, m)
 		}
-	}
+	})
 }
 
 func (e *Entry) newAPI() *admin.API {
@@ -141,6 +137,13 @@
 // drainer drains workers at the request of operators; it implements admin.Workers.
 type drainer struct{ entry *Entry }
 
+// Knows implements admin.Workers.
+func (d drainer) Knows(worker string) bool {
+	return slices.ContainsFunc(d.entry.directory.agentSessions(), func(s *sess.Session) bool {
+		return s.Peer().Name == worker
+	})
+}
+
 // Drain implements admin.Workers.
 func (d drainer) Drain(_ context.Context, worker string) error {
 	found := false
@@ -166,6 +169,7 @@
 		Config: configStore{e.holder, e.cfg.Store},
 		Audit:  audit.Log{Store: e.cfg.Store},
 		Status: e,
+		Secure: s.OperatorTLS != nil,
 		Log:    e.cfg.Log,
 	})
 }
@@ -186,6 +190,7 @@
 	_, err := e.cfg.Store.Range(readCtx, "config/head", "config/head\x00", 1)
 	st.StoreAvailable = err == nil
 	e.directory.report(&st)
+	st.Jobs = jobCounts(e.owner.Totals(readCtx))
 	for i := range st.Zones {
 		z := &st.Zones[i]
 		for _, w := range st.Workers {
@@ -209,6 +214,14 @@
 	return st
 }
 
+func jobCounts(t owner.Totals) admin.JobCounts {
+	return admin.JobCounts{
+		Jobs: t.Jobs, JobsFinished: t.Finished, Queued: int64(t.Counts.Queued), Running: int64(t.Counts.Running),
+		Done: int64(t.Counts.Done), Failed: int64(t.Counts.Failed), Cancelled: int64(t.Counts.Cancelled),
+		Evictions: int64(t.Counts.Evictions),
+	}
+}
+
 func zoneStatus(d model.Document, t *head.Tracker) []admin.ZoneStatus {
 	known := make(map[string]head.ZoneVersions)
 	for _, z := range t.Zones() {
--- a/internal/serve/admit/pool.go
+++ b/internal/serve/admit/pool.go
@@ -131,12 +131,28 @@
 	return p.wait(ctx, w)
 }
 
+// TryAcquire is Acquire without a wait: it refuses the request when no slot is free for it now.
+func (p *Pool) TryAcquire(kind string, deadline time.Time) (*Grant, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	w := p.newWaiter(kind, deadline, now)
+	if r := p.judge(w, now); r != nil {
+		return nil, r
+	}
+	if !p.hasRoom(w.long) || !p.isFirst(w) {
+		return nil, &RefusalError{wire.ReasonOverloaded, "no slot is free at once", minRetryAfter}
+	}
+	return p.grant(w, now), nil
+}
+
 func (p *Pool) newWaiter(kind string, deadline, now time.Time) *waiter {
 	expected := p.learned.expect(kind)
 	return &waiter{
 		position: p.cfg.Order(now, expected),
 		expected: expected,
 		deadline: deadline,
+		latest:   deadline.Add(-expected - p.learned.slack(kind)),
 		kind:     kind,
 		long:     p.learned.isLong(kind),
 		index:    -1,
@@ -162,7 +178,7 @@
 	if bound := p.bound(w.long); p.laneOf(w).Len() >= bound {
 		return &RefusalError{wire.ReasonOverloaded, "the queue is full", max(wait, minRetryAfter)}
 	}
-	if now.Add(wait + w.expected).After(w.deadline) {
+	if now.Add(wait).After(w.latest) {
 		return late(w, wait)
 	}
 	return nil
@@ -241,7 +257,7 @@
 func (p *Pool) dispatch(now time.Time) {
 	for w := p.next(); w != nil; w = p.next() {
 		p.laneOf(w).remove(w)
-		if now.Add(w.expected).After(w.deadline) {
+		if now.After(w.latest) {
 			w.done <- late(w, 0)
 			continue
 		}
