--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -14,11 +14,7 @@
 	"trefoilramp.org/trefoilramp/internal/serve/route"
 )
 
-const (
-	maxAttempts = 4  // that end otherwise than by a refusal for lack of slots
-	maxRefusals = 12 // for lack of slots; the deadline usually ends them first
-	refusalStep = 4  // the pause grows up to this attempt only: a slot becomes free every few milliseconds
-)
+const maxAttempts = 4
 
 // call is one request on its way through this entry.
 type call struct {
@@ -173,7 +169,7 @@
 	f.budget(c.service).Try()
 	none := notRun(wire.ReasonNoTarget, "no target is ready")
 	last := &none
-	for n, refusals := 0, 0; ; {
+	for n := range maxAttempts {
 		set := c.candidates()
 		cand, ok := f.picker.Pick(set, c.grant.Expected(), c.tried)
 		if !ok && len(c.tried) > 0 {
@@ -197,19 +193,11 @@
 		if v.Reason == wire.ReasonOverloaded && v.NotRun && cand.Target != "" {
 			f.pool(c.service).Shrink()
 		}
-		// A refusal for lack of slots costs the target nothing, and the request holds its place in this entry's pool, so
-		// that such tries need no retry budget.
-		isRefusal := v.Reason == wire.ReasonOverloaded && v.NotRun
-		if isRefusal {
-			refusals++
-		} else {
-			n++
-		}
-		if n == maxAttempts || refusals == maxRefusals || !c.mayRetry(ctx, v, isRefusal) ||
-			!c.pause(ctx, max(n-1, min(refusals-1, refusalStep))) {
+		if n+1 == maxAttempts || !c.mayRetry(ctx, v) || !c.pause(ctx, n) {
 			return last
 		}
 	}
+	return last
 }
 
 // complete gives the caller the whole response. The slot is free by then: neither the store nor a slow caller holds it.
@@ -241,7 +229,7 @@
 }
 
 // mayRetry reports whether another attempt is safe and still of use.
-func (c *call) mayRetry(ctx context.Context, v *wire.Verdict, isRefusal bool) bool {
+func (c *call) mayRetry(ctx context.Context, v *wire.Verdict) bool {
 	switch {
 	case ctx.Err() != nil, v.Reason == wire.ReasonTooLarge, v.Reason == wire.ReasonQuota:
 		return false
@@ -250,7 +238,7 @@
 	case time.Now().Add(c.grant.Expected()).After(c.deadline):
 		return false
 	}
-	return c.body.isReplayable() && c.answer.discard() && (isRefusal || c.front.budget(c.service).Retry())
+	return c.body.isReplayable() && c.answer.discard() && c.front.budget(c.service).Retry()
 }
 
 // pause waits before a retry; the first one goes elsewhere at once.
