Probe again at once when a run time estimate proves too high

Ruled out: letting every request through while slots are idle; a kind that truly runs longer than its deadline would then get Unknown instead of NotRun. Conclusion: a probe that runs faster than the estimate allows the next one; one that confirms it waits a second as before.

--- a/internal/serve/admit/admit_test.go
+++ b/internal/serve/admit/admit_test.go
@@ -266,3 +266,28 @@
 		}
 	})
 }
+
+// Guards against an entry that refuses for long after a disturbance although its slots are idle: an estimate that has
+// risen above the deadlines must be corrected within seconds, since demand swings within seconds.
+func TestEstimateRecoversWithinSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := admit.NewPool(admit.Config{})
+		p.SetSlots(8)
+		for range 16 {
+			run(t, p, "booking", 2*time.Second)
+		}
+		refused := 0
+		for range 300 { // 100 requests a second for 3 s
+			g, err := p.Acquire(t.Context(), "booking", time.Now().Add(400*ms))
+			if err != nil {
+				refused++
+			} else {
+				time.AfterFunc(50*ms, func() { g.Release(true) })
+			}
+			time.Sleep(10 * ms)
+		}
+		if refused > 200 {
+			t.Errorf("%d of 300 requests were refused beside idle slots, want at most 200, which is 2 s", refused)
+		}
+	})
+}
--- a/internal/serve/admit/learn.go
+++ b/internal/serve/admit/learn.go
@@ -25,6 +25,9 @@
 func (e *estimate) add(run time.Duration) {
 	x := float64(run)
 	e.n++
+	if x < e.mean {
+		e.probe = time.Time{} // the estimate is too high; the next probe need not wait
+	}
 	if e.n == 1 {
 		e.mean, e.dev = x, x/2
 		return
