Test that an agent never goes back to an older configuration

Measured: with the check removed the new test fails at version 4 after 5; with it three runs with the race detector pass.

--- /dev/null
+++ b/internal/role/agent/agent_test.go
@@ -0,0 +1,121 @@
+package agent_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/conf/setup"
+	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/link/sess"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/role/agent"
+	"trefoilramp.org/trefoilramp/internal/stand/store"
+	"trefoilramp.org/trefoilramp/internal/stand/worker"
+)
+
+const (
+	key       = "agent-test-shared-key"
+	waitLimit = 10 * time.Second
+)
+
+// entry accepts the session of an agent and passes its messages on.
+type entry struct {
+	sessions chan *sess.Session
+	versions chan uint64 // of ConfigApplied and of heartbeats
+}
+
+// HandleMessage implements sess.Handler.
+func (e *entry) HandleMessage(s *sess.Session, m wire.Message) {
+	select {
+	case e.sessions <- s:
+	default:
+	}
+	switch m := m.(type) {
+	case *wire.ConfigApplied:
+		e.versions <- m.Version
+	case *wire.Heartbeat:
+		e.versions <- m.ConfigVersion
+	}
+}
+
+// HandleStream implements sess.Handler.
+func (e *entry) HandleStream(*sess.Session, *sess.Stream) {}
+
+// HandleClosed implements sess.Handler.
+func (e *entry) HandleClosed(*sess.Session, error) {}
+
+// startAgent starts an agent that knows the entry as its balancer, and returns its session.
+func startAgent(t *testing.T, e *entry) *sess.Session {
+	ctx, cancel := context.WithCancel(context.Background())
+	ln, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := worker.New(worker.Options{
+		Worker: "w1", Total: sizes.Resources{Processors: 1000, Memory: 1000, Slots: 8, Connections: 64},
+		Objects: store.New(store.Options{}),
+	})
+	a, err := agent.New(ctx, agent.Config{
+		Settings: setup.Agent{
+			Name: "w1", AvailabilityZone: "agadir", Rack: "r1", Announcements: "127.0.0.1:0", Balancer: ln.Addr().String(),
+			Key: setup.Secret{Value: key},
+		},
+		Worker: w, Log: zap.NewNop(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{}, 2)
+	go func() {
+		_ = a.Run(ctx) // ends with ctx
+		ended <- struct{}{}
+	}()
+	go func() {
+		cfg := sess.Config{Key: []byte(key), Self: wire.Hello{Role: wire.RoleEntry, Name: "e1", Zone: "agadir"}}
+		_ = sess.Serve(ctx, ln, cfg, e) // ends with ctx
+		ended <- struct{}{}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		<-ended
+		w.Close()
+	})
+	select {
+	case s := <-e.sessions:
+		return s
+	case <-time.After(waitLimit):
+		t.Fatal("the agent opened no session")
+		return nil
+	}
+}
+
+// Guards against an agent that goes back to an older configuration, for example one that a restarted entry sends.
+func TestAgentNeverAppliesOlderVersion(t *testing.T) {
+	e := &entry{sessions: make(chan *sess.Session, 1), versions: make(chan uint64, 1024)}
+	s := startAgent(t, e)
+	for _, version := range []uint64{5, 4, 6, 1} {
+		if err := s.Send(&wire.AgentConfig{Version: version}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var highest uint64
+	for beats := 0; beats < 5; {
+		select {
+		case v := <-e.versions:
+			if v < highest {
+				t.Fatalf("the agent applies version %d after %d", v, highest)
+			}
+			highest = v
+			if v == 6 {
+				beats++
+			}
+		case <-time.After(waitLimit):
+			t.Fatalf("the agent applies version %d, want 6", highest)
+		}
+	}
+}
