Let the partitions of an entry share its part of a team's quota

Cause: quotas were split over all partitions; with 12 partitions a team with 20 processors got 1.67 for each, so that a task of 2 processors never started, and a job of 12 small tasks was seen to run 6 at a time beside free workers. Ruled out: usage exchanged in summaries; it is a second old, so that entries together could pass the quota for a while, and it needs a rule for that first.

--- a/internal/batch/owner/manage.go
+++ b/internal/batch/owner/manage.go
@@ -112,6 +112,7 @@
 		return
 	}
 	p := o.enter(taken, state, tail)
+	defer p.order.Close()
 	o.cfg.Observer.PartitionTaken()
 	o.log(event.PartitionTaken, zap.Stringer("Partition", id), zap.Uint64("Epoch", uint64(p.epoch)),
 		zap.Bool("HandedOver", taken.HandedOver))
--- a/internal/batch/owner/outside.go
+++ b/internal/batch/owner/outside.go
@@ -91,9 +91,13 @@
 	return time.Duration(float64(n) / c.Writes * float64(time.Second))
 }
 
-func (c *Config) policy(t ident.Team) place.Policy {
-	w, q := c.Members.Policy(t)
-	return place.Policy{Weight: w, Quota: place.Split(q, int64(max(1, len(c.Members.Partitions()))))}
+// policy returns what the configuration says of a team, with the part of its quota that this entry enforces.
+func (o *Owner) policy(t ident.Team) place.Policy {
+	w, q := o.cfg.Members.Policy(t)
+	o.mu.RLock()
+	owned := len(o.parts)
+	o.mu.RUnlock()
+	return place.Policy{Weight: w, Quota: place.Part(q, int64(owned), int64(len(o.cfg.Members.Partitions())))}
 }
 
 // noObserver counts nothing.
--- a/internal/batch/owner/owner.go
+++ b/internal/batch/owner/owner.go
@@ -19,6 +19,7 @@
 type Owner struct {
 	cfg   Config
 	board *place.Board
+	teams *place.Teams
 
 	mu       sync.RWMutex
 	parts    map[ident.Partition]*partition
@@ -34,7 +35,7 @@
 		cfg.Observer = noObserver{}
 	}
 	return &Owner{
-		cfg: cfg, board: place.NewBoard(), parts: map[ident.Partition]*partition{},
+		cfg: cfg, board: place.NewBoard(), teams: place.NewTeams(), parts: map[ident.Partition]*partition{},
 		taking: map[ident.Partition]bool{}, sessions: map[ident.Worker]*session{},
 	}
 }
--- a/internal/batch/owner/partition.go
+++ b/internal/batch/owner/partition.go
@@ -72,7 +72,7 @@
 	p := &partition{
 		o: o, id: t.Partition, epoch: t.Head.Epoch, taken: t, book: newBook(o.cfg.Terms, l),
 		inbox: queue.NewRing[func()](inboxSize), room: make(chan struct{}, 1), done: make(chan struct{}),
-		journal: j, lease: l, state: state, order: place.NewOrder(),
+		journal: j, lease: l, state: state, order: place.NewOrder(o.teams),
 		starting: map[ident.Task]*start{}, stopping: map[ident.Task]*halt{}, missing: map[ident.Task]*missed{},
 		offers: map[offerKey]*offer{}, finished: map[ident.Job]time.Time{}, reported: map[ident.Job]wire.Counts{},
 		learned: map[ident.Job]sizes.Resources{}, waiting: map[ident.Job]string{},
--- a/internal/batch/owner/start.go
+++ b/internal/batch/owner/start.go
@@ -26,7 +26,7 @@
 		return
 	}
 	var noRoom []sizes.Resources // sizes for which no worker had room in this round
-	p.order.Offer(p.o.cfg.policy, func(job ident.Job) place.Outcome {
+	p.order.Offer(p.o.policy, func(job ident.Job) place.Outcome {
 		if p.journal.Mark()-p.journal.Durable() > maxUncommitted {
 			return place.Stop
 		}
@@ -41,19 +41,24 @@
 				return place.Blocked
 			}
 		}
-		if !p.order.IsWithin(sh.Spec.Team, p.o.cfg.policy(sh.Spec.Team), sh.Spec.Size) {
+		if !p.order.Take(sh.Spec.Team, p.o.policy(sh.Spec.Team), sh.Spec.Size) {
 			return place.Blocked
 		}
 		w, ok := p.o.board.Pick(place.Request{
 			Task: t.ID, Attempt: t.Attempt + 1, Zone: p.id.Zone, Size: size, IsReady: p.book.isReady,
 		})
 		if !ok {
+			p.order.Ended(sh.Spec.Team, sh.Spec.Size)
 			noRoom = append(noRoom, size)
 			p.reportFit(job, size)
 			return place.Blocked
 		}
 		delete(p.waiting, job)
-		return p.start(t, sh, w)
+		outcome := p.start(t, sh, w)
+		if outcome != place.Placed {
+			p.order.Ended(sh.Spec.Team, sh.Spec.Size)
+		}
+		return outcome
 	})
 }
 
@@ -91,7 +96,6 @@
 		p.o.board.Ended(w, t.ID, n, false)
 		return place.Stop
 	}
-	p.order.Started(sh.Spec.Team, sh.Spec.Size)
 	p.starting[t.ID] = &start{attempt: n}
 	return place.Placed
 }
--- a/internal/batch/place/fair.go
+++ b/internal/batch/place/fair.go
@@ -11,27 +11,13 @@
 // Policy is what the configuration says of a team.
 type Policy struct {
 	Weight float64         // of the team in the weighted fair order; 0 counts as 1
-	Quota  sizes.Resources // of the partition's part for the team; a kind that is 0 has no quota
-}
-
-// Split returns the part of a team's quota that one of n partitions enforces. The split is static: a team whose jobs sit
-// on few partitions cannot use the parts of the others.
-func Split(quota sizes.Resources, n int64) sizes.Resources {
-	part := func(v int64) int64 {
-		if v == 0 {
-			return 0
-		}
-		return max(1, v/n)
-	}
-	return sizes.Resources{
-		Processors: part(quota.Processors), Memory: part(quota.Memory), Accelerators: part(quota.Accelerators),
-		Slots: part(quota.Slots), Connections: part(quota.Connections),
-	}
+	Quota  sizes.Resources // the entry's part for the team, see Part; a kind that is 0 has no quota
 }
 
 // Order keeps the jobs of one partition that have tasks to start, and decides whose turn is next. It belongs to the
 // partition's writer.
 type Order struct {
+	entry   *Teams
 	teams   map[ident.Team]*line
 	waiting map[ident.Job]bool
 }
@@ -42,8 +28,18 @@
 	plain  []ident.Job
 }
 
-// NewOrder returns an order without jobs.
-func NewOrder() *Order { return &Order{teams: map[ident.Team]*line{}, waiting: map[ident.Job]bool{}} }
+// NewOrder returns an order without jobs, whose tasks are counted in entry as well.
+func NewOrder(entry *Teams) *Order {
+	return &Order{entry: entry, teams: map[ident.Team]*line{}, waiting: map[ident.Job]bool{}}
+}
+
+// Close takes the tasks of the partition out of the entry's count.
+func (o *Order) Close() {
+	for t, l := range o.teams {
+		o.entry.give(t, l.used)
+		l.used = sizes.Resources{}
+	}
+}
 
 func (o *Order) line(t ident.Team) *line {
 	l := o.teams[t]
@@ -83,14 +79,26 @@
 	}
 }
 
-// Started and Ended keep what the team's tasks hold.
+// Take counts size for a task that is about to start and reports whether the team stays within its quota; Ended undoes it.
+func (o *Order) Take(t ident.Team, p Policy, size sizes.Resources) bool {
+	if !o.entry.take(t, p.Quota, size) {
+		return false
+	}
+	l := o.line(t)
+	l.used = l.used.Plus(size)
+	return true
+}
+
+// Started counts a task that runs already, whatever the quota is.
 func (o *Order) Started(t ident.Team, size sizes.Resources) {
+	o.entry.add(t, size)
 	l := o.line(t)
 	l.used = l.used.Plus(size)
 }
 
-// Ended undoes Started.
+// Ended undoes Take or Started.
 func (o *Order) Ended(t ident.Team, size sizes.Resources) {
+	o.entry.give(t, size)
 	l := o.line(t)
 	l.used = l.used.Minus(size)
 }
@@ -98,14 +106,6 @@
 // Used returns what the team's tasks hold.
 func (o *Order) Used(t ident.Team) sizes.Resources { return o.line(t).used }
 
-// IsWithin reports whether the team may hold size in addition under its quota.
-func (o *Order) IsWithin(t ident.Team, p Policy, size sizes.Resources) bool {
-	sum := o.line(t).used.Plus(size)
-	ok := func(v, quota int64) bool { return quota == 0 || v <= quota }
-	return ok(sum.Processors, p.Quota.Processors) && ok(sum.Memory, p.Quota.Memory) &&
-		ok(sum.Accelerators, p.Quota.Accelerators)
-}
-
 // memoryPerProcessor compares memory with processors in the fair order: 4 GiB weigh as much as one processor, the usual
 // ratio of the workers.
 const memoryPerProcessor = 4 << 30
--- a/internal/batch/place/place_test.go
+++ b/internal/batch/place/place_test.go
@@ -136,7 +136,7 @@
 
 // Guards against a team that takes everything, plain work before urgent work, and a blocked job that blocks others.
 func TestFairOrder(t *testing.T) {
-	o := place.NewOrder()
+	o := place.NewOrder(place.NewTeams())
 	one := sizes.Resources{Processors: 1000}
 	o.Add("a", "a1", false)
 	o.Add("b", "blocked", false)
@@ -169,10 +169,34 @@
 	if first != "now" || started["a1"] < 28 || started["a1"] > 31 {
 		t.Errorf("first %s, started %v; want the urgent job first and weights 3 to 1", first, started)
 	}
-	if got := place.Split(sizes.Resources{Processors: 8000}, 4); got != (sizes.Resources{Processors: 2000}) {
-		t.Errorf("part of the quota is %+v", got)
-	}
-	if o.IsWithin("b", place.Policy{Quota: sizes.Resources{Processors: o.Used("b").Processors}}, one) {
+	if o.Take("b", place.Policy{Quota: sizes.Resources{Processors: o.Used("b").Processors}}, one) {
 		t.Error("a task above the quota is admitted")
 	}
 }
+
+// Guards against a quota that is cut into parts too small for a task although one entry owns several partitions, against
+// entries that together pass the quota, and against tasks of a lost partition that stay counted.
+func TestPartitionsShareQuota(t *testing.T) {
+	quota := sizes.Resources{Processors: 20_000, Memory: 12}
+	var sum sizes.Resources
+	for _, owned := range []int64{5, 4, 3} {
+		sum = sum.Plus(place.Part(quota, owned, 12))
+	}
+	if !sum.Fits(quota) {
+		t.Errorf("the parts of three entries add up to %+v of %+v", sum, quota)
+	}
+	entry := place.NewTeams()
+	a, b := place.NewOrder(entry), place.NewOrder(entry)
+	p := place.Policy{Quota: place.Part(quota, 6, 12)}
+	task := sizes.Resources{Processors: 8000, Memory: 1}
+	if !a.Take("souss", p, task) {
+		t.Error("a task of 8 processors does not fit into half of a quota of 20")
+	}
+	if b.Take("souss", p, task) {
+		t.Error("two partitions of an entry hold 16 processors of its 10")
+	}
+	a.Close()
+	if !b.Take("souss", p, task) {
+		t.Error("the tasks of a partition that was handed over still count")
+	}
+}
