Pass paths of callers on as they are

Cause: the callers' listener used http.ServeMux, which answers /services/booking//x and paths with dot segments with 307 and / with 404, both without Trefoilramp-Outcome and without reaching the target. Ruled out: cleaning the path before; the target must see what the caller sent. Conclusion: every answer of the callers' listener carries an outcome, except the balancer's readiness check.

--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -247,18 +247,21 @@
 	}
 }
 
-// callerHandler serves callers, and the balancer's readiness check.
+// callerHandler serves callers, and the balancer's readiness check. It uses no http.ServeMux, which would answer paths such
+// as /services/booking//parts with a redirect in place of passing them on.
 func (e *Entry) callerHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/services/", e.measured(e.front))
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+	services := e.measured(e.front)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/readyz" {
+			services.ServeHTTP(w, r)
+			return
+		}
 		if err := e.ready(); err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
 		w.WriteHeader(http.StatusNoContent)
 	})
-	return mux
 }
 
 // ready returns why this entry should get no new callers, or nil.
