Hold each target to the slots that it announced

Cause: the agent counted slots for the worker only; with two targets beside it, two entries that each saw free slots could give one target all of the worker's slots. Ruled out: the entries' own count; each sees only its own requests and hints of a second age. Conclusion: the agent refuses above the announced slots, as it does above those of the worker.

--- a/internal/role/agent/adapt.go
+++ b/internal/role/agent/adapt.go
@@ -31,7 +31,7 @@
 // Lookup implements relay.Targets.
 func (t targets) Lookup(service, name string) (relay.Target, bool) {
 	found, ok := t.registry.Lookup(service, name, time.Now())
-	return relay.Target{Name: found.Info.Target, Address: found.Address}, ok
+	return relay.Target{Name: found.Info.Target, Address: found.Address, Slots: found.Info.Slots}, ok
 }
 
 // limits holds the part of the configuration that is in force in this agent.
--- a/internal/serve/relay/relay_test.go
+++ b/internal/serve/relay/relay_test.go
@@ -25,6 +25,7 @@
 	server  *relay.Server
 	session *sess.Session // of the entry
 	address string        // of the target
+	slots   int64         // of the target; 0 for no bound
 
 	mu   sync.Mutex
 	free sizes.Resources
@@ -52,7 +53,7 @@
 }
 
 func (a *agent) Lookup(service, _ string) (relay.Target, bool) {
-	return relay.Target{Name: "t1", Address: a.address}, service == "book"
+	return relay.Target{Name: "t1", Address: a.address, Slots: a.slots}, service == "book"
 }
 
 func (a *agent) LongSlots(string) int64 { return 1 }
@@ -166,6 +167,29 @@
 	}
 }
 
+// Guards against a target that gets more requests than it announced slots while its worker has slots left.
+func TestTargetSlots(t *testing.T) {
+	release := make(chan struct{})
+	a := newAgent(t, func(http.ResponseWriter, *http.Request) { <-release })
+	a.slots = 1
+	first, err := a.session.Open(t.Context(), head("GET", "/1", nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = first.CloseWrite() // the answer tells what happened
+	for a.server.InFlight("t1") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	a.wantNotRun(t, "second request", head("GET", "/2", nil), wire.ReasonOverloaded)
+	close(release)
+	if m, err := first.Receive(t.Context()); err != nil || m.Kind() != wire.KindResponseHead {
+		t.Errorf("first request got %v and %v", m, err)
+	}
+	if got := a.available(); got.Slots > means.Slots {
+		t.Errorf("%d slots are free of %d", got.Slots, means.Slots)
+	}
+}
+
 // Guards against long work that takes the slots of short work on a worker.
 func TestLongSlots(t *testing.T) {
 	release := make(chan struct{})
--- a/internal/serve/relay/server.go
+++ b/internal/serve/relay/server.go
@@ -40,6 +40,7 @@
 type Target struct {
 	Name    string
 	Address string // host:port
+	Slots   int64  // requests that it runs at the same time; 0 for no bound of its own
 }
 
 // Targets looks up the targets beside this agent.
@@ -148,7 +149,7 @@
 	if r.releaseConn, ok = s.cfg.Ledger.Reserve(sizes.Resources{Connections: 1}); !ok {
 		return notRun(wire.ReasonOverloaded, "no connection is free")
 	}
-	if r.releaseSlot, ok = s.takeSlot(r.target.Name); !ok {
+	if r.releaseSlot, ok = s.takeSlot(r.target); !ok {
 		return notRun(wire.ReasonOverloaded, "no slot is free")
 	}
 	if err := s.cfg.Hook.At(point.ServeReserved, string(r.head.Request)); err != nil {
@@ -157,24 +158,37 @@
 	return nil
 }
 
-// takeSlot reserves a slot of the worker and counts it for the target.
-func (s *Server) takeSlot(target string) (release func(), ok bool) {
+// takeSlot reserves a slot of the target and one of the worker, which its other targets and entries use as well.
+func (s *Server) takeSlot(target Target) (release func(), ok bool) {
+	if !s.enterTarget(target) {
+		return nil, false
+	}
 	free, ok := s.cfg.Ledger.Reserve(sizes.Resources{Slots: 1})
 	if !ok {
+		s.leaveTarget(target.Name)
 		return nil, false
 	}
-	s.addInFlight(target, 1)
 	return func() {
-		s.addInFlight(target, -1)
+		s.leaveTarget(target.Name)
 		free()
 	}, true
 }
 
-func (s *Server) addInFlight(target string, n int64) {
+func (s *Server) enterTarget(target Target) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if target.Slots > 0 && s.inFlight[target.Name] >= target.Slots {
+		return false
+	}
+	s.inFlight[target.Name]++
+	return true
+}
+
+func (s *Server) leaveTarget(name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.inFlight[target] += n; s.inFlight[target] == 0 {
-		delete(s.inFlight, target)
+	if s.inFlight[name]--; s.inFlight[name] == 0 {
+		delete(s.inFlight, name)
 	}
 }
 
