Serve jobs of steps on the users' platform: a thin whole path

Cause: nothing in the repository spoke the platform's protocol, and a job was a number of equal tasks. One entry leads a cell under the head row's epoch; jobs, progress and cancellations are rows; starts are kept in memory and recovered from the workers' own lists.

Before: nothing was served.

Conclusion: the path is whole; pacing and placement of tasks that fill come next.

--- a/cmd/trefoilramp/main.go
+++ b/cmd/trefoilramp/main.go
@@ -11,7 +11,7 @@
 
 func main() {
 	commands := append([]*cli.Command{
-		entryCommand(), agentCommand(), standinCommand(), demoCommand(), loadCommand(),
+		entryCommand(), agentCommand(), standinCommand(), demoCommand(), loadCommand(), cellCommand(),
 	}, operateCommands()...)
 	app := group("trefoilramp", "schedule latency-critical and batch work that share instances", commands...)
 	if err := app.Run(context.Background(), os.Args); err != nil {
--- /dev/null
+++ b/internal/conf/setup/cell.go
@@ -0,0 +1,104 @@
+package setup
+
+import (
+	"time"
+
+	"trefoilramp.org/trefoilramp/internal/conf/model"
+	"trefoilramp.org/trefoilramp/internal/conf/strict"
+)
+
+// Bounds of the settings of a cell's processes.
+const (
+	minLease     = time.Second
+	maxLease     = time.Hour
+	minRetention = time.Second
+	maxRetention = 24 * time.Hour
+	minMemory    = 32      // MiB
+	maxMemory    = 1 << 20 // MiB
+)
+
+// CellProcess holds the settings that the processes of a cell share.
+type CellProcess struct {
+	Name             string
+	AvailabilityZone string
+	Cell             string         // the workers and jobs that one leader schedules
+	Sessions         string         // listener for sessions of the cell's other processes, as they reach it
+	Administration   string         // listener for health and metrics; empty for none
+	Store            string         // HOST:PORT of the store of rows
+	Key              Secret         // shared key of the handshake
+	Lease            model.Duration // for which a worker keeps its runs without an extension
+	Grace            model.Duration // between SIGTERM and the end
+	MemoryMiB        int64          // limit of the process
+}
+
+// CellEntry holds the settings of a cell's entry.
+type CellEntry struct {
+	Process    CellProcess
+	Callers    string         // listener for callers
+	Readiness  string         // listener for the platform's checks
+	Policies   string         // HOST:PORT of the policy service; empty for none
+	Machines   string         // HOST:PORT of the interface to machines; empty for none
+	Retention  model.Duration // how long callers may ask for a job after its end
+	Processors float64        // share of a processor that the process has
+}
+
+// CellAgent holds the settings of a cell's agent.
+type CellAgent struct {
+	Process       CellProcess
+	Announcements string // listener for announcements of the worker
+	Worker        string // HOST:PORT of the worker
+	Service       string // of the worker; empty for any
+}
+
+// LoadCellEntry reads and checks the settings file of a cell's entry.
+func LoadCellEntry(path string) (CellEntry, error) {
+	var e CellEntry
+	err := load(path, &e, func(c strict.Check, base string) { e.check(c, base) })
+	return e, err
+}
+
+// LoadCellAgent reads and checks the settings file of a cell's agent.
+func LoadCellAgent(path string) (CellAgent, error) {
+	var a CellAgent
+	err := load(path, &a, func(c strict.Check, base string) { a.check(c, base) })
+	return a, err
+}
+
+func (s *CellProcess) check(c strict.Check, base string) {
+	model.CheckName(c.Field("Name"), s.Name)
+	model.CheckName(c.Field("AvailabilityZone"), s.AvailabilityZone)
+	model.CheckName(c.Field("Cell"), s.Cell)
+	checkDial(c.Field("Sessions"), s.Sessions, true)
+	checkListen(c.Field("Administration"), s.Administration, false)
+	checkDial(c.Field("Store"), s.Store, true)
+	s.Key.check(c.Field("Key"), base, true)
+	model.CheckDuration(c.Field("Lease"), s.Lease, minLease, maxLease)
+	model.CheckDuration(c.Field("Grace"), s.Grace, minLease, maxLease)
+	if s.MemoryMiB < minMemory || s.MemoryMiB > maxMemory {
+		c.Field("MemoryMiB").Fail(s.MemoryMiB, "%d to %d", minMemory, maxMemory)
+	}
+}
+
+func (e *CellEntry) check(c strict.Check, base string) {
+	e.Process.check(c.Field("Process"), base)
+	checkListen(c.Field("Callers"), e.Callers, true)
+	checkListen(c.Field("Readiness"), e.Readiness, true)
+	checkListeners(c, []listener{
+		{"Callers", e.Callers}, {"Readiness", e.Readiness}, {"Process.Sessions", e.Process.Sessions}, {"Process.Administration", e.Process.Administration},
+	})
+	checkDial(c.Field("Policies"), e.Policies, false)
+	checkDial(c.Field("Machines"), e.Machines, false)
+	model.CheckDuration(c.Field("Retention"), e.Retention, minRetention, maxRetention)
+	if e.Processors <= 0 {
+		c.Field("Processors").Fail(e.Processors, "more than 0")
+	}
+}
+
+func (a *CellAgent) check(c strict.Check, base string) {
+	a.Process.check(c.Field("Process"), base)
+	checkListen(c.Field("Announcements"), a.Announcements, true)
+	checkListeners(c, []listener{
+		{"Announcements", a.Announcements}, {"Process.Sessions", a.Process.Sessions}, {"Process.Administration", a.Process.Administration},
+	})
+	checkDial(c.Field("Worker"), a.Worker, true)
+}
--- a/internal/core/event/event.go
+++ b/internal/core/event/event.go
@@ -8,7 +8,8 @@
 )
 
 // Number identifies a log event; numbers are never reused. Each area has its own hundred: 1 processes, 2 sessions,
-// 3 serving, 4 batch, 5 configuration, 6 operations, 7 workers and targets, 8 store.
+// 3 serving, 4 batch, 5 configuration, 6 operations, 7 workers and targets, 8 store,
+// 9 jobs of steps.
 type Number int
 
 // Entry describes a log event in the catalogue.
@@ -45,7 +46,7 @@
 }
 
 var catalogue = merge(processEvents, sessionEvents, servingEvents, batchEvents, configEvents, operationEvents,
-	workerEvents, storeEvents)
+	workerEvents, storeEvents, jobEvents)
 
 func merge(areas ...[]Entry) map[Number]Entry {
 	m := make(map[Number]Entry)
--- a/internal/core/event/event_test.go
+++ b/internal/core/event/event_test.go
@@ -23,7 +23,7 @@
 var update = flag.Bool("update", false, "write docs/events.md")
 
 var areas = []string{"", "Processes", "Sessions", "Serving", "Batch work", "Configuration", "Operations",
-	"Workers and targets", "Store"}
+	"Workers and targets", "Store", "Jobs of steps"}
 
 func page() string {
 	list := event.Catalogue()
--- /dev/null
+++ b/internal/jobs/intake/intake.go
@@ -0,0 +1,257 @@
+package intake
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/conf/queues"
+	"trefoilramp.org/trefoilramp/internal/core/event"
+	"trefoilramp.org/trefoilramp/internal/core/pause"
+	"trefoilramp.org/trefoilramp/internal/jobs/rows"
+	"trefoilramp.org/trefoilramp/internal/jobs/spec"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+)
+
+const (
+	firstTry    = 600 * time.Millisecond  // for the first answer of the store; doubles with each lost one
+	giveUp      = 1500 * time.Millisecond // after which an unknown outcome is told to the caller
+	retryPause  = 25 * time.Millisecond   // between tries
+	refusals    = 2                       // answers that nothing was done, after which the caller is refused
+	askLimit    = 400 * time.Millisecond  // for an answer of the leader
+	relayLimit  = 2 * time.Second         // for an answer of the leader that stores something for this entry
+	failingLong = 700 * time.Millisecond  // without an answer of the store, after which it is not asked first
+	// RetryAfter is when a refused caller should come back.
+	RetryAfter = time.Second
+)
+
+// Verdict is the outcome of a caller's request.
+type Verdict uint8
+
+// Verdicts.
+const (
+	Accepted  Verdict = iota + 1 // carried out and stored, or known
+	Unknown                      // no such job
+	NotDone                      // not carried out, and never will be
+	Uncertain                    // it may have been carried out
+)
+
+//go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type Verdict -output verdict_string.go
+
+// Leader reaches the leader of the cell.
+type Leader interface {
+	// Epoch returns the epoch of the leader that this entry knows.
+	Epoch() uint64
+	// Tell sends a message without waiting for a reply.
+	Tell(m *wire.JobAsk)
+	// Ask waits for the reply to a message.
+	Ask(ctx context.Context, m *wire.JobAsk) (*wire.JobTell, error)
+	// IsSelf reports whether this entry leads.
+	IsSelf() bool
+}
+
+// Config is what an Intake needs.
+type Config struct {
+	Cell    string
+	Store   rows.Store
+	Failing func() time.Time // since when the store does not answer; zero while it does
+	Leader  Leader
+	Log     *zap.Logger
+}
+
+// Intake accepts jobs. Its methods are safe for concurrent use.
+type Intake struct {
+	cfg Config
+}
+
+// New returns an intake.
+func New(cfg Config) *Intake { return &Intake{cfg: cfg} }
+
+// Prepare fills in what a job takes from its queue.
+func Prepare(j *spec.Job, q *queues.Queue, version uint64, now time.Time) {
+	j.Queue, j.Service, j.Priority, j.MaxAttempts = q.Name, q.Service, q.Priority, q.MaxAttempts
+	j.Stretch, j.Objective = q.Stretch, q.Objective.Milliseconds()
+	j.Advised, j.Version, j.AcceptedAt = q.Advice != nil, version, now.UnixMilli()
+}
+
+// Submit stores a job. A job that is stored already is accepted again and stays one job.
+func (in *Intake) Submit(ctx context.Context, j *spec.Job) Verdict {
+	began := time.Now()
+	j.Epoch = in.cfg.Leader.Epoch()
+	packed, err := rows.Encode(j)
+	if err != nil {
+		event.Log(in.cfg.Log, event.JobRefused, zap.String("Job", string(j.ID)), zap.Error(err))
+		return NotDone
+	}
+	v, err := in.relayed(ctx, &wire.JobAsk{Action: wire.JobStore, ID: string(j.ID), Packed: packed})
+	if v == 0 {
+		v, err = in.store(ctx, rows.JobRef(in.cfg.Cell, j.ID), packed, true)
+	}
+	if v != Accepted {
+		event.Log(in.cfg.Log, event.JobRefused, zap.String("Job", string(j.ID)), zap.String("Queue", j.Queue),
+			zap.Stringer("Verdict", v), zap.Duration("Took", time.Since(began)), zap.Error(err))
+		return v
+	}
+	event.Log(in.cfg.Log, event.JobTaken, zap.String("Job", string(j.ID)), zap.String("Queue", j.Queue),
+		zap.Uint64("Version", j.Version), zap.Int("Tasks", j.TaskCount()), zap.Uint64("Epoch", j.Epoch),
+		zap.Duration("Took", time.Since(began)))
+	in.cfg.Leader.Tell(&wire.JobAsk{Action: wire.JobAccepted, ID: string(j.ID), Packed: packed})
+	return Accepted
+}
+
+// relayed lets the leader store something while the store turns this entry away; verdict 0 leaves it to this entry.
+func (in *Intake) relayed(ctx context.Context, m *wire.JobAsk) (Verdict, error) {
+	since := in.cfg.Failing()
+	if since.IsZero() || time.Since(since) < failingLong || in.cfg.Leader.IsSelf() {
+		return 0, nil
+	}
+	limited, cancel := context.WithTimeout(ctx, relayLimit)
+	defer cancel()
+	t, err := in.cfg.Leader.Ask(limited, m)
+	if errors.Is(err, ErrNoLeader) {
+		return 0, err
+	}
+	if err != nil {
+		return Uncertain, err
+	}
+	switch t.Verdict {
+	case wire.VerdictKnown:
+		return Accepted, nil
+	case wire.VerdictUnknown:
+		return Unknown, nil
+	case wire.VerdictNotDone, wire.VerdictNotReady:
+		return NotDone, nil
+	default:
+		return Uncertain, nil
+	}
+}
+
+// ErrNoLeader says that no leader is reachable, so that nothing was sent.
+var ErrNoLeader = errors.New("no leader is reachable")
+
+// store writes one row. With once, a row that exists already is left as it is and counts as written.
+func (in *Intake) store(ctx context.Context, ref rows.Ref, value []byte, once bool) (Verdict, error) {
+	c := rows.Change{Puts: []rows.Row{{Ref: ref, Value: value}}}
+	if once {
+		c.Conditions = []rows.Condition{{Ref: ref}}
+	}
+	began := time.Now()
+	limit, refused, unclear := firstTry, 0, false
+	for {
+		limited, cancel := context.WithTimeout(ctx, limit)
+		_, err := in.cfg.Store.Change(limited, c)
+		cancel()
+		if err == nil {
+			return Accepted, nil // applied, or there already
+		}
+		if errors.Is(err, rows.ErrNotDone) {
+			refused++
+		} else {
+			unclear = true
+			limit *= 2
+		}
+		switch {
+		case !unclear && refused >= refusals:
+			return NotDone, err
+		case ctx.Err() != nil || time.Since(began) > giveUp:
+			return Uncertain, err
+		}
+		pause.For(ctx, retryPause)
+	}
+}
+
+// Cancel stores the cancellation of a job.
+func (in *Intake) Cancel(ctx context.Context, id spec.ID) Verdict {
+	state, v := in.State(ctx, id)
+	if v != Accepted {
+		return v
+	}
+	if state.IsFinal() {
+		return Accepted
+	}
+	v, err := in.relayed(ctx, &wire.JobAsk{Action: wire.JobRevoke, ID: string(id)})
+	if v == 0 {
+		v, err = in.store(ctx, rows.CancelRef(in.cfg.Cell, id), []byte{1}, true)
+	}
+	event.Log(in.cfg.Log, event.JobCancelled, zap.String("Job", string(id)), zap.Stringer("Verdict", v), zap.Error(err))
+	if v == Accepted {
+		in.cfg.Leader.Tell(&wire.JobAsk{Action: wire.JobCancelled, ID: string(id)})
+	}
+	return v
+}
+
+// State returns the state of a job as the leader knows it, or as it is stored.
+func (in *Intake) State(ctx context.Context, id spec.ID) (rows.State, Verdict) {
+	limited, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	t, err := in.cfg.Leader.Ask(limited, &wire.JobAsk{Action: wire.JobState, ID: string(id)})
+	if err == nil && t.Verdict == wire.VerdictKnown {
+		return rows.State(t.State), Accepted
+	}
+	return in.storedState(ctx, id)
+}
+
+func (in *Intake) storedState(ctx context.Context, id spec.ID) (rows.State, Verdict) {
+	limited, cancel := context.WithTimeout(ctx, firstTry)
+	defer cancel()
+	p, err := in.cfg.Store.Read(limited, rows.ProgressRef(in.cfg.Cell, id).One())
+	if err != nil {
+		return 0, NotDone
+	}
+	if len(p.Rows) > 0 {
+		var a rows.Advance
+		if err := rows.Decode(p.Rows[0], &a); err != nil {
+			event.Log(in.cfg.Log, event.RowUnreadable, zap.String("Job", string(id)), zap.Error(err))
+			return 0, NotDone
+		}
+		return a.State, Accepted
+	}
+	p, err = in.cfg.Store.Read(limited, rows.JobRef(in.cfg.Cell, id).One())
+	if err != nil {
+		return 0, NotDone
+	}
+	if len(p.Rows) == 0 {
+		return 0, Unknown
+	}
+	return rows.Queued, Accepted
+}
+
+// Waiting returns the number of accepted jobs of a queue without a started task.
+func (in *Intake) Waiting(ctx context.Context, queue string) (int, Verdict) {
+	limited, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	t, err := in.cfg.Leader.Ask(limited, &wire.JobAsk{Action: wire.QueueLength, Queue: queue})
+	if err != nil || t.Verdict != wire.VerdictKnown {
+		return 0, NotDone
+	}
+	return t.Waiting, Accepted
+}
+
+// Serve answers what another entry asks this one to store.
+func (in *Intake) Serve(ctx context.Context, m *wire.JobAsk) *wire.JobTell {
+	tell := &wire.JobTell{Number: m.Number}
+	var v Verdict
+	switch m.Action {
+	case wire.JobStore:
+		var j spec.Job
+		if err := wire.Unpack(m.Packed, &j); err != nil {
+			event.Log(in.cfg.Log, event.InputRefused, zap.String("Job", m.ID), zap.Error(err))
+			v = NotDone
+			break
+		}
+		v, _ = in.store(ctx, rows.JobRef(in.cfg.Cell, j.ID), m.Packed, true)
+	case wire.JobRevoke:
+		v, _ = in.store(ctx, rows.CancelRef(in.cfg.Cell, spec.ID(m.ID)), []byte{1}, true)
+	}
+	switch v {
+	case Accepted:
+		tell.Verdict = wire.VerdictKnown
+	case NotDone:
+		tell.Verdict = wire.VerdictNotDone
+	default:
+		tell.Verdict = wire.VerdictUnclear
+	}
+	return tell
+}
--- /dev/null
+++ b/internal/jobs/lead/head.go
@@ -0,0 +1,102 @@
+package lead
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoilramp.org/trefoilramp/internal/core/pause"
+	"trefoilramp.org/trefoilramp/internal/jobs/rows"
+)
+
+// errDeposed says that another entry leads the cell.
+var errDeposed = errors.New("another entry leads the cell")
+
+const (
+	retryPause = 50 * time.Millisecond // between tries of a write
+	readLimit  = 1500 * time.Millisecond
+)
+
+// ReadHead returns the head row of a cell with its version, 0 when there is none.
+func ReadHead(ctx context.Context, st rows.Store, cell string) (rows.Head, uint64, error) {
+	limited, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	p, err := st.Read(limited, rows.HeadRef(cell).One())
+	if err != nil {
+		return rows.Head{}, 0, fmt.Errorf("read head row: %w", err)
+	}
+	if len(p.Rows) == 0 {
+		return rows.Head{}, 0, nil
+	}
+	var h rows.Head
+	if err := rows.Decode(p.Rows[0], &h); err != nil {
+		return rows.Head{}, 0, err
+	}
+	return h, p.Rows[0].Version, nil
+}
+
+// headWriter writes a cell's head row with other rows, one change at a time.
+type headWriter struct {
+	store   rows.Store
+	cell    string
+	head    rows.Head
+	version uint64 // of the head row
+}
+
+// write applies c on condition of the head row and returns when the first try of the successful write began. It repeats
+// the same write until its outcome is known; errDeposed ends the reign.
+func (w *headWriter) write(ctx context.Context, puts []rows.Row, deletes []rows.Ref) (time.Time, error) {
+	next := w.head
+	next.Write++
+	value, err := rows.Encode(next)
+	if err != nil {
+		return time.Time{}, err
+	}
+	ref := rows.HeadRef(w.cell)
+	c := rows.Change{
+		Conditions: []rows.Condition{{Ref: ref, Version: w.version}},
+		Puts:       append([]rows.Row{{Ref: ref, Value: value}}, puts...),
+		Deletes:    deletes,
+	}
+	limit := firstLimit
+	for {
+		began := time.Now()
+		limited, cancel := context.WithTimeout(ctx, limit)
+		out, err := w.store.Change(limited, c)
+		cancel()
+		switch {
+		case err != nil && ctx.Err() != nil:
+			return time.Time{}, fmt.Errorf("write head row: %w", err)
+		case err != nil:
+			if errors.Is(err, rows.ErrUnknown) {
+				limit = min(2*limit, lastLimit)
+			}
+			pause.For(ctx, retryPause)
+			continue
+		case out.Applied:
+			w.head, w.version = next, out.Version
+			return began, nil
+		}
+		return began, w.settle(next, out)
+	}
+}
+
+// settle decides after a conflict whether an earlier try of the same write was applied.
+func (w *headWriter) settle(next rows.Head, out rows.Outcome) error {
+	for _, r := range out.Conflicts {
+		if r.Ref != rows.HeadRef(w.cell) {
+			continue
+		}
+		var h rows.Head
+		if err := rows.Decode(r, &h); err != nil {
+			return err
+		}
+		if h == next {
+			w.head, w.version = next, r.Version
+			return nil
+		}
+	}
+	return errDeposed
+}
--- /dev/null
+++ b/internal/jobs/rows/layout.go
@@ -0,0 +1,99 @@
+package rows
+
+import (
+	"fmt"
+
+	"trefoilramp.org/trefoilramp/internal/jobs/spec"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+)
+
+// Tables. Rows of a cell share the part named after it, so that the leader writes them in one transaction.
+const (
+	Heads    = "Heads"    // one row per cell: its leader
+	Jobs     = "Jobs"     // accepted jobs, written by entries
+	Cancels  = "Cancels"  // cancelled jobs, written by entries
+	Progress = "Progress" // state of jobs, written by the leader
+	Agents   = "Agents"   // agents and their addresses, written by agents
+)
+
+// HeadKey is the key of a cell's head row.
+const HeadKey = "Head"
+
+// Head says who leads a cell.
+type Head struct {
+	Leader  string // name of the entry; empty after a handover
+	Address string // where the entry accepts sessions
+	Epoch   uint64 // grows by one with each takeover
+	Write   uint64 // grows by one with each write; identifies the write whose response was lost
+}
+
+// Agent says where an agent accepts sessions.
+type Agent struct {
+	Name        string
+	Zone        string
+	Address     string
+	Incarnation string
+}
+
+// State is the state of a job.
+type State uint8
+
+// States of a job.
+const (
+	Queued State = iota
+	Running
+	Done
+	Failed
+	Cancelled
+)
+
+//go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type State -output state_string.go
+
+// IsFinal reports whether the state never changes any more.
+func (s State) IsFinal() bool { return s >= Done }
+
+// TaskNote is what lasts of a task that is not done.
+type TaskNote struct {
+	Task   int // ordinal in the job
+	Failed int // runs that ended in failure
+	Saved  string
+}
+
+// Advance is the durable progress of a job.
+type Advance struct {
+	State  State
+	EndsAt int64  // wall clock at the final state, ms since 1970
+	Done   []byte // bit per task ordinal
+	Notes  []TaskNote
+}
+
+// JobRef returns the row of an accepted job.
+func JobRef(cell string, id spec.ID) Ref { return Ref{Jobs, cell, string(id)} }
+
+// CancelRef returns the row that says that a job is cancelled.
+func CancelRef(cell string, id spec.ID) Ref { return Ref{Cancels, cell, string(id)} }
+
+// ProgressRef returns the row of a job's progress.
+func ProgressRef(cell string, id spec.ID) Ref { return Ref{Progress, cell, string(id)} }
+
+// HeadRef returns the head row of a cell.
+func HeadRef(cell string) Ref { return Ref{Heads, cell, HeadKey} }
+
+// AgentRef returns the row of an agent.
+func AgentRef(cell, name string) Ref { return Ref{Agents, cell, name} }
+
+// One returns the span of a single row.
+func (r Ref) One() Span {
+	return Span{Table: r.Table, Part: r.Part, From: r.Key, To: r.Key + "\x00", Limit: 1}
+}
+
+// Encode returns the stored form of a row's value.
+func Encode(v any) ([]byte, error) { return wire.Pack(v) }
+
+// Decode reads the stored form of a row's value.
+func Decode(r Row, v any) error {
+	if err := wire.Unpack(r.Value, v); err != nil {
+		return fmt.Errorf("row %s/%s/%s: %w", r.Table, r.Part, r.Key, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/jobs/spec/job.go
@@ -0,0 +1,132 @@
+package spec
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Limits of a job.
+const (
+	MaxPayload     = 4000   // bytes
+	MaxSteps       = 100    // of a job
+	MaxTasks       = 20_000 // of a job, over all occurrences
+	MaxOccurrences = 10_000
+	idLength       = 16
+)
+
+// ID is the identity of a job that its caller chose: 16 hexadecimal digits.
+type ID string
+
+// Check fails unless the id has 16 hexadecimal digits.
+func (id ID) Check() error {
+	if len(id) != idLength {
+		return errors.Newf("id has %d characters; allowed: %d hexadecimal digits", len(id), idLength)
+	}
+	for _, c := range []byte(id) {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return errors.Newf("id %q has the character %q; allowed: hexadecimal digits", string(id), c)
+		}
+	}
+	return nil
+}
+
+// Job is a job as it was accepted, with the rules of its queue at that moment.
+type Job struct {
+	ID          ID
+	Queue       string
+	Service     string
+	Payload     string // handed to the worker with each task
+	Steps       []Step
+	Occurrences int   // number of times that the steps run; 0 for a job without due times
+	StartAt     int64 // due time of the first occurrence, ms since 1970
+	Interval    int64 // between occurrences, ms
+	Priority    int
+	MaxAttempts int
+	Stretch     float64
+	Objective   int64  // ms added to the stretched run time
+	AcceptedAt  int64  // wall clock of the accepting entry, ms since 1970
+	Version     uint64 // of the configuration that was applied
+	Epoch       uint64 // of the leader that the accepting entry knew and told
+	Advised     bool   // the queue's policy service restricts the workers
+}
+
+// Check fails with the first fault of a submitted job.
+func (j *Job) Check() error {
+	if err := j.ID.Check(); err != nil {
+		return err
+	}
+	if len(j.Payload) > MaxPayload {
+		return errors.Newf("payload has %d bytes; allowed: at most %d", len(j.Payload), MaxPayload)
+	}
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return errors.Newf("job has %d steps; allowed: 1 to %d", len(j.Steps), MaxSteps)
+	}
+	if j.Occurrences < 0 || j.Occurrences > MaxOccurrences || j.Interval < 0 || j.StartAt < 0 {
+		return errors.Newf("job has %d occurrences each %d ms from %d", j.Occurrences, j.Interval, j.StartAt)
+	}
+	for i := range j.Steps {
+		if err := j.Steps[i].check(i); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
+		}
+	}
+	if n := j.TaskCount(); n > MaxTasks {
+		return errors.Newf("job has %d tasks; allowed: at most %d", n, MaxTasks)
+	}
+	return nil
+}
+
+// Rounds returns how often the steps run: the number of occurrences, and once for a job without due times.
+func (j *Job) Rounds() int { return max(1, j.Occurrences) }
+
+// TaskCount returns the number of tasks over all occurrences.
+func (j *Job) TaskCount() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n * j.Rounds()
+}
+
+// Due returns when occurrence k may start by the wall clock, and false for a job without due times.
+func (j *Job) Due(k int) (time.Time, bool) {
+	if j.Occurrences == 0 {
+		return time.Time{}, false
+	}
+	return time.UnixMilli(j.StartAt + int64(k)*j.Interval), true
+}
+
+// IsLasting reports whether any step runs until the job is cancelled.
+func (j *Job) IsLasting() bool {
+	for i := range j.Steps {
+		if j.Steps[i].Lasting {
+			return true
+		}
+	}
+	return false
+}
+
+// Chain returns the declared length of the longest chain of dependent steps in milliseconds.
+func (j *Job) Chain() int64 {
+	ends := make([]int64, len(j.Steps))
+	var longest int64
+	for i := range j.Steps {
+		var start int64
+		for _, a := range j.Steps[i].After {
+			start = max(start, ends[a])
+		}
+		ends[i] = start + j.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// Work returns the declared work of the job in thousandths of a processor times milliseconds.
+func (j *Job) Work() int64 {
+	var n int64
+	for i := range j.Steps {
+		n += int64(j.Steps[i].Count) * j.Steps[i].Size.Processors * j.Steps[i].Estimate
+	}
+	return n
+}
--- /dev/null
+++ b/internal/jobs/spec/step.go
@@ -0,0 +1,63 @@
+package spec
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"trefoilramp.org/trefoilramp/internal/core/sizes"
+)
+
+const (
+	maxProcessors = 1 << 40 // thousandths
+	maxMemory     = 1 << 50 // bytes
+	maxEstimate   = 1 << 40 // ms
+)
+
+// Step is a group of equal tasks of a job.
+type Step struct {
+	Count       int
+	Size        sizes.Resources // of one task
+	Estimate    int64           // declared run time of one task, ms
+	After       []int           // earlier steps whose tasks must all be done first
+	Checkpoints bool
+	Gang        bool   // the tasks work only together
+	OneRack     bool   // the tasks are slower when they run on several racks
+	Label       string // that the worker must have; empty for none
+	DataRack    string // rack near the data; empty for none
+	PerWorker   int    // most tasks of one occurrence on a worker; 0 for no limit
+	Copies      bool   // several runs of a task may overlap, and the first to finish counts
+	Lasting     bool   // the tasks run until the job is cancelled
+	Fills       bool   // the processors of the tasks do not count against a worker's capacity
+	Image       string
+	Target      int64 // tail latency that a serving task must stay below, ms; 0 for none
+	MayMiss     int   // tasks of a lasting step that the system may take away at the same time
+}
+
+func (s *Step) check(index int) error {
+	if s.Count < 1 || s.Count > MaxTasks {
+		return errors.Newf("count is %d; allowed: 1 to %d", s.Count, MaxTasks)
+	}
+	if s.Size.IsNegative() || s.Size.Processors > maxProcessors || s.Size.Memory > maxMemory {
+		return errors.Newf("size %+v is out of range", s.Size)
+	}
+	if s.Estimate < 0 || s.Estimate > maxEstimate {
+		return errors.Newf("estimate is %d ms", s.Estimate)
+	}
+	if s.PerWorker < 0 || s.MayMiss < 0 || s.Target < 0 {
+		return errors.New("a limit is negative")
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= index {
+			return errors.Newf("it follows step %d; allowed: an earlier step", a)
+		}
+	}
+	return nil
+}
+
+// Holds returns what a task of the step occupies of its worker's capacity.
+func (s *Step) Holds() sizes.Resources {
+	r := s.Size
+	if s.Fills {
+		r.Processors = 0
+	}
+	return r
+}
--- a/internal/link/wire/kind.go
+++ b/internal/link/wire/kind.go
@@ -15,7 +15,7 @@
 type Kind uint8
 
 // Kinds of messages: 1 to 31 belong to sessions, 32 to 63 to membership and configuration, 64 to 95 to serving, 96 to
-// 159 to batch work.
+// 159 to batch work, 160 to 191 to jobs of steps.
 const (
 	KindHello         Kind = 1
 	KindProof         Kind = 2
@@ -58,6 +58,13 @@
 	KindJobQuery      Kind = 109
 	KindJobCancel     Kind = 110
 	KindJobReply      Kind = 111
+	KindLeadAdopt     Kind = 160
+	KindWorkerState   Kind = 161
+	KindRunReport     Kind = 162
+	KindLeaseGrant    Kind = 163
+	KindTaskOrders    Kind = 164
+	KindJobAsk        Kind = 165
+	KindJobTell       Kind = 166
 )
 
 // Message is a typed message between two of the system's processes.
--- /dev/null
+++ b/internal/role/jobs/agent.go
@@ -0,0 +1,163 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/core/event"
+	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/pause"
+	"trefoilramp.org/trefoilramp/internal/host/orders"
+	"trefoilramp.org/trefoilramp/internal/jobs/rows"
+	"trefoilramp.org/trefoilramp/internal/link/sess"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+)
+
+const (
+	registerLimit = 1500 * time.Millisecond // for an answer of the store
+	registerRetry = 400 * time.Millisecond  // after a failure
+	lonelyAfter   = 5 * time.Second         // without a leader, after which the agent registers again
+)
+
+// AgentConfig is what an agent needs.
+type AgentConfig struct {
+	Cell    string
+	Name    string
+	Zone    string
+	Address string // where it accepts sessions, HOST:PORT
+	Key     []byte // shared key of the handshake
+	Lease   time.Duration
+	Worker  orders.Worker
+	Store   rows.Store
+	Log     *zap.Logger
+}
+
+// Agent serves the worker beside it.
+type Agent struct {
+	cfg      AgentConfig
+	orders   *orders.Agent
+	listener net.Listener
+	sessions sess.Config
+
+	mu    sync.Mutex
+	links map[*sess.Session]*link
+	ctx   context.Context // of Run, for orders
+}
+
+// NewAgent opens the listener of sessions.
+func NewAgent(ctx context.Context, cfg AgentConfig) (*Agent, error) {
+	a := &Agent{cfg: cfg, links: make(map[*sess.Session]*link), ctx: ctx}
+	a.orders = orders.New(orders.Config{Worker: cfg.Worker, Lease: cfg.Lease, Log: cfg.Log})
+	a.sessions = sess.Config{
+		Self: wire.Hello{
+			Role: wire.RoleAgent, Name: cfg.Name, Incarnation: ident.NewIncarnation(),
+			Zone: ident.AvailabilityZone(cfg.Zone),
+		},
+		Key: cfg.Key, Log: cfg.Log,
+	}
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", cfg.Address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for sessions: %w", err)
+	}
+	a.listener = ln
+	return a, nil
+}
+
+// Orders returns what carries out orders, for announcements of the worker.
+func (a *Agent) Orders() *orders.Agent { return a.orders }
+
+// Run works until ctx ends.
+func (a *Agent) Run(ctx context.Context) error {
+	a.mu.Lock()
+	a.ctx = ctx
+	a.mu.Unlock()
+	var wg sync.WaitGroup
+	wg.Go(func() { a.orders.Run(ctx) })
+	wg.Go(func() { a.register(ctx) })
+	err := sess.Serve(ctx, a.listener, a.sessions, a)
+	wg.Wait()
+	return err
+}
+
+// register stores where the agent is reached, and again when no leader has come for long.
+func (a *Agent) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := a.store(ctx); err != nil {
+			event.Log(a.cfg.Log, event.RegisterFailed, zap.Error(err))
+			pause.For(ctx, registerRetry)
+			continue
+		}
+		event.Log(a.cfg.Log, event.AgentRegistered, zap.String("Address", a.cfg.Address))
+		for lonely := time.Now(); ctx.Err() == nil && time.Since(lonely) < lonelyAfter; {
+			pause.For(ctx, lonelyAfter/5)
+			if !a.orders.Idle() {
+				lonely = time.Now()
+			}
+		}
+	}
+}
+
+func (a *Agent) store(ctx context.Context) error {
+	value, err := rows.Encode(&rows.Agent{
+		Name: a.cfg.Name, Zone: a.cfg.Zone, Address: a.cfg.Address, Incarnation: string(a.sessions.Self.Incarnation),
+	})
+	if err != nil {
+		return err
+	}
+	limited, cancel := context.WithTimeout(ctx, registerLimit)
+	defer cancel()
+	_, err = a.cfg.Store.Change(limited, rows.Change{
+		Puts: []rows.Row{{Ref: rows.AgentRef(a.cfg.Cell, a.cfg.Name), Value: value}},
+	})
+	if err != nil {
+		return fmt.Errorf("store address: %w", err)
+	}
+	return nil
+}
+
+// link returns the leader's side of a session.
+func (a *Agent) link(s *sess.Session) (*link, context.Context) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	l := a.links[s]
+	if l == nil {
+		l = &link{session: s}
+		a.links[s] = l
+	}
+	return l, a.ctx
+}
+
+// HandleMessage implements sess.Handler.
+func (a *Agent) HandleMessage(s *sess.Session, m wire.Message) {
+	l, ctx := a.link(s)
+	switch m := m.(type) {
+	case *wire.LeadAdopt:
+		if !a.orders.Adopt(l, m) {
+			s.Close(orders.ErrSuperseded)
+		}
+	case *wire.LeaseGrant:
+		a.orders.Grant(l, m)
+	case *wire.TaskOrders:
+		a.orders.Order(ctx, l, m)
+	}
+}
+
+// HandleStream implements sess.Handler; leaders open no streams.
+func (a *Agent) HandleStream(_ *sess.Session, st *sess.Stream) { st.Reset("no streams are served") }
+
+// HandleClosed implements sess.Handler.
+func (a *Agent) HandleClosed(s *sess.Session, _ error) {
+	a.mu.Lock()
+	l := a.links[s]
+	delete(a.links, s)
+	a.mu.Unlock()
+	if l != nil {
+		a.orders.Lost(l)
+	}
+}
--- /dev/null
+++ b/internal/role/jobs/leader.go
@@ -0,0 +1,193 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoilramp.org/trefoilramp/internal/core/pause"
+	"trefoilramp.org/trefoilramp/internal/jobs/intake"
+	"trefoilramp.org/trefoilramp/internal/jobs/lead"
+	"trefoilramp.org/trefoilramp/internal/link/sess"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+)
+
+const leaderPoll = 200 * time.Millisecond // between looks at who leads
+
+// toLeader reaches the leader of the cell, which may be this entry; it implements intake.Leader.
+type toLeader struct {
+	self   string // address of this entry
+	leader *lead.Leader
+	cfg    sess.Config
+
+	mu      sync.Mutex
+	session *sess.Session
+	address string // of session
+	next    uint64
+	waiting map[uint64]chan *wire.JobTell
+}
+
+func newToLeader(self string, l *lead.Leader, cfg sess.Config) *toLeader {
+	return &toLeader{self: self, leader: l, cfg: cfg, waiting: make(map[uint64]chan *wire.JobTell)}
+}
+
+// Epoch implements intake.Leader.
+func (c *toLeader) Epoch() uint64 {
+	if h := c.leader.Head(); h != nil {
+		return h.Epoch
+	}
+	return 0
+}
+
+// IsSelf implements intake.Leader.
+func (c *toLeader) IsSelf() bool { return c.leader.Term() != nil }
+
+// Tell implements intake.Leader. The leader reads from the store what a lost message would have told.
+func (c *toLeader) Tell(m *wire.JobAsk) {
+	if t := c.leader.Term(); t != nil {
+		t.Ask(replies{c}, m)
+		return
+	}
+	c.mu.Lock()
+	s := c.session
+	c.mu.Unlock()
+	if s == nil {
+		return
+	}
+	if err := s.Send(m); err != nil {
+		s.Close(err)
+	}
+}
+
+// Ask implements intake.Leader.
+func (c *toLeader) Ask(ctx context.Context, m *wire.JobAsk) (*wire.JobTell, error) {
+	reply := make(chan *wire.JobTell, 1)
+	t := c.leader.Term()
+	c.mu.Lock()
+	s := c.session
+	if t == nil && s == nil {
+		c.mu.Unlock()
+		return nil, intake.ErrNoLeader
+	}
+	c.next++
+	m.Number = c.next
+	c.waiting[m.Number] = reply
+	c.mu.Unlock()
+	defer c.forget(m.Number)
+	if t != nil {
+		t.Ask(replies{c}, m)
+	} else if err := s.Send(m); err != nil {
+		return nil, errors.Mark(err, intake.ErrNoLeader)
+	}
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-ctx.Done():
+		return nil, fmt.Errorf("ask the leader: %w", ctx.Err())
+	}
+}
+
+func (c *toLeader) forget(number uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.waiting, number)
+}
+
+func (c *toLeader) reply(m *wire.JobTell) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ch := c.waiting[m.Number]; ch != nil {
+		delete(c.waiting, m.Number)
+		ch <- m
+	}
+}
+
+// isConnected reports whether the leader can be asked.
+func (c *toLeader) isConnected() bool {
+	if c.IsSelf() {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.session != nil
+}
+
+// run keeps a session to the leader while another entry leads.
+func (c *toLeader) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		h := c.leader.Head()
+		if h == nil || h.Address == "" || h.Address == c.self {
+			pause.For(ctx, leaderPoll)
+			continue
+		}
+		limited, cancel := context.WithTimeout(ctx, dialLimit)
+		s, err := sess.Dial(limited, h.Address, c.cfg, c)
+		cancel()
+		if err != nil {
+			c.leader.Check()
+			pause.For(ctx, leaderPoll)
+			continue
+		}
+		c.set(s, h.Address)
+		c.watch(ctx, s, h.Address)
+		c.set(nil, "")
+		s.Close(nil)
+		c.leader.Check()
+	}
+}
+
+// watch returns when the session has ended or another entry leads.
+func (c *toLeader) watch(ctx context.Context, s *sess.Session, address string) {
+	ticker := time.NewTicker(leaderPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.Done():
+			return
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if h := c.leader.Head(); h == nil || h.Address != address {
+				return
+			}
+		}
+	}
+}
+
+func (c *toLeader) set(s *sess.Session, address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.session, c.address = s, address
+}
+
+// HandleMessage implements sess.Handler.
+func (c *toLeader) HandleMessage(_ *sess.Session, m wire.Message) {
+	if t, ok := m.(*wire.JobTell); ok {
+		c.reply(t)
+	}
+}
+
+// HandleStream implements sess.Handler; the leader opens no streams.
+func (c *toLeader) HandleStream(_ *sess.Session, st *sess.Stream) { st.Reset("no streams are served") }
+
+// HandleClosed implements sess.Handler.
+func (c *toLeader) HandleClosed(*sess.Session, error) {}
+
+// replies is the link of this entry to its own term.
+type replies struct {
+	c *toLeader
+}
+
+// Send implements lead.Link.
+func (r replies) Send(m wire.Message) error {
+	if t, ok := m.(*wire.JobTell); ok {
+		r.c.reply(t)
+	}
+	return nil
+}
+
+// Close implements lead.Link; there is no session to close.
+func (r replies) Close(error) {}
