Keep serving tasks apart from tasks that fill, and count each failure once

Ruled out: pacing as the only means; the figures per pair of images show that most pairs do not disturb each other.

--- a/internal/host/orders/agent.go
+++ b/internal/host/orders/agent.go
@@ -18,6 +18,7 @@
 	paceWait    = 400 * time.Millisecond // while serving tasks share the worker with tasks that fill
 	lookSlack   = 700 * time.Millisecond // beyond the wait, after which a look has no answer
 	askInterval = 900 * time.Millisecond // between requests for the lease
+	notePause   = 40 * time.Millisecond  // while ends wait to be durable, for which a look does not wait
 	retryPause  = 60 * time.Millisecond  // after a failed look
 	downLooks   = 3                      // refused connections in a row after which the worker's process has ended
 )
@@ -209,7 +210,10 @@
 		a.report(nil, nil)
 		return
 	}
-	a.noted = max(a.noted, m.Noted)
+	if m.Noted > a.noted {
+		a.noted = m.Noted
+		a.nudge()
+	}
 	for _, t := range m.Traits {
 		a.pacer.add(t)
 	}
@@ -217,6 +221,10 @@
 		c := a.call()
 		a.running.Go(func() { a.stop(ctx, c, r) })
 	}
+	for _, r := range m.Closes {
+		c := a.call()
+		a.running.Go(func() { a.closeRun(ctx, c, r) })
+	}
 	for _, s := range m.Starts {
 		a.pending[s.Run] = struct{}{}
 		a.pacer.add(s.RunTrait)
@@ -250,7 +258,14 @@
 			continue
 		}
 		failures = 0
-		a.lookDone(ctx, l, lookCtx.order, sight, before)
+		if a.lookDone(ctx, l, lookCtx.order, sight, before) {
+			continue
+		}
+		select { // the ends listed are reported but not durable yet, and a look would return at once
+		case <-a.wake:
+		case <-time.After(notePause):
+		case <-ctx.Done():
+		}
 	}
 	a.running.Wait()
 }
@@ -321,13 +336,13 @@
 	return 0
 }
 
-// lookDone takes the answer to a look and reports what changed.
-func (a *Agent) lookDone(ctx context.Context, l Look, order uint64, s Sight, before []wire.Run) {
+// lookDone takes the answer to a look and reports what changed. It reports whether the next look may wait at the worker.
+func (a *Agent) lookDone(ctx context.Context, l Look, order uint64, s Sight, before []wire.Run) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.cancel = nil
 	if l.Life != a.state.Life || l.Token != a.token {
-		return
+		return true
 	}
 	a.clock = max(a.clock, s.Clock)
 	if !a.state.Healthy {
@@ -345,8 +360,9 @@
 		}
 	}
 	now := time.Now()
+	mayWait := len(s.Ended) == 0 || a.noted >= s.Ended[len(s.Ended)-1].Number
 	if len(ended) == 0 && len(a.refused) == 0 && a.adopted && now.Sub(a.askedAt) < askInterval {
-		return
+		return mayWait
 	}
 	m := &wire.RunReport{Ended: ended, Order: order}
 	if !a.adopted || now.Sub(a.askedAt) >= askInterval {
@@ -360,6 +376,7 @@
 		a.askedAt = now
 	}
 	a.report(m, s.Ended)
+	return mayWait
 }
 
 // report sends m, or an empty report, with the refusals that wait.
--- a/internal/host/orders/call.go
+++ b/internal/host/orders/call.go
@@ -58,6 +58,19 @@
 	}
 }
 
+// closeRun stops a run whose start may still reach the worker, and reports that it cannot begin any more.
+func (a *Agent) closeRun(ctx context.Context, c call, r wire.Run) {
+	if !a.stop(ctx, c, r) {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c.life == a.state.Life && c.token == a.token {
+		a.refused = append(a.refused, wire.RunRefused{Run: r, Reason: wire.RefusedSilent})
+		a.report(nil, nil)
+	}
+}
+
 // startEnded notes the outcome of a start; reason 0 says that the worker has the run or that the order no longer counts.
 func (a *Agent) startEnded(c call, r wire.Run, reason wire.Refusal) {
 	a.mu.Lock()
--- a/internal/host/orders/pace.go
+++ b/internal/host/orders/pace.go
@@ -1,6 +1,7 @@
 package orders
 
 import (
+	"fmt"
 	"time"
 
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -67,6 +68,13 @@
 
 // observe takes the figures of a look and returns the paces to change.
 func (p *pacer) observe(running []wire.RunState, now time.Time) []paced {
+	fmt.Printf("PACE")
+	for _, r := range running {
+		if t := p.traits[r.Run]; t != nil {
+			fmt.Printf(" %s,%d,%v,%s,%d,%d,%d", r.Task, t.Target, t.Fills, t.Image, t.percent, r.Percent, r.Figure)
+		}
+	}
+	fmt.Println()
 	seen := make(map[wire.Run]bool, len(p.traits))
 	worst := 0
 	for _, r := range running {
--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,6 +19,9 @@
 		return
 	}
 	w.link, w.complete, w.orders, w.out, w.noted = ev.link, false, 0, nil, 0
+	for _, r := range w.runs {
+		r.order = 0 // ordered in an earlier session, or never sent
+	}
 	event.Log(t.cfg.Log, event.AgentOpened, zap.String("Agent", w.agent.Name), zap.Uint64("Token", t.token))
 	if err := ev.link.Send(&wire.LeadAdopt{Cell: t.cfg.Cell, Token: t.token}); err != nil {
 		ev.link.Close(err)
@@ -123,6 +127,7 @@
 	j.addRun(ordinal, r)
 	j.tasks[ordinal].number = max(j.tasks[ordinal].number, key.Number)
 	j.begun = true
+	r.stopping = j.state.IsFinal() || j.tasks[ordinal].done // reconcile orders the stop
 	w.outgoing().Traits = append(w.outgoing().Traits, traitOf(r))
 	return r
 }
@@ -135,7 +140,7 @@
 		return nil, 0, false
 	}
 	j := t.jobs[id.Job]
-	if j == nil || j.tasks == nil {
+	if j == nil {
 		return nil, 0, false
 	}
 	ordinal, ok := j.ordinal(id)
@@ -144,6 +149,7 @@
 
 // reconcile compares a complete list of runs with what the leader believes.
 func (t *Term) reconcile(w *worker, m *wire.RunReport, now time.Time) {
+	w.strays = 0
 	there := make(map[wire.Run]bool, len(m.Running)+len(m.Pending))
 	for i := range m.Running {
 		s := &m.Running[i]
@@ -165,7 +171,11 @@
 		}
 	}
 	for key, r := range w.runs {
-		if !there[key] && r.order <= m.Order {
+		switch {
+		case there[key] || r.order > m.Order:
+		case r.order == 0 && !r.listed && !r.closed:
+			w.outgoing().Closes = append(w.outgoing().Closes, key) // a start may still reach the worker
+		default:
 			t.release(r, "run is not on the worker")
 		}
 	}
@@ -175,6 +185,7 @@
 func (t *Term) stopStray(w *worker, key wire.Run) {
 	event.Log(t.cfg.Log, event.RunStopped, zap.String("Task", key.Task), zap.Int("Run", key.Number),
 		zap.String("Worker", w.state.Life.ID), zap.String("Reason", "run is not expected"))
+	w.strays++
 	w.outgoing().Stops = append(w.outgoing().Stops, key)
 }
 
@@ -269,14 +280,17 @@
 
 func (t *Term) taskFailed(j *job, r *run, now time.Time) {
 	task := &j.tasks[r.ordinal]
-	task.failed++
+	if slices.Contains(task.failed, r.key.Number) {
+		return // stored before the end was noted, by this or an earlier leader
+	}
+	task.failed = append(task.failed, r.key.Number)
 	task.avoid = r.worker
 	t.mark(j)
 	if r.worker.trust.note(failWeight, now) {
 		event.Log(t.cfg.Log, event.WorkerDistrusted, zap.String("Worker", r.worker.state.Life.ID),
 			zap.Float64("Score", r.worker.trust.value(now)))
 	}
-	if task.failed >= max(1, j.spec.MaxAttempts) && !r.step.Lasting {
+	if len(task.failed) >= max(1, j.spec.MaxAttempts) && !r.step.Lasting {
 		t.finish(j, rows.Failed, now)
 	}
 }
@@ -294,6 +308,11 @@
 	for i := range j.tasks {
 		t.stopRuns(j.tasks[i].runs, "job has ended")
 	}
+	for round := range j.spec.Rounds() {
+		for step := range j.spec.Steps {
+			delete(t.advice, pair{j.spec.ID, round, step})
+		}
+	}
 }
 
 // stopRuns orders the stop of runs; they occupy their workers until the ends are listed.
@@ -317,6 +336,10 @@
 	if r == nil {
 		return
 	}
+	if f.Reason == wire.RefusedSilent {
+		r.closed = true // the next complete report shows whether it is there
+		return
+	}
 	t.release(r, "start refused: "+f.Reason.String())
 	task := &r.job.tasks[r.ordinal]
 	task.after = now.Add(refusalPause)
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -12,7 +12,7 @@
 type task struct {
 	done   bool
 	runs   []*run
-	failed int // runs that ended in failure
+	failed []int // numbers of the runs that ended in failure
 	saved  string
 	number int // of the last run
 	after  time.Time
@@ -89,7 +89,7 @@
 		t := &j.tasks[i]
 		if t.done {
 			a.Done[i/8] |= 1 << (i % 8)
-		} else if t.failed > 0 || t.saved != "" {
+		} else if len(t.failed) > 0 || t.saved != "" {
 			a.Notes = append(a.Notes, rows.TaskNote{Task: i, Failed: t.failed, Saved: t.saved})
 		}
 	}
@@ -185,6 +185,7 @@
 	order    uint64 // number of the orders with the start
 	listed   bool   // a look has shown it
 	stopping bool
+	closed   bool // a stop has made sure that the worker never starts it
 	orderAt  time.Time
 	percent  int
 	moved    time.Time // when the percent grew last
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -183,8 +183,6 @@
 		t.jobs[s.ID] = j
 		if !j.state.IsFinal() {
 			t.active = append(t.active, j)
-		} else {
-			j.tasks = nil
 		}
 	}
 	for _, r := range cancels.Rows {
--- a/internal/jobs/lead/pick.go
+++ b/internal/jobs/lead/pick.go
@@ -9,15 +9,18 @@
 )
 
 const (
-	remoteCost   = 0.5  // of a worker away from the data, in units of load
-	avoidCost    = 2.0  // of the worker where the last run of the task failed
-	servingCost  = 0.35 // of a serving task on the worker of a task that fills, for each
-	fillingCost  = 0.15 // of a task that fills on the worker of a serving task, for each
-	trustCost    = 0.5  // of each point of distrust
-	slowCost     = 1.5  // of a worker that runs tasks slower than others
-	coldCost     = 0.3  // of a worker that is still slow after its start
-	maxFillShare = 1.0  // of the processors of a worker that all runs together may want, when one fills
-	lateFill     = 1.6  // the same for a task whose job would be late otherwise
+	remoteCost   = 0.5 // of a worker away from the data, in units of load
+	avoidCost    = 2.0 // of the worker where the last run of the task failed
+	mixedCost    = 1.0 // of a task that fills beside serving tasks, or the reverse
+	servingCost  = 0.1 // of each serving task on the worker of a task that fills
+	fillingCost  = 0.1 // of each task that fills on the worker of a serving task
+	spreadCost   = 0.5 // of a serving task on a worker without serving tasks
+	crowdCost    = 0.5 // of a full load of tasks that fill, for a task that takes processors from them
+	trustCost    = 0.5 // of each point of distrust
+	slowCost     = 1.5 // of a worker that runs tasks slower than others
+	coldCost     = 0.3 // of a worker that is still slow after its start
+	maxFillShare = 1.0 // of the processors of a worker that all runs together may want, when one fills
+	lateFill     = 1.6 // the same for a task whose job would be late otherwise
 )
 
 // choice is the context in which workers are chosen for the tasks of a step.
@@ -95,14 +98,19 @@
 
 // probe lets a distrusted worker run a single task now and then.
 func (t *Term) probe(w *worker, task *task, now time.Time) bool {
-	return task.failed == 0 && len(w.runs) == 0 && now.After(w.trust.probeAt)
+	return len(task.failed) == 0 && len(w.runs) == 0 && now.After(w.trust.probeAt)
 }
 
 // cost compares workers for a task; a unit is a full load.
 func (t *Term) cost(c choice, w *worker, task *task) float64 {
 	s := c.spec()
 	capacity := max(1, w.state.Capacity.Processors)
-	v := float64(w.demand+s.Size.Processors) / float64(capacity)
+	v := float64(w.used.Processors+s.Size.Processors) / float64(capacity)
+	if s.Fills {
+		v = float64(w.demand+s.Size.Processors) / float64(capacity)
+	} else {
+		v += crowdCost * float64(w.demand-w.used.Processors) / float64(capacity)
+	}
 	if m := w.state.Capacity.Memory; m > 0 {
 		v = max(v, float64(w.used.Memory+s.Size.Memory)/float64(m))
 	}
@@ -112,11 +120,14 @@
 	if task.avoid == w {
 		v += avoidCost
 	}
-	if s.Fills {
-		v += servingCost * float64(w.serving)
+	switch {
+	case s.Fills && w.serving > 0:
+		v += mixedCost + servingCost*float64(w.serving)
+	case s.Target > 0 && w.filling > 0:
+		v += mixedCost + fillingCost*float64(w.filling)
 	}
-	if s.Target > 0 {
-		v += fillingCost * float64(w.filling)
+	if s.Target > 0 && w.serving == 0 {
+		v += spreadCost
 	}
 	if w.state.Cold > 0 {
 		v += coldCost
--- a/internal/jobs/lead/worker.go
+++ b/internal/jobs/lead/worker.go
@@ -31,6 +31,7 @@
 	demand   int64           // processors that runs could use, thousandths, with tasks that fill
 	serving  int             // runs of serving tasks
 	filling  int             // runs of tasks that fill
+	strays   int             // runs of unknown size in the last complete report
 	orders   uint64          // number of the last orders sent
 	out      *wire.TaskOrders
 	seenEnd  uint64 // highest end taken
@@ -54,7 +55,7 @@
 
 // takes reports whether new runs may be ordered.
 func (w *worker) takes() bool {
-	return w.link != nil && w.complete && w.state.Phase == wire.WorkerReady && w.state.Healthy
+	return w.link != nil && w.complete && w.strays == 0 && w.state.Phase == wire.WorkerReady && w.state.Healthy
 }
 
 func (w *worker) add(r *run) {
@@ -108,7 +109,7 @@
 }
 
 func traitOf(r *run) wire.RunTrait {
-	return wire.RunTrait{Run: r.key, Target: r.step.Target, Fills: r.step.Fills}
+	return wire.RunTrait{Run: r.key, Target: r.step.Target, Fills: r.step.Fills, Image: r.step.Image}
 }
 
 // pair identifies a step of a round.
--- a/internal/jobs/rows/layout.go
+++ b/internal/jobs/rows/layout.go
@@ -54,8 +54,8 @@
 
 // TaskNote is what lasts of a task that is not done.
 type TaskNote struct {
-	Task   int // ordinal in the job
-	Failed int // runs that ended in failure
+	Task   int   // ordinal in the job
+	Failed []int // numbers of the runs that ended in failure
 	Saved  string
 }
 
--- a/internal/link/wire/task.go
+++ b/internal/link/wire/task.go
@@ -129,6 +129,7 @@
 	Run
 	Target int64 // tail latency that a serving task must stay below, ms; 0 for others
 	Fills  bool
+	Image  string // that the task runs; equal images behave alike
 }
 
 // TaskOrders are a leader's orders to a worker.
@@ -137,6 +138,7 @@
 	Number uint64 // of these orders in the session, from 1
 	Starts []StartOrder
 	Stops  []Run
+	Closes []Run  // runs to stop although they may not be there, and to report as refused then
 	Noted  uint64 // ends up to this number are durable
 	Traits []RunTrait
 }
