Hedge calls of the store and spread accepted jobs over parts

A run of a job that the next leader did not know yet was stopped but not counted, and the job was started beside it (TWICE).

Ruled out: longer limits alone, which hold callers; one transaction for several callers, which a single conflict would fail.

--- a/internal/jobs/intake/intake.go
+++ b/internal/jobs/intake/intake.go
@@ -9,20 +9,16 @@
 
 	"trefoilramp.org/trefoilramp/internal/conf/queues"
 	"trefoilramp.org/trefoilramp/internal/core/event"
-	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
 
 const (
-	firstTry    = 600 * time.Millisecond  // for the first answer of the store; doubles with each lost one
-	giveUp      = 1500 * time.Millisecond // after which an unknown outcome is told to the caller
-	retryPause  = 25 * time.Millisecond   // between tries
-	refusals    = 2                       // answers that nothing was done, after which the caller is refused
-	askLimit    = 400 * time.Millisecond  // for an answer of the leader
-	relayLimit  = 2 * time.Second         // for an answer of the leader that stores something for this entry
-	failingLong = 700 * time.Millisecond  // without an answer of the store, after which it is not asked first
+	readLimit   = 600 * time.Millisecond // for an answer of the store to a question
+	askLimit    = 400 * time.Millisecond // for an answer of the leader
+	relayLimit  = 2 * time.Second        // for an answer of the leader that stores something for this entry
+	failingLong = 300 * time.Millisecond // without an answer of the store, after which nothing is sent to it for a caller
 	// RetryAfter is when a refused caller should come back.
 	RetryAfter = time.Second
 )
@@ -57,8 +53,10 @@
 	Cell    string
 	Store   rows.Store
 	Failing func() time.Time // since when the store does not answer; zero while it does
-	Leader  Leader
-	Log     *zap.Logger
+	// Patience is how long to wait for an answer of the store before the request is sent again.
+	Patience func() time.Duration
+	Leader   Leader
+	Log      *zap.Logger
 }
 
 // Intake accepts jobs. Its methods are safe for concurrent use.
@@ -87,7 +85,7 @@
 	}
 	v, err := in.relayed(ctx, &wire.JobAsk{Action: wire.JobStore, ID: string(j.ID), Packed: packed})
 	if v == 0 {
-		v, err = in.store(ctx, rows.JobRef(in.cfg.Cell, j.ID), packed, true)
+		v, err = in.store(ctx, rows.JobRef(in.cfg.Cell, j.ID), packed)
 	}
 	if v != Accepted {
 		event.Log(in.cfg.Log, event.JobRefused, zap.String("Job", string(j.ID)), zap.String("Queue", j.Queue),
@@ -102,16 +100,20 @@
 }
 
 // relayed lets the leader store something while the store turns this entry away; verdict 0 leaves it to this entry.
+// Without another way the caller is refused at once, since nothing was sent.
 func (in *Intake) relayed(ctx context.Context, m *wire.JobAsk) (Verdict, error) {
 	since := in.cfg.Failing()
-	if since.IsZero() || time.Since(since) < failingLong || in.cfg.Leader.IsSelf() {
+	if since.IsZero() || time.Since(since) < failingLong {
 		return 0, nil
 	}
+	if in.cfg.Leader.IsSelf() {
+		return NotDone, errFailing
+	}
 	limited, cancel := context.WithTimeout(ctx, relayLimit)
 	defer cancel()
 	t, err := in.cfg.Leader.Ask(limited, m)
 	if errors.Is(err, ErrNoLeader) {
-		return 0, err
+		return NotDone, err
 	}
 	if err != nil {
 		return Uncertain, err
@@ -131,34 +133,21 @@
 // ErrNoLeader says that no leader is reachable, so that nothing was sent.
 var ErrNoLeader = errors.New("no leader is reachable")
 
-// store writes one row. With once, a row that exists already is left as it is and counts as written.
-func (in *Intake) store(ctx context.Context, ref rows.Ref, value []byte, once bool) (Verdict, error) {
-	c := rows.Change{Puts: []rows.Row{{Ref: ref, Value: value}}}
-	if once {
-		c.Conditions = []rows.Condition{{Ref: ref}}
-	}
-	began := time.Now()
-	limit, refused, unclear := firstTry, 0, false
-	for {
-		limited, cancel := context.WithTimeout(ctx, limit)
-		_, err := in.cfg.Store.Change(limited, c)
-		cancel()
-		if err == nil {
-			return Accepted, nil // applied, or there already
-		}
-		if errors.Is(err, rows.ErrNotDone) {
-			refused++
-		} else {
-			unclear = true
-			limit *= 2
-		}
-		switch {
-		case !unclear && refused >= refusals:
-			return NotDone, err
-		case ctx.Err() != nil || time.Since(began) > giveUp:
-			return Uncertain, err
-		}
-		pause.For(ctx, retryPause)
+var errFailing = errors.New("the store does not answer")
+
+// store writes a row that stays as it is once it exists, so that the same write may be tried several times.
+func (in *Intake) store(ctx context.Context, ref rows.Ref, value []byte) (Verdict, error) {
+	c := rows.Change{Conditions: []rows.Condition{{Ref: ref}}, Puts: []rows.Row{{Ref: ref, Value: value}}}
+	res := rows.Hedge(ctx, in.cfg.Patience(), func(ctx context.Context) (rows.Outcome, error) {
+		return in.cfg.Store.Change(ctx, c)
+	})
+	switch {
+	case res.Err == nil:
+		return Accepted, nil // applied, or there already
+	case res.Sent:
+		return Uncertain, res.Err
+	default:
+		return NotDone, res.Err
 	}
 }
 
@@ -173,7 +162,7 @@
 	}
 	v, err := in.relayed(ctx, &wire.JobAsk{Action: wire.JobRevoke, ID: string(id)})
 	if v == 0 {
-		v, err = in.store(ctx, rows.CancelRef(in.cfg.Cell, id), []byte{1}, true)
+		v, err = in.store(ctx, rows.CancelRef(in.cfg.Cell, id), []byte{1})
 	}
 	event.Log(in.cfg.Log, event.JobCancelled, zap.String("Job", string(id)), zap.Stringer("Verdict", v), zap.Error(err))
 	if v == Accepted {
@@ -194,7 +183,7 @@
 }
 
 func (in *Intake) storedState(ctx context.Context, id spec.ID) (rows.State, Verdict) {
-	limited, cancel := context.WithTimeout(ctx, firstTry)
+	limited, cancel := context.WithTimeout(ctx, readLimit)
 	defer cancel()
 	p, err := in.cfg.Store.Read(limited, rows.ProgressRef(in.cfg.Cell, id).One())
 	if err != nil {
@@ -233,6 +222,10 @@
 func (in *Intake) Serve(ctx context.Context, m *wire.JobAsk) *wire.JobTell {
 	tell := &wire.JobTell{Number: m.Number}
 	var v Verdict
+	if since := in.cfg.Failing(); !since.IsZero() && time.Since(since) >= failingLong {
+		tell.Verdict = wire.VerdictNotDone
+		return tell
+	}
 	switch m.Action {
 	case wire.JobStore:
 		var j spec.Job
@@ -241,9 +234,9 @@
 			v = NotDone
 			break
 		}
-		v, _ = in.store(ctx, rows.JobRef(in.cfg.Cell, j.ID), m.Packed, true)
+		v, _ = in.store(ctx, rows.JobRef(in.cfg.Cell, j.ID), m.Packed)
 	case wire.JobRevoke:
-		v, _ = in.store(ctx, rows.CancelRef(in.cfg.Cell, spec.ID(m.ID)), []byte{1}, true)
+		v, _ = in.store(ctx, rows.CancelRef(in.cfg.Cell, spec.ID(m.ID)), []byte{1})
 	}
 	switch v {
 	case Accepted:
--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -149,7 +149,7 @@
 
 // reconcile compares a complete list of runs with what the leader believes.
 func (t *Term) reconcile(w *worker, m *wire.RunReport, now time.Time) {
-	w.strays = 0
+	w.strays = nil
 	there := make(map[wire.Run]bool, len(m.Running)+len(m.Pending))
 	for i := range m.Running {
 		s := &m.Running[i]
@@ -185,7 +185,10 @@
 func (t *Term) stopStray(w *worker, key wire.Run) {
 	event.Log(t.cfg.Log, event.RunStopped, zap.String("Task", key.Task), zap.Int("Run", key.Number),
 		zap.String("Worker", w.state.Life.ID), zap.String("Reason", "run is not expected"))
-	w.strays++
+	if w.strays == nil {
+		w.strays = make(map[wire.Run]struct{})
+	}
+	w.strays[key] = struct{}{}
 	w.outgoing().Stops = append(w.outgoing().Stops, key)
 }
 
@@ -235,7 +238,8 @@
 		zap.Stringer("Cause", e.Cause), zap.String("Worker", w.state.Life.ID), zap.Uint64("End", e.Number),
 		zap.Bool("Counts", r != nil))
 	if r == nil {
-		return // its lease has ended before, or the task no longer needs it
+		t.keepOrphan(w, e)
+		return // its lease has ended before, the task no longer needs it, or its job is not known yet
 	}
 	w.remove(r)
 	j, task := r.job, &r.job.tasks[r.ordinal]
--- a/internal/jobs/lead/commit.go
+++ b/internal/jobs/lead/commit.go
@@ -8,7 +8,6 @@
 
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
-	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 )
 
 // write starts a commit when progress or a renewal is due and none is in flight. Ends without a durable effect are safe
@@ -69,7 +68,6 @@
 	}
 	deletes := t.dropped
 	t.dropped = nil
-	deletes = t.expired(c, deletes, now)
 	t.commit, t.commitAt = c, now
 	t.running.Go(func() {
 		began, err := t.writer.write(ctx, puts, deletes)
@@ -79,23 +77,6 @@
 	})
 }
 
-// expired adds the rows of jobs whose retention has passed.
-func (t *Term) expired(c *commit, deletes []rows.Ref, now time.Time) []rows.Ref {
-	for id, j := range t.jobs {
-		if len(deletes) >= maxDeletes {
-			break
-		}
-		if j.stored.IsFinal() && now.Sub(j.endedAt) > t.cfg.Retention+retention {
-			deletes = append(deletes, rows.JobRef(t.cfg.Cell, id), rows.ProgressRef(t.cfg.Cell, id),
-				rows.CancelRef(t.cfg.Cell, id))
-			c.drops = append(c.drops, id)
-		}
-	}
-	return deletes
-}
-
-const maxDeletes = 12 // rows that one commit deletes, at most about
-
 func (t *Term) committed(ev committed) error {
 	c := t.commit
 	t.commit = nil
@@ -111,16 +92,9 @@
 			w.safeEnd = max(w.safeEnd, end)
 		}
 	}
-	for _, id := range c.drops {
-		t.dropJob(id)
-	}
 	return nil
 }
 
-func (t *Term) dropJob(id spec.ID) {
-	delete(t.jobs, id)
-}
-
 // sweep removes jobs in a final state from the list of active ones.
 func (t *Term) sweep() {
 	kept := t.active[:0]
--- a/internal/jobs/lead/head.go
+++ b/internal/jobs/lead/head.go
@@ -39,10 +39,11 @@
 
 // headWriter writes a cell's head row with other rows, one change at a time.
 type headWriter struct {
-	store   rows.Store
-	cell    string
-	head    rows.Head
-	version uint64 // of the head row
+	store    rows.Store
+	patience func() time.Duration // before a write is sent again beside the first
+	cell     string
+	head     rows.Head
+	version  uint64 // of the head row
 }
 
 // write applies c on condition of the head row and returns when the first try of the successful write began. It repeats
@@ -60,26 +61,21 @@
 		Puts:       append([]rows.Row{{Ref: ref, Value: value}}, puts...),
 		Deletes:    deletes,
 	}
-	limit := firstLimit
 	for {
-		began := time.Now()
-		limited, cancel := context.WithTimeout(ctx, limit)
-		out, err := w.store.Change(limited, c)
-		cancel()
+		res := rows.Hedge(ctx, w.patience(), func(ctx context.Context) (rows.Outcome, error) {
+			return w.store.Change(ctx, c)
+		})
 		switch {
-		case err != nil && ctx.Err() != nil:
-			return time.Time{}, fmt.Errorf("write head row: %w", err)
-		case err != nil:
-			if errors.Is(err, rows.ErrUnknown) {
-				limit = min(2*limit, lastLimit)
-			}
+		case ctx.Err() != nil:
+			return time.Time{}, fmt.Errorf("write head row: %w", ctx.Err())
+		case res.Err != nil:
 			pause.For(ctx, retryPause)
 			continue
-		case out.Applied:
-			w.head, w.version = next, out.Version
-			return began, nil
+		case res.Value.Applied:
+			w.head, w.version = next, res.Value.Version
+			return res.Began, nil
 		}
-		return began, w.settle(next, out)
+		return res.Began, w.settle(next, res.Value)
 	}
 }
 
--- a/internal/jobs/lead/intake.go
+++ b/internal/jobs/lead/intake.go
@@ -29,6 +29,9 @@
 	j.old = s.Epoch < t.epoch // an earlier leader may have been told
 	t.jobs[s.ID] = j
 	t.active = append(t.active, j)
+	if j.old {
+		t.claimOrphans(j, j.takenAt)
+	}
 	if t.doomed[s.ID] {
 		delete(t.doomed, s.ID)
 		t.finish(j, rows.Cancelled, time.Now())
@@ -111,7 +114,11 @@
 	defer cancel()
 	p, err := t.cfg.Store.Changes(limited, table, *after, 0)
 	if errors.Is(err, rows.ErrHistory) {
-		p, err = rows.ReadAll(limited, t.cfg.Store, rows.Span{Table: table, Part: t.cfg.Cell})
+		parts := []string{t.cfg.Cell}
+		if table != rows.Agents {
+			parts = rows.IntakeParts(t.cfg.Cell)
+		}
+		p, err = rows.ReadParts(limited, t.cfg.Store, table, parts)
 	}
 	if err != nil {
 		return // read again after the next pause; the log of the store client has the reason
@@ -125,7 +132,7 @@
 		t.takeAgentRow(r)
 	}
 	for _, r := range f.jobs.Rows {
-		if r.Removed || r.Part != t.cfg.Cell || t.jobs[spec.ID(r.Key)] != nil {
+		if r.Removed || !t.isOwn(r) || t.jobs[spec.ID(r.Key)] != nil {
 			continue
 		}
 		if s := t.decodeJob(r); s != nil {
@@ -133,12 +140,18 @@
 		}
 	}
 	for _, r := range f.cancels.Rows {
-		if !r.Removed && r.Part == t.cfg.Cell {
+		if !r.Removed && t.isOwn(r) {
 			t.cancel(spec.ID(r.Key))
 		}
 	}
 }
 
+// isOwn reports whether a row of a job belongs to this cell.
+func (t *Term) isOwn(r rows.Row) bool {
+	return r.Ref == rows.JobRef(t.cfg.Cell, spec.ID(r.Key)) ||
+		r.Ref == rows.CancelRef(t.cfg.Cell, spec.ID(r.Key))
+}
+
 func (t *Term) decodeJob(r rows.Row) *spec.Job {
 	var s spec.Job
 	err := rows.Decode(r, &s)
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -98,11 +98,11 @@
 	t := &Term{
 		cfg: l.cfg, events: queue.NewRing[any](ringSize), jobs: make(map[spec.ID]*job),
 		workers: make(map[string]*worker), dirty: make(map[*job]struct{}), advice: make(map[pair]*advice),
-		ended: make(map[spec.ID]time.Time), doomed: make(map[spec.ID]bool), done: make(chan struct{}),
+		doomed: make(map[spec.ID]bool), orphans: make(map[spec.ID][]orphan), done: make(chan struct{}),
 	}
 	t.upkeep.leaving = make(map[*worker]bool)
 	next := rows.Head{Leader: l.cfg.Name, Address: l.cfg.Address, Epoch: head.Epoch + 1, Write: head.Write}
-	t.writer = headWriter{store: l.cfg.Store, cell: l.cfg.Cell, head: next, version: version}
+	t.writer = headWriter{store: l.cfg.Store, patience: l.cfg.Patience, cell: l.cfg.Cell, head: next, version: version}
 	began, err := t.writer.write(ctx, nil, nil)
 	if err != nil {
 		return nil, err
@@ -138,13 +138,14 @@
 	if err != nil {
 		return err
 	}
-	jobs, err := read(rows.Jobs)
+	parts := rows.IntakeParts(t.cfg.Cell)
+	jobs, err := rows.ReadParts(limited, t.cfg.Store, rows.Jobs, parts)
 	if err != nil {
-		return err
+		return fmt.Errorf("read %s: %w", rows.Jobs, err)
 	}
-	cancels, err := read(rows.Cancels)
+	cancels, err := rows.ReadParts(limited, t.cfg.Store, rows.Cancels, parts)
 	if err != nil {
-		return err
+		return fmt.Errorf("read %s: %w", rows.Cancels, err)
 	}
 	t.load(agents, jobs, progress, cancels)
 	return nil
@@ -214,7 +215,7 @@
 	head, version, err := ReadHead(ctx, l.cfg.Store, l.cfg.Cell)
 	if err == nil && head.Epoch == t.epoch {
 		head.Leader, head.Address = "", ""
-		w := headWriter{store: l.cfg.Store, cell: l.cfg.Cell, head: head, version: version}
+		w := headWriter{store: l.cfg.Store, patience: l.cfg.Patience, cell: l.cfg.Cell, head: head, version: version}
 		_, err = w.write(ctx, nil, nil)
 	}
 	event.Log(l.cfg.Log, event.LeaderResigned, zap.Uint64("Epoch", t.epoch), zap.Error(err))
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -40,8 +40,9 @@
 	Name      string // of this entry
 	Address   string // where it accepts sessions
 	Store     rows.Store
-	Lease     time.Duration // of a worker
-	Retention time.Duration // how long callers may ask for a job after its end
+	Patience  func() time.Duration // for an answer of the store, before the request is sent again
+	Lease     time.Duration        // of a worker
+	Retention time.Duration        // how long callers may ask for a job after its end
 	Queues    *queues.Holder
 	Network   Network
 	Advisor   Advisor  // nil for none
@@ -102,17 +103,19 @@
 	confirmed  time.Time // begin of the last confirmed write
 	commitAt   time.Time // when the last commit began
 	advice     map[pair]*advice
-	asking     int                   // questions to the policy service in progress
-	ended      map[spec.ID]time.Time // final jobs to delete
+	asking     int // questions to the policy service in progress
 	wakeAt     time.Time
 	jobsAfter  uint64 // versions up to which the feeds were read
 	cancAfter  uint64
 	agentAfter uint64
 	done       chan struct{}
 	running    sync.WaitGroup
+	orphans    map[spec.ID][]orphan
 	doomed     map[spec.ID]bool // cancelled before the job was known
 	dropped    []rows.Ref       // rows to delete with the next commit
 	watchAt    time.Time
+	retiring   bool
+	retireAt   time.Time
 	upkeep     upkeep
 }
 
@@ -121,7 +124,6 @@
 	jobs  []*job
 	state []rows.State
 	ends  map[*worker]uint64
-	drops []spec.ID
 }
 
 // errResigned ends a term on request.
@@ -181,6 +183,7 @@
 		t.expire(now)
 		t.schedule(ctx, now)
 		t.flush()
+		t.retire(ctx, now)
 		t.write(ctx, now)
 		timer.Reset(max(time.Millisecond, time.Until(t.wakeAt)))
 	}
@@ -222,6 +225,8 @@
 		t.takeFeed(ev)
 	case advised:
 		t.takeAdvice(ev)
+	case retired:
+		t.takeRetired(ev)
 	case upkeepEvent:
 		t.takeUpkeep(ctx, ev)
 	}
--- a/internal/jobs/lead/timing.go
+++ b/internal/jobs/lead/timing.go
@@ -9,9 +9,6 @@
 	renewEvery = 800 * time.Millisecond
 	// commitGap is the shortest time between two commits of progress; commits in between are merged.
 	commitGap = 40 * time.Millisecond
-	// firstLimit and lastLimit bound the wait for the answer to a write; the limit doubles with each lost answer.
-	firstLimit = 800 * time.Millisecond
-	lastLimit  = 2 * time.Second
 	// staleAfter is the time without a change of the head row after which another entry takes the cell over.
 	staleAfter = 2300 * time.Millisecond
 	// lookEvery is the time between two looks at the head row by an entry that does not lead.
--- a/internal/jobs/lead/worker.go
+++ b/internal/jobs/lead/worker.go
@@ -27,12 +27,12 @@
 	grantAt  time.Time // of the last lease granted
 	lostAt   time.Time // of the loss of the session
 	runs     map[wire.Run]*run
-	used     sizes.Resources // capacity held by runs
-	demand   int64           // processors that runs could use, thousandths, with tasks that fill
-	serving  int             // runs of serving tasks
-	filling  int             // runs of tasks that fill
-	strays   int             // runs of unknown size in the last complete report
-	orders   uint64          // number of the last orders sent
+	used     sizes.Resources       // capacity held by runs
+	demand   int64                 // processors that runs could use, thousandths, with tasks that fill
+	serving  int                   // runs of serving tasks
+	filling  int                   // runs of tasks that fill
+	strays   map[wire.Run]struct{} // runs of jobs that are not known, of unknown size, in the last complete report
+	orders   uint64                // number of the last orders sent
 	out      *wire.TaskOrders
 	seenEnd  uint64 // highest end taken
 	safeEnd  uint64 // highest end whose effects are durable
@@ -55,7 +55,7 @@
 
 // takes reports whether new runs may be ordered.
 func (w *worker) takes() bool {
-	return w.link != nil && w.complete && w.strays == 0 && w.state.Phase == wire.WorkerReady && w.state.Healthy
+	return w.link != nil && w.complete && len(w.strays) == 0 && w.state.Phase == wire.WorkerReady && w.state.Healthy
 }
 
 func (w *worker) add(r *run) {
--- a/internal/jobs/rows/layout.go
+++ b/internal/jobs/rows/layout.go
@@ -2,12 +2,20 @@
 
 import (
 	"fmt"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
 
-// Tables. Rows of a cell share the part named after it, so that the leader writes them in one transaction.
+// intakeParts is the number of parts over which accepted and cancelled jobs are spread: a part takes one transaction
+// after the other, and a slow store takes few in a second.
+const intakeParts = 8
+
+// Tables. Head, progress and agents of a cell share the part named after it, so that the leader writes them in one
+// transaction.
 const (
 	Heads    = "Heads"    // one row per cell: its leader
 	Jobs     = "Jobs"     // accepted jobs, written by entries
@@ -67,11 +75,25 @@
 	Notes  []TaskNote
 }
 
+// intakePart returns the part of a job's rows that entries write.
+func intakePart(cell string, id spec.ID) string {
+	return cell + "-" + strconv.FormatUint(xxhash.Sum64String(string(id))%intakeParts, 10)
+}
+
+// IntakeParts returns the parts of the tables Jobs and Cancels.
+func IntakeParts(cell string) []string {
+	list := make([]string, intakeParts)
+	for i := range list {
+		list[i] = cell + "-" + strconv.Itoa(i)
+	}
+	return list
+}
+
 // JobRef returns the row of an accepted job.
-func JobRef(cell string, id spec.ID) Ref { return Ref{Jobs, cell, string(id)} }
+func JobRef(cell string, id spec.ID) Ref { return Ref{Jobs, intakePart(cell, id), string(id)} }
 
 // CancelRef returns the row that says that a job is cancelled.
-func CancelRef(cell string, id spec.ID) Ref { return Ref{Cancels, cell, string(id)} }
+func CancelRef(cell string, id spec.ID) Ref { return Ref{Cancels, intakePart(cell, id), string(id)} }
 
 // ProgressRef returns the row of a job's progress.
 func ProgressRef(cell string, id spec.ID) Ref { return Ref{Progress, cell, string(id)} }
--- a/internal/jobs/rows/monitor.go
+++ b/internal/jobs/rows/monitor.go
@@ -11,6 +11,13 @@
 	"trefoilramp.org/trefoilramp/internal/core/event"
 )
 
+const (
+	minPatience    = 120 * time.Millisecond
+	maxPatience    = 1200 * time.Millisecond
+	patienceFactor = 4    // times the usual time of an answer
+	usualWeight    = 0.15 // of the newest call in the usual time
+)
+
 // Monitor passes calls on to a store and knows whether it answers.
 type Monitor struct {
 	store Store
@@ -19,7 +26,8 @@
 
 	mu       sync.Mutex
 	goodAt   time.Time
-	failedAt time.Time // of the first failure since the last answer; zero for none
+	usual    time.Duration // smoothed time of calls that succeeded
+	failedAt time.Time     // of the first failure since the last answer; zero for none
 }
 
 // NewMonitor watches the calls to st; note is called after each.
@@ -34,6 +42,13 @@
 	return m.failedAt
 }
 
+// Patience returns how long to wait for an answer before the same request is sent again beside the first.
+func (m *Monitor) Patience() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return min(maxPatience, max(minPatience, patienceFactor*m.usual))
+}
+
 // HasAnswered reports whether any call has succeeded yet.
 func (m *Monitor) HasAnswered() bool {
 	m.mu.Lock()
@@ -89,4 +104,7 @@
 	if err == nil {
 		m.goodAt = now
 	}
+	if err == nil && call != "changes" { // which waits for a change
+		m.usual += time.Duration(usualWeight * float64(now.Sub(began)-m.usual))
+	}
 }
--- a/internal/jobs/rows/rows.go
+++ b/internal/jobs/rows/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -78,6 +79,27 @@
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error)
 }
 
+// ReadParts returns all rows of a table in several parts, which it reads beside each other. The version is that of the
+// oldest page.
+func ReadParts(ctx context.Context, st Store, table string, parts []string) (Page, error) {
+	pages := make([]Page, len(parts))
+	failed := make([]error, len(parts))
+	var wg sync.WaitGroup
+	for i, part := range parts {
+		wg.Go(func() { pages[i], failed[i] = ReadAll(ctx, st, Span{Table: table, Part: part}) })
+	}
+	wg.Wait()
+	all := Page{Version: pages[0].Version}
+	for i, p := range pages {
+		if failed[i] != nil {
+			return Page{}, failed[i]
+		}
+		all.Rows = append(all.Rows, p.Rows...)
+		all.Version = min(all.Version, p.Version)
+	}
+	return all, nil
+}
+
 // ReadAll returns all rows of a span, page by page.
 func ReadAll(ctx context.Context, st Store, s Span) (Page, error) {
 	var all Page
--- a/internal/role/jobs/entry.go
+++ b/internal/role/jobs/entry.go
@@ -75,13 +75,14 @@
 	e.listener = ln
 	e.network = newAgents(e.sessions, cfg.Log)
 	e.leader = lead.NewLeader(lead.Config{
-		Cell: cfg.Cell, Name: cfg.Name, Address: cfg.Address, Store: cfg.Store, Lease: cfg.Lease,
+		Cell: cfg.Cell, Name: cfg.Name, Address: cfg.Address, Store: cfg.Store, Patience: cfg.Store.Patience, Lease: cfg.Lease,
 		Retention: cfg.Retention, Queues: e.queues, Network: e.network, Advisor: cfg.Advisor, Machines: cfg.Machines,
 		Log: cfg.Log,
 	}, cfg.Rank)
 	e.toLeader = newToLeader(cfg.Address, e.leader, e.sessions)
 	e.intake = intake.New(intake.Config{
-		Cell: cfg.Cell, Store: cfg.Store, Failing: cfg.Store.FailingSince, Leader: e.toLeader, Log: cfg.Log,
+		Cell: cfg.Cell, Store: cfg.Store, Failing: cfg.Store.FailingSince, Patience: cfg.Store.Patience,
+		Leader: e.toLeader, Log: cfg.Log,
 	})
 	return e, nil
 }
