Tell only the leader whose epoch an accepted job names

Ruled out: blocking every new job until all agents are heard, which a single dark agent makes 16 s long.

--- a/internal/jobs/intake/intake.go
+++ b/internal/jobs/intake/intake.go
@@ -38,10 +38,10 @@
 
 // Leader reaches the leader of the cell.
 type Leader interface {
-	// Epoch returns the epoch of the leader that this entry knows.
+	// Epoch returns the epoch of the leader that Tell reaches, or that this entry knows of when it reaches none.
 	Epoch() uint64
-	// Tell sends a message without waiting for a reply.
-	Tell(m *wire.JobAsk)
+	// Tell sends a message to the leader of that epoch, and to no other, without waiting for a reply.
+	Tell(epoch uint64, m *wire.JobAsk)
 	// Ask waits for the reply to a message.
 	Ask(ctx context.Context, m *wire.JobAsk) (*wire.JobTell, error)
 	// IsSelf reports whether this entry leads.
@@ -95,7 +95,7 @@
 	event.Log(in.cfg.Log, event.JobTaken, zap.String("Job", string(j.ID)), zap.String("Queue", j.Queue),
 		zap.Uint64("Version", j.Version), zap.Int("Tasks", j.TaskCount()), zap.Uint64("Epoch", j.Epoch),
 		zap.Duration("Took", time.Since(began)))
-	in.cfg.Leader.Tell(&wire.JobAsk{Action: wire.JobAccepted, ID: string(j.ID), Packed: packed})
+	in.cfg.Leader.Tell(j.Epoch, &wire.JobAsk{Action: wire.JobAccepted, ID: string(j.ID), Packed: packed})
 	return Accepted
 }
 
@@ -166,7 +166,7 @@
 	}
 	event.Log(in.cfg.Log, event.JobCancelled, zap.String("Job", string(id)), zap.Stringer("Verdict", v), zap.Error(err))
 	if v == Accepted {
-		in.cfg.Leader.Tell(&wire.JobAsk{Action: wire.JobCancelled, ID: string(id)})
+		in.cfg.Leader.Tell(in.cfg.Leader.Epoch(), &wire.JobAsk{Action: wire.JobCancelled, ID: string(id)})
 	}
 	return v
 }
--- a/internal/jobs/lead/intake.go
+++ b/internal/jobs/lead/intake.go
@@ -25,6 +25,9 @@
 	if j := t.jobs[s.ID]; j != nil {
 		return j
 	}
+	if s.Epoch > t.epoch {
+		return nil // it belongs to a later leader, who does not expect runs of this one
+	}
 	j := newJob(s, time.Now())
 	j.old = s.Epoch < t.epoch // an earlier leader may have been told
 	t.jobs[s.ID] = j
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -129,6 +129,9 @@
 // errResigned ends a term on request.
 var errResigned = errors.New("the entry hands the cell over")
 
+// Epoch returns the epoch of the term.
+func (t *Term) Epoch() uint64 { return t.epoch }
+
 // Opened tells of a new session to an agent.
 func (t *Term) Opened(agent string, l Link) { t.put(opened{agent, l}) }
 
--- a/internal/role/jobs/leader.go
+++ b/internal/role/jobs/leader.go
@@ -25,7 +25,7 @@
 
 	mu      sync.Mutex
 	session *sess.Session
-	address string // of session
+	epoch   uint64 // of the leader that session reaches
 	next    uint64
 	waiting map[uint64]chan *wire.JobTell
 }
@@ -36,6 +36,14 @@
 
 // Epoch implements intake.Leader.
 func (c *toLeader) Epoch() uint64 {
+	if t := c.leader.Term(); t != nil {
+		return t.Epoch()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.session != nil {
+		return c.epoch
+	}
 	if h := c.leader.Head(); h != nil {
 		return h.Epoch
 	}
@@ -46,15 +54,17 @@
 func (c *toLeader) IsSelf() bool { return c.leader.Term() != nil }
 
 // Tell implements intake.Leader. The leader reads from the store what a lost message would have told.
-func (c *toLeader) Tell(m *wire.JobAsk) {
+func (c *toLeader) Tell(epoch uint64, m *wire.JobAsk) {
 	if t := c.leader.Term(); t != nil {
-		t.Ask(replies{c}, m)
+		if t.Epoch() == epoch {
+			t.Ask(replies{c}, m)
+		}
 		return
 	}
 	c.mu.Lock()
-	s := c.session
+	s, reached := c.session, c.epoch
 	c.mu.Unlock()
-	if s == nil {
+	if s == nil || reached != epoch {
 		return
 	}
 	if err := s.Send(m); err != nil {
@@ -131,16 +141,16 @@
 			pause.For(ctx, leaderPoll)
 			continue
 		}
-		c.set(s, h.Address)
-		c.watch(ctx, s, h.Address)
-		c.set(nil, "")
+		c.set(s, h.Epoch)
+		c.watch(ctx, s, h.Epoch)
+		c.set(nil, 0)
 		s.Close(nil)
 		c.leader.Check()
 	}
 }
 
 // watch returns when the session has ended or another entry leads.
-func (c *toLeader) watch(ctx context.Context, s *sess.Session, address string) {
+func (c *toLeader) watch(ctx context.Context, s *sess.Session, epoch uint64) {
 	ticker := time.NewTicker(leaderPoll)
 	defer ticker.Stop()
 	for {
@@ -150,17 +160,17 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			if h := c.leader.Head(); h == nil || h.Address != address {
+			if h := c.leader.Head(); h == nil || h.Epoch != epoch {
 				return
 			}
 		}
 	}
 }
 
-func (c *toLeader) set(s *sess.Session, address string) {
+func (c *toLeader) set(s *sess.Session, epoch uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.session, c.address = s, address
+	c.session, c.epoch = s, epoch
 }
 
 // HandleMessage implements sess.Handler.
