Pace, place and move tasks that fill by learned weights of pairs of images

Cause: every task that fills was slowed alike beside a slow serving task, although most pairs of images do not disturb each other; a job ends with its last task, so that one starved task made the whole job late.

--- a/internal/core/event/jobs.go
+++ b/internal/core/event/jobs.go
@@ -43,6 +43,7 @@
 	UpkeepFailed      Number = 937
 	WaveEnded         Number = 938
 	SettingsReloaded  Number = 939
+	RunMoved          Number = 940
 )
 
 var jobEvents = []Entry{
@@ -85,4 +86,5 @@
 	{UpkeepFailed, zapcore.InfoLevel, "upkeep refused", "The platform did not take the order for a machine's upkeep; it is tried again.", "Check the platform if it lasts."},
 	{WaveEnded, zapcore.InfoLevel, "wave of upkeep ended", "Every machine of the wave has had its upkeep.", "None."},
 	{SettingsReloaded, zapcore.InfoLevel, "settings read again", "The settings file was read again; what needs a restart is left as it was.", "None."},
+	{RunMoved, zapcore.InfoLevel, "run moves", "A run is stopped because its task would end sooner on another worker.", "None."},
 }
--- a/internal/host/orders/agent.go
+++ b/internal/host/orders/agent.go
@@ -14,13 +14,14 @@
 )
 
 const (
-	lookWait    = time.Second            // the worker answers sooner when a run ends
-	paceWait    = 400 * time.Millisecond // while serving tasks share the worker with tasks that fill
-	lookSlack   = 700 * time.Millisecond // beyond the wait, after which a look has no answer
-	askInterval = 900 * time.Millisecond // between requests for the lease
-	notePause   = 40 * time.Millisecond  // while ends wait to be durable, for which a look does not wait
-	retryPause  = 60 * time.Millisecond  // after a failed look
-	downLooks   = 3                      // refused connections in a row after which the worker's process has ended
+	lookWait      = time.Second            // the worker answers sooner when a run ends
+	paceWait      = 400 * time.Millisecond // while serving tasks share the worker with tasks that fill
+	lookSlack     = 700 * time.Millisecond // beyond the wait, after which a look has no answer
+	askInterval   = 900 * time.Millisecond // between requests for the lease, with all runs
+	mixedInterval = 450 * time.Millisecond // the same where figures of serving tasks are learned from
+	notePause     = 40 * time.Millisecond  // while ends wait to be durable, for which a look does not wait
+	retryPause    = 60 * time.Millisecond  // after a failed look
+	downLooks     = 3                      // refused connections in a row after which the worker's process has ended
 )
 
 // ErrSuperseded closes the session of a leader with a lower token.
@@ -217,6 +218,7 @@
 	for _, t := range m.Traits {
 		a.pacer.add(t)
 	}
+	a.pacer.weigh(m.Press)
 	for _, r := range m.Stops {
 		c := a.call()
 		a.running.Go(func() { a.stop(ctx, c, r) })
@@ -360,12 +362,16 @@
 		}
 	}
 	now := time.Now()
+	interval := askInterval
+	if a.pacer.isMixed() {
+		interval = mixedInterval
+	}
 	mayWait := len(s.Ended) == 0 || a.noted >= s.Ended[len(s.Ended)-1].Number
-	if len(ended) == 0 && len(a.refused) == 0 && a.adopted && now.Sub(a.askedAt) < askInterval {
+	if len(ended) == 0 && len(a.refused) == 0 && a.adopted && now.Sub(a.askedAt) < interval {
 		return mayWait
 	}
 	m := &wire.RunReport{Ended: ended, Order: order}
-	if !a.adopted || now.Sub(a.askedAt) >= askInterval {
+	if !a.adopted || now.Sub(a.askedAt) >= interval {
 		m.Complete, m.Running, m.AskLease = true, s.Running, true
 		m.Pending = before
 		for r := range a.pending {
--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -149,6 +149,7 @@
 
 // reconcile compares a complete list of runs with what the leader believes.
 func (t *Term) reconcile(w *worker, m *wire.RunReport, now time.Time) {
+	t.learn(w, m, now)
 	w.strays = nil
 	there := make(map[wire.Run]bool, len(m.Running)+len(m.Pending))
 	for i := range m.Running {
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -190,5 +190,10 @@
 	percent  int
 	moved    time.Time // when the percent grew last
 	startPct int       // percent at the first look
+	base     float64   // expected tail of a serving task without tasks that fill, as a share of its target
+	share    float64   // of its processors that a task that fills used lately
+	work     float64   // seconds of full work that a task that fills has done here
+	workAt   time.Time // up to when work is known
+	workPct  int       // percent when work was zero
 	firstAt  time.Time // of the first look
 }
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -12,6 +12,7 @@
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/core/queue"
+	"trefoilramp.org/trefoilramp/internal/jobs/press"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 )
@@ -98,7 +99,7 @@
 	t := &Term{
 		cfg: l.cfg, events: queue.NewRing[any](ringSize), jobs: make(map[spec.ID]*job),
 		workers: make(map[string]*worker), dirty: make(map[*job]struct{}), advice: make(map[pair]*advice),
-		doomed: make(map[spec.ID]bool), orphans: make(map[spec.ID][]orphan), done: make(chan struct{}),
+		press: press.NewTable(), doomed: make(map[spec.ID]bool), orphans: make(map[spec.ID][]orphan), done: make(chan struct{}),
 	}
 	t.upkeep.leaving = make(map[*worker]bool)
 	next := rows.Head{Leader: l.cfg.Name, Address: l.cfg.Address, Epoch: head.Epoch + 1, Write: head.Write}
--- a/internal/jobs/lead/pick.go
+++ b/internal/jobs/lead/pick.go
@@ -9,18 +9,20 @@
 )
 
 const (
-	remoteCost   = 0.5 // of a worker away from the data, in units of load
-	avoidCost    = 2.0 // of the worker where the last run of the task failed
-	mixedCost    = 1.0 // of a task that fills beside serving tasks, or the reverse
-	servingCost  = 0.1 // of each serving task on the worker of a task that fills
-	fillingCost  = 0.1 // of each task that fills on the worker of a serving task
-	spreadCost   = 0.5 // of a serving task on a worker without serving tasks
-	crowdCost    = 0.5 // of a full load of tasks that fill, for a task that takes processors from them
-	trustCost    = 0.5 // of each point of distrust
-	slowCost     = 1.5 // of a worker that runs tasks slower than others
-	coldCost     = 0.3 // of a worker that is still slow after its start
-	maxFillShare = 1.0 // of the processors of a worker that all runs together may want, when one fills
-	lateFill     = 1.6 // the same for a task whose job would be late otherwise
+	remoteCost   = 0.5  // of a worker away from the data, in units of load
+	avoidCost    = 2.0  // of the worker where the last run of the task failed
+	mixedCost    = 1.0  // of a serving task beside tasks that fill
+	fillingCost  = 0.1  // of each of them
+	spreadCost   = 0.5  // of a serving task on a worker without serving tasks
+	crowdCost    = 0.5  // of a full load of tasks that fill, for a task that takes processors from them
+	trustCost    = 0.5  // of each point of distrust
+	slowCost     = 1.5  // of a worker that runs tasks slower than others
+	coldCost     = 0.3  // of a worker that is still slow after its start
+	slowFillCost = 3.0  // of a worker on which a task that fills could not work at all
+	besideCost   = 0.4  // of a worker with serving tasks, for a task that fills
+	lightCost    = 0.3  // of a worker without serving tasks, for a task that would not disturb any
+	maxFillLack  = 0.05 // of the processors of a worker that tasks which fill may want beyond those left
+	lateFillLack = 0.4  // the same for a task whose job would be late otherwise
 )
 
 // choice is the context in which workers are chosen for the tasks of a step.
@@ -85,15 +87,15 @@
 	return true
 }
 
-// fillsFit bounds what runs on a worker want together, since a task that fills gets only what the others leave.
+// fillsFit bounds what tasks that fill want beyond what the others leave, since they only slow each other.
 func (t *Term) fillsFit(c choice, w *worker) bool {
-	share := maxFillShare
+	share := maxFillLack
 	chain := time.Duration(c.job.spec.Chain()) * time.Millisecond
 	if c.now.Add(chain).After(c.job.target) {
-		share = lateFill
+		share = lateFillLack
 	}
-	want := w.demand + c.spec().Size.Processors
-	return float64(want) <= share*float64(w.state.Capacity.Processors)
+	left, wanted := w.leftover()
+	return float64(left-wanted-c.spec().Size.Processors) >= -share*float64(w.state.Capacity.Processors)
 }
 
 // probe lets a distrusted worker run a single task now and then.
@@ -121,8 +123,13 @@
 		v += avoidCost
 	}
 	switch {
-	case s.Fills && w.serving > 0:
-		v += mixedCost + servingCost*float64(w.serving)
+	case s.Fills:
+		v += slowFillCost * (1 - t.fillSpeed(w, s.Image, s.Size.Processors))
+		if w.serving == 0 {
+			v += lightCost / (1 + t.press.Mean(s.Image))
+		} else {
+			v += besideCost
+		}
 	case s.Target > 0 && w.filling > 0:
 		v += mixedCost + fillingCost*float64(w.filling)
 	}
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -11,6 +11,7 @@
 	"trefoilramp.org/trefoilramp/internal/conf/queues"
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/queue"
+	"trefoilramp.org/trefoilramp/internal/jobs/press"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -102,6 +103,7 @@
 	commit     *commit
 	confirmed  time.Time // begin of the last confirmed write
 	commitAt   time.Time // when the last commit began
+	press      *press.Table
 	advice     map[pair]*advice
 	asking     int // questions to the policy service in progress
 	wakeAt     time.Time
--- a/internal/jobs/lead/watch.go
+++ b/internal/jobs/lead/watch.go
@@ -23,6 +23,7 @@
 		return
 	}
 	t.watchAt = now
+	t.moveSlow(now)
 	for _, w := range t.workers {
 		if !w.takes() {
 			continue
--- a/internal/jobs/lead/worker.go
+++ b/internal/jobs/lead/worker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/jobs/press"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -38,6 +39,7 @@
 	safeEnd  uint64 // highest end whose effects are durable
 	noted    uint64 // highest end that the agent was told to forget
 	trust    trust
+	pressed  map[press.Pair]float64 // weights that the agent was told
 }
 
 func newWorker(a rows.Agent, version uint64) *worker {
@@ -109,7 +111,7 @@
 }
 
 func traitOf(r *run) wire.RunTrait {
-	return wire.RunTrait{Run: r.key, Target: r.step.Target, Fills: r.step.Fills, Image: r.step.Image}
+	return wire.RunTrait{Run: r.key, Size: r.step.Size.Processors, Target: r.step.Target, Fills: r.step.Fills, Image: r.step.Image}
 }
 
 // pair identifies a step of a round.
--- a/internal/link/wire/task.go
+++ b/internal/link/wire/task.go
@@ -127,6 +127,7 @@
 // RunTrait says what an agent needs to know to balance a run against others on its worker.
 type RunTrait struct {
 	Run
+	Size   int64 // processors of a task that fills, thousandths
 	Target int64 // tail latency that a serving task must stay below, ms; 0 for others
 	Fills  bool
 	Image  string // that the task runs; equal images behave alike
@@ -141,6 +142,14 @@
 	Closes []Run  // runs to stop although they may not be there, and to report as refused then
 	Noted  uint64 // ends up to this number are durable
 	Traits []RunTrait
+	Press  []PressWeight
+}
+
+// PressWeight says how much a task that fills, at full work, slows a serving task.
+type PressWeight struct {
+	Fill    string // image
+	Serving string // image
+	Weight  float64
 }
 
 // JobAction is what an entry asks a leader.
