Find slow and standing workers by run times, and take a vacant cell over at once

Ruled out: the estimate alone as the measure, which is off by up to 0.9; run times are compared with what is usual for the queue. Shorter staleness for all, which a slow store would turn into takeovers without need.

--- a/cmd/trefoilramp/cell.go
+++ b/cmd/trefoilramp/cell.go
@@ -40,9 +40,9 @@
 	cellHeader   = 3 * time.Second
 	memoryShare  = 0.7 // of the process's limit that the Go runtime may use
 	gcPercent    = 300 // growth of the heap between collections, since processors are scarcer than memory
-	slowestRank  = 600 * time.Millisecond
+	slowestRank  = 200 * time.Millisecond
 	fullRank     = 1.0 // processors at which an entry takes a cell over without delay
-	rankedSpread = 250 * time.Millisecond
+	rankedSpread = 200 * time.Millisecond
 )
 
 func cellCommand() *cli.Command {
--- a/internal/host/orders/agent.go
+++ b/internal/host/orders/agent.go
@@ -14,14 +14,13 @@
 )
 
 const (
-	lookWait      = time.Second            // the worker answers sooner when a run ends
-	paceWait      = 400 * time.Millisecond // while serving tasks share the worker with tasks that fill
-	lookSlack     = 700 * time.Millisecond // beyond the wait, after which a look has no answer
-	askInterval   = 900 * time.Millisecond // between requests for the lease, with all runs
-	mixedInterval = 450 * time.Millisecond // the same where figures of serving tasks are learned from
-	notePause     = 40 * time.Millisecond  // while ends wait to be durable, for which a look does not wait
-	retryPause    = 60 * time.Millisecond  // after a failed look
-	downLooks     = 3                      // refused connections in a row after which the worker's process has ended
+	idleWait    = time.Second            // of a look; the worker answers sooner when a run ends
+	lookWait    = 400 * time.Millisecond // the same while the worker has runs, whose figures the leader follows
+	lookSlack   = 700 * time.Millisecond // beyond the wait, after which a look has no answer
+	askInterval = 450 * time.Millisecond // between requests for the lease, with all runs
+	notePause   = 40 * time.Millisecond  // while ends wait to be durable, for which a look does not wait
+	retryPause  = 60 * time.Millisecond  // after a failed look
+	downLooks   = 3                      // refused connections in a row after which the worker's process has ended
 )
 
 // ErrSuperseded closes the session of a leader with a lower token.
@@ -53,6 +52,7 @@
 	forwarded uint64 // highest end reported on this session
 	order     uint64 // number of the last orders taken
 	askedAt   time.Time
+	runs      int // listed by the last look
 	refused   []wire.RunRefused
 	pending   map[wire.Run]struct{}
 	pacer     pacer
@@ -286,9 +286,9 @@
 	if a.state.Life.ID == "" || a.gone || a.token == 0 {
 		return Look{}, lookContext{}, false
 	}
-	wait := lookWait
-	if a.pacer.isMixed() {
-		wait = paceWait
+	wait := idleWait
+	if a.runs > 0 {
+		wait = lookWait
 	}
 	if !a.adopted || len(a.refused) > 0 {
 		wait = 0
@@ -347,6 +347,7 @@
 		return true
 	}
 	a.clock = max(a.clock, s.Clock)
+	a.runs = len(s.Running)
 	if !a.state.Healthy {
 		a.state.Healthy = true
 		a.tell()
@@ -362,16 +363,12 @@
 		}
 	}
 	now := time.Now()
-	interval := askInterval
-	if a.pacer.isMixed() {
-		interval = mixedInterval
-	}
 	mayWait := len(s.Ended) == 0 || a.noted >= s.Ended[len(s.Ended)-1].Number
-	if len(ended) == 0 && len(a.refused) == 0 && a.adopted && now.Sub(a.askedAt) < interval {
+	if len(ended) == 0 && len(a.refused) == 0 && a.adopted && now.Sub(a.askedAt) < askInterval {
 		return mayWait
 	}
 	m := &wire.RunReport{Ended: ended, Order: order}
-	if !a.adopted || now.Sub(a.askedAt) >= interval {
+	if !a.adopted || now.Sub(a.askedAt) >= askInterval {
 		m.Complete, m.Running, m.AskLease = true, s.Running, true
 		m.Pending = before
 		for r := range a.pending {
--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -260,6 +260,7 @@
 		}
 	case e.Cause == wire.EndDone:
 		w.trust.note(doneWeight, now)
+		t.noteDone(r, now)
 		t.taskDone(j, r, now)
 	case e.Cause == wire.EndFailed:
 		t.taskFailed(j, r, now)
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -17,6 +17,7 @@
 	number int // of the last run
 	after  time.Time
 	awayAt time.Time // a lasting task has not been at work since
+	moves  int       // to other workers, of a task that fills
 	avoid  *worker   // where the last run failed or stood still
 }
 
@@ -185,6 +186,9 @@
 	order    uint64 // number of the orders with the start
 	listed   bool   // a look has shown it
 	stopping bool
+	counted  bool // its length was taken for the speed of its worker
+	resumed  bool // it began from a checkpoint
+	copied   bool // another run of the task was started beside it
 	closed   bool // a stop has made sure that the worker never starts it
 	orderAt  time.Time
 	percent  int
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -23,6 +23,9 @@
 	term    atomic.Pointer[Term]
 	head    atomic.Pointer[rows.Head]
 	changed chan struct{} // the head row may have changed
+	leading atomic.Bool   // from before a takeover to the end of the term
+	vacant  atomic.Uint64 // epoch whose leader has certainly ended
+	suspect atomic.Bool   // the leader does not answer this entry
 	rank    func() time.Duration
 }
 
@@ -37,6 +40,28 @@
 // Head returns the last known head row, or nil before the first read.
 func (l *Leader) Head() *rows.Head { return l.head.Load() }
 
+// IsLeading reports whether this entry leads or is taking the cell over.
+func (l *Leader) IsLeading() bool { return l.leading.Load() }
+
+// Vacate tells that the leader of an epoch has ended.
+func (l *Leader) Vacate(epoch uint64) {
+	l.vacant.Store(epoch)
+	l.Check()
+}
+
+// Suspect tells whether the leader answers this entry; one that does not is replaced sooner.
+func (l *Leader) Suspect(is bool) { l.suspect.Store(is) }
+
+// isVacant decides by the head row, and by how long it has not changed, whether the cell needs a leader.
+func (l *Leader) isVacant(head rows.Head, version uint64, age time.Duration) bool {
+	limit := staleAfter
+	if l.suspect.Load() {
+		limit = suspectAfter
+	}
+	return version == 0 || head.Leader == "" || head.Leader == l.cfg.Name || head.Epoch == l.vacant.Load() ||
+		age > limit+l.cfg.Patience()
+}
+
 // Check makes the candidate look at the head row at once.
 func (l *Leader) Check() {
 	select {
@@ -52,13 +77,16 @@
 		if !ok {
 			return
 		}
+		l.leading.Store(true)
 		t, err := l.takeOver(ctx, head, version)
 		if err != nil {
+			l.leading.Store(false)
 			event.Log(l.cfg.Log, event.TakeoverFailed, zap.Uint64("Epoch", head.Epoch+1), zap.Error(err))
 			pause.For(ctx, retryPause)
 			continue
 		}
 		l.reign(ctx, t)
+		l.leading.Store(false)
 	}
 }
 
@@ -77,8 +105,8 @@
 			last, seenAt, first = version, now, false
 			l.head.Store(&head)
 		}
-		if err == nil && (version == 0 || head.Leader == "" || now.Sub(seenAt) > staleAfter) {
-			if delay := l.rank(); delay > 0 && pause.For(ctx, delay) {
+		if err == nil && l.isVacant(head, version, now.Sub(seenAt)) {
+			if delay := l.rank(); delay > 0 && head.Leader != l.cfg.Name && pause.For(ctx, delay) {
 				if _, v, err := ReadHead(ctx, l.cfg.Store, l.cfg.Cell); err != nil || v != version {
 					continue
 				}
@@ -99,7 +127,7 @@
 	t := &Term{
 		cfg: l.cfg, events: queue.NewRing[any](ringSize), jobs: make(map[spec.ID]*job),
 		workers: make(map[string]*worker), dirty: make(map[*job]struct{}), advice: make(map[pair]*advice),
-		press: press.NewTable(), doomed: make(map[spec.ID]bool), orphans: make(map[spec.ID][]orphan), done: make(chan struct{}),
+		press: press.NewTable(), usual: make(map[string]*usual), doomed: make(map[spec.ID]bool), orphans: make(map[spec.ID][]orphan), done: make(chan struct{}),
 	}
 	t.upkeep.leaving = make(map[*worker]bool)
 	next := rows.Head{Leader: l.cfg.Name, Address: l.cfg.Address, Epoch: head.Epoch + 1, Write: head.Write}
--- a/internal/jobs/lead/move.go
+++ b/internal/jobs/lead/move.go
@@ -81,10 +81,11 @@
 	here, elsewhere := r.remaining()
 	speed := t.fillSpeed(to, r.step.Image, r.step.Size.Processors)
 	gain := here/max(minRate, r.share) - elsewhere/max(minRate, speed) - moveCost
-	if gain < moveGain {
+	if gain < moveGain*float64(1+task.moves) {
 		return false
 	}
 	task.avoid = r.worker
+	task.moves++
 	event.Log(t.cfg.Log, event.RunMoved, zap.String("Task", r.key.Task), zap.Int("Run", r.key.Number),
 		zap.String("Worker", r.worker.state.Life.ID), zap.Float64("Share", r.share), zap.Float64("Speed", speed),
 		zap.Float64("Gain", gain))
--- a/internal/jobs/lead/schedule.go
+++ b/internal/jobs/lead/schedule.go
@@ -156,6 +156,7 @@
 	o := wire.StartOrder{RunTrait: traitOf(r), Payload: j.spec.Payload, Ticket: ticket}
 	if j.spec.Steps[step].Checkpoints {
 		o.Saved = task.saved
+		r.resumed = task.saved != ""
 	}
 	w.outgoing().Starts = append(w.outgoing().Starts, o)
 	event.Log(t.cfg.Log, event.RunOrdered, zap.String("Task", r.key.Task), zap.Int("Run", number),
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -104,6 +104,7 @@
 	confirmed  time.Time // begin of the last confirmed write
 	commitAt   time.Time // when the last commit began
 	press      *press.Table
+	usual      map[string]*usual // by queue: run time compared with the estimate
 	advice     map[pair]*advice
 	asking     int // questions to the policy service in progress
 	wakeAt     time.Time
--- a/internal/jobs/lead/timing.go
+++ b/internal/jobs/lead/timing.go
@@ -11,8 +11,10 @@
 	commitGap = 40 * time.Millisecond
 	// staleAfter is the time without a change of the head row after which another entry takes the cell over.
 	staleAfter = 2300 * time.Millisecond
+	// suspectAfter is the same while the leader does not answer the entry either.
+	suspectAfter = 1200 * time.Millisecond
 	// lookEvery is the time between two looks at the head row by an entry that does not lead.
-	lookEvery = 600 * time.Millisecond
+	lookEvery = 500 * time.Millisecond
 	// feedEvery is the time between two reads of the changes that entries made.
 	feedEvery = 700 * time.Millisecond
 	// clockRate bounds how slow the clock of a worker may be: 2% and a margin.
--- a/internal/role/jobs/entry.go
+++ b/internal/role/jobs/entry.go
@@ -137,7 +137,7 @@
 		t.Ask(l, ask)
 		return
 	}
-	if ask.Number > 0 {
+	if ask.Number > 0 && !e.leader.IsLeading() {
 		e.reply(l, &wire.JobTell{Number: ask.Number, Verdict: wire.VerdictNotReady})
 	}
 }
--- a/internal/role/jobs/leader.go
+++ b/internal/role/jobs/leader.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,7 +16,11 @@
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
 
-const leaderPoll = 200 * time.Millisecond // between looks at who leads
+const (
+	leaderPoll = 200 * time.Millisecond // between looks at who leads
+	probeEach  = 3                      // looks between questions whether the leader answers
+	probeLimit = 500 * time.Millisecond // for its answer
+)
 
 // toLeader reaches the leader of the cell, which may be this entry; it implements intake.Leader.
 type toLeader struct {
@@ -136,8 +141,11 @@
 		limited, cancel := context.WithTimeout(ctx, dialLimit)
 		s, err := sess.Dial(limited, h.Address, c.cfg, c)
 		cancel()
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.leader.Vacate(h.Epoch) // its process has ended
+		}
 		if err != nil {
-			c.leader.Check()
+			c.leader.Suspect(true)
 			pause.For(ctx, leaderPoll)
 			continue
 		}
@@ -153,7 +161,10 @@
 func (c *toLeader) watch(ctx context.Context, s *sess.Session, epoch uint64) {
 	ticker := time.NewTicker(leaderPoll)
 	defer ticker.Stop()
-	for {
+	for n := 0; ; n++ {
+		if n%probeEach == 0 {
+			c.probe(ctx, epoch)
+		}
 		select {
 		case <-s.Done():
 			return
@@ -167,6 +178,17 @@
 	}
 }
 
+// probe asks the leader whether it leads: a process that was restarted does not.
+func (c *toLeader) probe(ctx context.Context, epoch uint64) {
+	limited, cancel := context.WithTimeout(ctx, probeLimit)
+	defer cancel()
+	t, err := c.Ask(limited, &wire.JobAsk{Action: wire.QueueLength})
+	if err == nil && t.Verdict == wire.VerdictNotReady {
+		c.leader.Vacate(epoch)
+	}
+	c.leader.Suspect(err != nil)
+}
+
 func (c *toLeader) set(s *sess.Session, epoch uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
