--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -101,6 +101,9 @@
 	}
 	if m.Complete {
 		t.reconcile(w, m, now)
+		if !w.complete {
+			t.describe(w)
+		}
 		w.complete = true
 		t.hear(w)
 	}
@@ -128,10 +131,20 @@
 	j.tasks[ordinal].number = max(j.tasks[ordinal].number, key.Number)
 	j.begun = true
 	r.stopping = j.state.IsFinal() || j.tasks[ordinal].done // reconcile orders the stop
-	w.outgoing().Traits = append(w.outgoing().Traits, traitOf(r))
 	return r
 }
 
+// describe tells an agent what it needs to balance the runs on its worker: it may have been restarted.
+func (t *Term) describe(w *worker) {
+	o := w.outgoing()
+	o.Traits = o.Traits[:0]
+	for _, r := range w.runs {
+		o.Traits = append(o.Traits, traitOf(r))
+	}
+	w.pressed = nil
+	t.tellPress(w)
+}
+
 // find returns the job and the ordinal of a task's name.
 func (t *Term) find(name string) (*job, int, bool) {
 	id, err := spec.ParseTask(name)
