--- a/internal/jobs/lead/pick.go
+++ b/internal/jobs/lead/pick.go
@@ -13,6 +13,7 @@
 	avoidCost    = 2.0  // of the worker where the last run of the task failed
 	mixedCost    = 1.0  // of a serving task beside tasks that fill
 	fillingCost  = 0.1  // of each of them
+	packShare    = 0.25 // of the load of a worker that counts for a serving task, so that they share workers
 	spreadCost   = 0.5  // of a serving task on a worker without serving tasks
 	crowdCost    = 0.5  // of a full load of tasks that fill, for a task that takes processors from them
 	trustCost    = 0.5  // of each point of distrust
@@ -130,11 +131,14 @@
 		} else {
 			v += besideCost
 		}
-	case s.Target > 0 && w.filling > 0:
-		v += mixedCost + fillingCost*float64(w.filling)
-	}
-	if s.Target > 0 && w.serving == 0 {
-		v += spreadCost
+	case s.Target > 0:
+		v *= packShare
+		if w.filling > 0 {
+			v += mixedCost + fillingCost*float64(w.filling)
+		}
+		if w.serving == 0 {
+			v += spreadCost
+		}
 	}
 	if w.state.Cold > 0 {
 		v += coldCost
