--- a/internal/host/orders/agent.go
+++ b/internal/host/orders/agent.go
@@ -352,7 +352,7 @@
 		a.state.Healthy = true
 		a.tell()
 	}
-	for _, p := range a.pacer.observe(s.Running, time.Now()) {
+	for _, p := range a.pacer.observe(s.Running, a.state.Capacity.Processors, time.Now()) {
 		c := a.call()
 		a.running.Go(func() { a.pace(ctx, c, p) })
 	}
--- a/internal/host/orders/pace.go
+++ b/internal/host/orders/pace.go
@@ -12,9 +12,12 @@
 	paceFloor   = 8                      // percent; a lower pace becomes 0
 	paceChange  = 12                     // percent; a smaller change is not ordered
 	settleTime  = 350 * time.Millisecond // after a change until the figures show it
-	baseSmooth  = 0.5                    // weight of the newest figure in the tail without tasks that fill
-	forgetLooks = 8                      // looks without a run after which its trait is dropped
-	atWork      = 100                    // percent of a serving task that is at work
+	ownSmooth   = 0.5                    // weight of the newest figure in the load without tasks that fill
+	haltAfter   = time.Second            // over the target, before all tasks that fill halt
+	leastHalt   = 600 * time.Millisecond
+	longestHalt = 2500 * time.Millisecond // after which the tasks that fill are not the cause
+	forgetLooks = 8                       // looks without a run after which its trait is dropped
+	atWork      = 100                     // percent of a serving task that is at work
 )
 
 // paced is a change of the pace of a run.
@@ -29,13 +32,18 @@
 	missing   int // looks in a row that did not show the run
 	percent   int // pace that was ordered
 	changedAt time.Time
-	base      float64 // of a serving task: tail without tasks that fill, as a share of its target
+	served    bool
+	own       float64 // load of a serving task without tasks that fill
 }
 
 // pacer decides how much the tasks that fill a worker may work beside its serving tasks.
 type pacer struct {
-	traits map[wire.Run]*trait
-	table  *press.Table
+	traits    map[wire.Run]*trait
+	table     *press.Table
+	overSince time.Time // a serving task has been over its target since
+	isHalted  bool      // no task that fills may work
+	haltedAt  time.Time
+	freeUntil time.Time // after a halt that did not help
 }
 
 func newPacer() pacer {
@@ -52,7 +60,7 @@
 // weigh takes what the leader has learned.
 func (p *pacer) weigh(list []wire.PressWeight) {
 	for _, w := range list {
-		p.table.Set(press.Pair{Fill: w.Fill, Serving: w.Serving}, w.Weight)
+		p.table.Set(w.Image, w.Weight)
 	}
 }
 
@@ -74,11 +82,11 @@
 }
 
 // observe takes the figures of a look and returns the paces to change.
-func (p *pacer) observe(running []wire.RunState, now time.Time) []paced {
+func (p *pacer) observe(running []wire.RunState, capacity int64, now time.Time) []paced {
 	seen := make(map[wire.Run]bool, len(p.traits))
-	var loads []press.Load
+	var loads, full []press.Load
 	var fills []*trait
-	var images []string
+	processors := float64(max(1, capacity))
 	for i := range running {
 		r := &running[i]
 		t := p.traits[r.Run]
@@ -87,9 +95,9 @@
 		}
 		seen[r.Run] = true
 		if t.Fills && t.Size > 0 {
-			loads = append(loads, press.Load{Image: t.Image, Share: min(1, float64(r.Figure)/float64(t.Size))})
+			loads = append(loads, press.Load{Image: t.Image, Use: float64(r.Figure) / processors})
+			full = append(full, press.Load{Image: t.Image, Use: float64(t.Size) / processors})
 			fills = append(fills, t)
-			images = append(images, t.Image)
 		}
 	}
 	p.forget(seen)
@@ -98,7 +106,11 @@
 		return nil
 	}
 	var list []paced
-	for i, share := range p.table.Shares(serving, images) {
+	p.guard(worst, now)
+	for i, share := range p.table.Shares(serving, full) {
+		if p.isHalted {
+			share = 0
+		}
 		if c, ok := p.change(fills[i], int(share*fullPace), now); ok {
 			c.tail = worst
 			list = append(list, c)
@@ -107,9 +119,31 @@
 	return list
 }
 
-// serving returns the serving tasks at work with their tails without tasks that fill, and the worst tail in percent.
-func (p *pacer) serving(running []wire.RunState, loads []press.Load) ([]press.Serving, int) {
-	var list []press.Serving
+// guard halts all tasks that fill while a serving task stays over its target whatever the model expects. A task that
+// stays over it beside none that work is slow by its own load, and the halt ends.
+func (p *pacer) guard(worst int, now time.Time) {
+	isOver := worst >= fullPace
+	if !isOver {
+		p.overSince = time.Time{}
+		if p.isHalted && now.Sub(p.haltedAt) > leastHalt {
+			p.isHalted = false
+		}
+		return
+	}
+	if p.overSince.IsZero() {
+		p.overSince = now
+	}
+	switch {
+	case p.isHalted && now.Sub(p.haltedAt) > longestHalt:
+		p.isHalted, p.freeUntil = false, now.Add(longestHalt)
+	case !p.isHalted && now.Sub(p.overSince) > haltAfter && now.After(p.freeUntil):
+		p.isHalted, p.haltedAt = true, now
+	}
+}
+
+// serving returns the loads of the serving tasks at work without tasks that fill, and the worst tail in percent.
+func (p *pacer) serving(running []wire.RunState, loads []press.Load) ([]float64, int) {
+	var list []float64
 	worst := 0
 	for i := range running {
 		r := &running[i]
@@ -119,12 +153,12 @@
 		}
 		tail := float64(r.Figure) / float64(t.Target)
 		worst = max(worst, int(tail*fullPace))
-		base := tail / p.table.Factor(t.Image, loads)
-		if t.base == 0 {
-			t.base = base
+		own := max(0, p.table.Busy(t.Image, tail)-p.table.Pressed(loads))
+		if !t.served {
+			t.own, t.served = own, true
 		}
-		t.base += baseSmooth * (base - t.base)
-		list = append(list, press.Serving{Image: t.Image, Base: max(t.base, base)})
+		t.own += ownSmooth * (own - t.own)
+		list = append(list, max(t.own, own))
 	}
 	return list, worst
 }
--- a/internal/jobs/intake/intake.go
+++ b/internal/jobs/intake/intake.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -83,9 +84,10 @@
 		event.Log(in.cfg.Log, event.JobRefused, zap.String("Job", string(j.ID)), zap.Error(err))
 		return NotDone
 	}
+	isOwn := false
 	v, err := in.relayed(ctx, &wire.JobAsk{Action: wire.JobStore, ID: string(j.ID), Packed: packed})
 	if v == 0 {
-		v, err = in.store(ctx, rows.JobRef(in.cfg.Cell, j.ID), packed)
+		v, isOwn, err = in.store(ctx, rows.JobRef(in.cfg.Cell, j.ID), packed)
 	}
 	if v != Accepted {
 		event.Log(in.cfg.Log, event.JobRefused, zap.String("Job", string(j.ID)), zap.String("Queue", j.Queue),
@@ -95,10 +97,27 @@
 	event.Log(in.cfg.Log, event.JobTaken, zap.String("Job", string(j.ID)), zap.String("Queue", j.Queue),
 		zap.Uint64("Version", j.Version), zap.Int("Tasks", j.TaskCount()), zap.Uint64("Epoch", j.Epoch),
 		zap.Duration("Took", time.Since(began)))
-	in.cfg.Leader.Tell(j.Epoch, &wire.JobAsk{Action: wire.JobAccepted, ID: string(j.ID), Packed: packed})
+	in.tell(j, packed, isOwn)
 	return Accepted
 }
 
+// tell passes an accepted job to the leader. A job that another request stored may have been told to another leader, so
+// that it goes without an epoch.
+func (in *Intake) tell(j *spec.Job, packed []byte, isOwn bool) {
+	epoch := j.Epoch
+	if !isOwn {
+		again := *j
+		again.Epoch = 0
+		b, err := rows.Encode(&again)
+		if err != nil {
+			event.Log(in.cfg.Log, event.JobRefused, zap.String("Job", string(j.ID)), zap.Error(err))
+			return
+		}
+		packed = b
+	}
+	in.cfg.Leader.Tell(epoch, &wire.JobAsk{Action: wire.JobAccepted, ID: string(j.ID), Packed: packed})
+}
+
 // relayed lets the leader store something while the store turns this entry away; verdict 0 leaves it to this entry.
 // Without another way the caller is refused at once, since nothing was sent.
 func (in *Intake) relayed(ctx context.Context, m *wire.JobAsk) (Verdict, error) {
@@ -136,18 +155,23 @@
 var errFailing = errors.New("the store does not answer")
 
 // store writes a row that stays as it is once it exists, so that the same write may be tried several times.
-func (in *Intake) store(ctx context.Context, ref rows.Ref, value []byte) (Verdict, error) {
+// IsOwn tells that the row holds this value.
+func (in *Intake) store(ctx context.Context, ref rows.Ref, value []byte) (v Verdict, isOwn bool, err error) {
 	c := rows.Change{Conditions: []rows.Condition{{Ref: ref}}, Puts: []rows.Row{{Ref: ref, Value: value}}}
 	res := rows.Hedge(ctx, in.cfg.Patience(), func(ctx context.Context) (rows.Outcome, error) {
 		return in.cfg.Store.Change(ctx, c)
 	})
 	switch {
 	case res.Err == nil:
-		return Accepted, nil // applied, or there already
+		isOwn = res.Value.Applied
+		for _, r := range res.Value.Conflicts {
+			isOwn = isOwn || r.Ref == ref && bytes.Equal(r.Value, value)
+		}
+		return Accepted, isOwn, nil // applied, or there already
 	case res.Sent:
-		return Uncertain, res.Err
+		return Uncertain, false, res.Err
 	default:
-		return NotDone, res.Err
+		return NotDone, false, res.Err
 	}
 }
 
@@ -162,7 +186,7 @@
 	}
 	v, err := in.relayed(ctx, &wire.JobAsk{Action: wire.JobRevoke, ID: string(id)})
 	if v == 0 {
-		v, err = in.store(ctx, rows.CancelRef(in.cfg.Cell, id), []byte{1})
+		v, _, err = in.store(ctx, rows.CancelRef(in.cfg.Cell, id), []byte{1})
 	}
 	event.Log(in.cfg.Log, event.JobCancelled, zap.String("Job", string(id)), zap.Stringer("Verdict", v), zap.Error(err))
 	if v == Accepted {
@@ -234,9 +258,9 @@
 			v = NotDone
 			break
 		}
-		v, _ = in.store(ctx, rows.JobRef(in.cfg.Cell, j.ID), m.Packed)
+		v, _, _ = in.store(ctx, rows.JobRef(in.cfg.Cell, j.ID), m.Packed)
 	case wire.JobRevoke:
-		v, _ = in.store(ctx, rows.CancelRef(in.cfg.Cell, spec.ID(m.ID)), []byte{1})
+		v, _, _ = in.store(ctx, rows.CancelRef(in.cfg.Cell, spec.ID(m.ID)), []byte{1})
 	}
 	switch v {
 	case Accepted:
--- a/internal/jobs/lead/balance.go
+++ b/internal/jobs/lead/balance.go
@@ -9,11 +9,13 @@
 )
 
 const (
-	servingUse  = 0.6  // of its processors that a serving task uses, about
-	tellChange  = 0.15 // relative change of a weight after which an agent is told again
-	tellFloor   = 0.1  // absolute change below which it is not
-	atWork      = 100  // percent of a serving task that is at work
-	pressedSize = 24   // weights told in one order at most
+	servingUse = 0.6  // of its processors that a serving task uses, about
+	tellChange = 0.15 // relative change of a weight after which an agent is told again
+	tellFloor  = 0.1  // absolute change below which it is not
+	atWork     = 100  // percent of a serving task that is at work
+	ownSmooth  = 0.1  // weight of the newest sample in the mean load of a serving task
+	firstOwn   = 0.5  // load of a serving task before its first sample
+	unknownOwn = -1.0
 )
 
 // learn takes the figures of a complete report.
@@ -26,7 +28,7 @@
 			continue
 		}
 		r.note(min(1, float64(s.Figure)/float64(r.step.Size.Processors)), s.Percent, now)
-		loads = append(loads, press.Load{Image: r.step.Image, Share: r.share})
+		loads = append(loads, press.Load{Image: r.step.Image, Use: w.use(int64(s.Figure))})
 	}
 	for i := range m.Running {
 		s := &m.Running[i]
@@ -34,7 +36,11 @@
 		if r == nil || r.step.Target == 0 || s.Percent < atWork {
 			continue
 		}
-		r.base = t.press.Observe(r.step.Image, float64(s.Figure)/float64(r.step.Target), r.base, loads)
+		if !r.served {
+			r.own, r.served = unknownOwn, true
+		}
+		r.own = t.press.Observe(r.step.Image, float64(s.Figure)/float64(r.step.Target), r.own, loads)
+		r.ownMean += ownSmooth * (r.own - r.ownMean)
 	}
 	t.tellPress(w)
 }
@@ -45,29 +51,20 @@
 		return
 	}
 	if w.pressed == nil {
-		w.pressed = make(map[press.Pair]float64)
+		w.pressed = make(map[string]float64)
 	}
-	for _, f := range w.runs {
-		if !f.step.Fills {
+	for _, r := range w.runs {
+		if !r.step.Fills {
 			continue
 		}
-		for _, s := range w.runs {
-			if s.step.Target == 0 {
-				continue
-			}
-			p := press.Pair{Fill: f.step.Image, Serving: s.step.Image}
-			v := t.press.Weight(p)
-			told, ok := w.pressed[p]
-			if ok && math.Abs(v-told) < max(tellFloor, tellChange*told) {
-				continue
-			}
-			w.pressed[p] = v
-			o := w.outgoing()
-			o.Press = append(o.Press, wire.PressWeight{Fill: p.Fill, Serving: p.Serving, Weight: v})
-			if len(o.Press) == pressedSize {
-				return
-			}
+		v := t.press.Weight(r.step.Image)
+		told, ok := w.pressed[r.step.Image]
+		if ok && math.Abs(v-told) < max(tellFloor, tellChange*told) {
+			continue
 		}
+		w.pressed[r.step.Image] = v
+		o := w.outgoing()
+		o.Press = append(o.Press, wire.PressWeight{Image: r.step.Image, Weight: v})
 	}
 }
 
@@ -78,21 +75,26 @@
 	if w.serving == 0 {
 		return speed
 	}
-	var serving []press.Serving
+	var serving []float64 // own loads
 	var loads []press.Load
 	for _, r := range w.runs {
 		switch {
 		case r.step.Target > 0:
-			serving = append(serving, press.Serving{Image: r.step.Image, Base: r.base})
-		case r.step.Fills:
-			share := r.share
-			if !r.listed {
-				share = 1
+			own := firstOwn
+			if r.served {
+				own = max(r.own, r.ownMean)
 			}
-			loads = append(loads, press.Load{Image: r.step.Image, Share: share})
+			serving = append(serving, own)
+		case r.step.Fills:
+			loads = append(loads, press.Load{Image: r.step.Image, Use: w.use(r.step.Size.Processors)})
 		}
 	}
-	return min(speed, t.press.Room(image, serving, loads))
+	return min(speed, t.press.Room(press.Load{Image: image, Use: w.use(processors)}, serving, loads))
+}
+
+// use returns what a number of processors is of the worker's capacity.
+func (w *worker) use(processors int64) float64 {
+	return float64(processors) / float64(max(1, w.state.Capacity.Processors))
 }
 
 // leftover returns the processors that the tasks which fill share, and what these want together.
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -194,7 +194,9 @@
 	percent  int
 	moved    time.Time // when the percent grew last
 	startPct int       // percent at the first look
-	base     float64   // expected tail of a serving task without tasks that fill, as a share of its target
+	served   bool      // a serving task has shown a figure
+	own      float64   // load of a serving task without tasks that fill
+	ownMean  float64   // the same over several seconds
 	share    float64   // of its processors that a task that fills used lately
 	work     float64   // seconds of full work that a task that fills has done here
 	workAt   time.Time // up to when work is known
--- a/internal/jobs/press/table.go
+++ b/internal/jobs/press/table.go
@@ -3,98 +3,130 @@
 import "math"
 
 const (
-	firstWeight = 1.5  // of a pair that was not seen yet
-	maxWeight   = 15.0 // of any pair
-	weightStep  = 0.35 // of the error of a sample that goes into the weights
-	baseStep    = 0.12 // of the error of a sample that goes into the base
-	errorLimit  = 4.0  // a larger error counts as this, since single figures are rough
-	minShare    = 0.15 // of a task that fills below which a sample tells little of it
+	figureError = 0.16  // standard deviation of the load that a figure tells
+	maxError    = 2.5   // standard deviations that one figure counts at most, since single figures are rough
+	forgetting  = 0.997 // of what earlier figures told, for each new one
+	ownStep     = 0.35  // of the error of a figure that goes into a serving task's own load
+	ownUse      = 0.15  // load of tasks that fill at which half of that remains
+	fullLoad    = 0.98  // load that figures tell at most
+	firstFloor  = 0.16  // tail of an idle serving task as a share of its target, before lower ones are seen
+	leastFloor  = 0.02
 )
 
-// Pair is an image of tasks that fill and an image of serving tasks.
-type Pair struct {
-	Fill    string
-	Serving string
+// steps are the weights that an image may have, and the share of images that have each before any figure.
+var steps = [...]struct{ weight, share float64 }{
+	{0, 0.2}, {0.5, 0.25}, {1, 0.2}, {2, 0.15}, {4, 0.15}, {8, 0.05},
 }
 
-// Load is the share of its full work that a task of an image does.
+// Load is what a task that fills uses of the processors of its worker, from 0 to 1.
 type Load struct {
 	Image string
-	Share float64
+	Use   float64
 }
 
-// Table holds the learned weights: a task that fills, at full work, multiplies the tail of a serving task by 1 plus the
-// weight of the pair.
+// Table holds what was learned. A serving task is modeled as a queue: its tail is that of an idle task divided by what
+// is left of its load, and its load is its own and, for each task that fills beside it, the weight of its image times its
+// use.
 type Table struct {
-	weights map[Pair]float64
-	version map[Pair]uint64
-	changes uint64
+	weights map[string]float64              // expected weight by image of tasks that fill
+	belief  map[string]*[len(steps)]float64 // logarithms of the likelihood of each weight
+	floors  map[string]float64              // tail of an idle serving task as a share of its target, by image
 }
 
 // NewTable returns a table that has learned nothing.
 func NewTable() *Table {
-	return &Table{weights: make(map[Pair]float64), version: make(map[Pair]uint64)}
+	return &Table{
+		weights: make(map[string]float64), belief: make(map[string]*[len(steps)]float64),
+		floors: make(map[string]float64),
+	}
 }
 
-// Weight returns the weight of a pair.
-func (t *Table) Weight(p Pair) float64 {
-	if w, ok := t.weights[p]; ok {
+// Weight returns the expected weight of an image of tasks that fill.
+func (t *Table) Weight(image string) float64 {
+	if w, ok := t.weights[image]; ok {
 		return w
 	}
-	return firstWeight
+	var none [len(steps)]float64
+	return mean(&none)
+}
+
+// Set replaces the weight of an image.
+func (t *Table) Set(image string, w float64) { t.weights[image] = w }
+
+// mean returns the expected weight under a belief.
+func mean(b *[len(steps)]float64) float64 {
+	top := math.Inf(-1)
+	for _, l := range b {
+		top = max(top, l)
+	}
+	var sum, norm float64
+	for i, s := range steps {
+		p := s.share * math.Exp(b[i]-top)
+		sum += p * s.weight
+		norm += p
+	}
+	return sum / norm
 }
 
-// Set replaces the weight of a pair.
-func (t *Table) Set(p Pair, w float64) {
-	t.changes++
-	t.weights[p], t.version[p] = w, t.changes
+// Busy returns the load of a serving task whose tail is a share of its target, from 0 to below 1.
+func (t *Table) Busy(serving string, tail float64) float64 {
+	floor, ok := t.floors[serving]
+	if !ok {
+		floor = firstFloor
+	}
+	if tail < floor {
+		floor = max(leastFloor, tail)
+		t.floors[serving] = floor
+	}
+	return min(fullLoad, max(0, 1-floor/max(tail, leastFloor)))
 }
 
-// Factor returns by how much loads multiply the tail of a serving task.
-func (t *Table) Factor(serving string, loads []Load) float64 {
-	f := 1.0
+// Pressed returns the load that tasks which fill put on serving tasks.
+func (t *Table) Pressed(loads []Load) float64 {
+	sum := 0.0
 	for _, l := range loads {
-		f += t.Weight(Pair{l.Image, serving}) * l.Share
+		sum += t.Weight(l.Image) * l.Use
 	}
-	return f
+	return sum
 }
 
-// Observe learns from the tail of a serving task, as a share of its target, beside loads. Base is the tail expected
-// without them, 0 when unknown; the returned base is the new expectation.
-func (t *Table) Observe(serving string, tail, base float64, loads []Load) float64 {
+// Observe learns from the tail of a serving task, as a share of its target, beside loads. Own is the load that it is
+// expected to have without them, negative when unknown; the result is the new expectation.
+func (t *Table) Observe(serving string, tail, own float64, loads []Load) float64 {
 	if tail <= 0 {
-		return base
+		return own
 	}
-	factor := t.Factor(serving, loads)
-	if base <= 0 {
-		return tail / factor
+	busy := t.Busy(serving, tail)
+	pressed := t.Pressed(loads)
+	if own < 0 {
+		return max(0, min(1, busy-pressed))
 	}
-	e := min(errorLimit, max(-errorLimit, tail/base-factor))
-	norm := 0.3
+	uses := make(map[string]float64, len(loads))
 	for _, l := range loads {
-		norm += l.Share * l.Share
+		uses[l.Image] += l.Use
 	}
-	for _, l := range loads {
-		if l.Share < minShare {
-			continue
-		}
-		p := Pair{l.Image, serving}
-		t.Set(p, min(maxWeight, max(0, t.Weight(p)+weightStep*e*l.Share/norm)))
+	for image, use := range uses {
+		t.learn(image, use, busy, own+pressed-t.Weight(image)*use)
 	}
-	return base * math.Exp(baseStep*e/factor)
+	e := busy - own - pressed
+	return max(0, min(1, own+ownStep*e*ownUse/(ownUse+pressed)))
 }
 
-// Mean returns the mean weight of an image of tasks that fill over the serving images that it was seen beside.
-func (t *Table) Mean(fill string) float64 {
-	sum, n := 0.0, 0
-	for p, w := range t.weights {
-		if p.Fill == fill {
-			sum += w
-			n++
-		}
+// learn weighs the steps of an image by how well they explain the load of a serving task beside other loads.
+func (t *Table) learn(image string, use, busy, others float64) {
+	b := t.belief[image]
+	if b == nil {
+		b = &[len(steps)]float64{}
+		t.belief[image] = b
+	}
+	top := math.Inf(-1)
+	for i, s := range steps {
+		e := min(maxError, math.Abs(busy-min(fullLoad, others+s.weight*use))/figureError)
+		b[i] = b[i]*forgetting - e*e/2
+		top = max(top, b[i])
 	}
-	if n == 0 {
-		return firstWeight
+	for i := range b {
+		b[i] -= top
 	}
-	return sum / float64(n)
+	t.weights[image] = mean(b)
 }
--- a/internal/link/wire/task.go
+++ b/internal/link/wire/task.go
@@ -145,11 +145,10 @@
 	Press  []PressWeight
 }
 
-// PressWeight says how much a task that fills, at full work, slows a serving task.
+// PressWeight says how much tasks of an image that fill a worker load the serving tasks beside them.
 type PressWeight struct {
-	Fill    string // image
-	Serving string // image
-	Weight  float64
+	Image  string
+	Weight float64
 }
 
 // JobAction is what an entry asks a leader.
