Start tasks that fill only where they would work at a fair speed, and pace them as they begin

Cause: heavy images were started beside serving tasks without room, paced to nothing and moved from worker to worker, and a run disturbed its neighbours at full work for up to a second before its first pace.

--- a/internal/host/orders/call.go
+++ b/internal/host/orders/call.go
@@ -49,6 +49,9 @@
 		}
 		if err == nil || errors.Is(err, ErrLife) || !a.isCurrent(c) {
 			a.startEnded(c, o.Run, 0)
+			if err == nil && o.Fills {
+				a.paceStarted(ctx, c, o.Run)
+			}
 			return
 		}
 		event.Log(a.cfg.Log, event.StartUnanswered, zap.String("Task", o.Task), zap.Int("Run", o.Number), zap.Error(err))
@@ -113,6 +116,19 @@
 	return false
 }
 
+// paceStarted brings a run that has just begun to its pace before it disturbs serving tasks.
+func (a *Agent) paceStarted(ctx context.Context, c call, r wire.Run) {
+	a.mu.Lock()
+	var list []paced
+	if c.life == a.state.Life {
+		list = a.pacer.started(r, a.state.Capacity.Processors, time.Now())
+	}
+	a.mu.Unlock()
+	for _, p := range list {
+		a.pace(ctx, c, p)
+	}
+}
+
 // pace sets the share of a run; the next look shows whether it has to change again.
 func (a *Agent) pace(ctx context.Context, c call, p paced) {
 	limited, cancel := context.WithTimeout(ctx, paceLimit)
--- a/internal/host/orders/pace.go
+++ b/internal/host/orders/pace.go
@@ -1,6 +1,7 @@
 package orders
 
 import (
+	"slices"
 	"time"
 
 	"trefoilramp.org/trefoilramp/internal/jobs/press"
@@ -44,6 +45,12 @@
 	isHalted  bool      // no task that fills may work
 	haltedAt  time.Time
 	freeUntil time.Time // after a halt that did not help
+
+	// As the last look showed them, with the runs that began since:
+	own   []float64 // loads of serving tasks without tasks that fill
+	worst int       // slowest serving task in percent of its target
+	fills []*trait
+	full  []press.Load // of fills at full work
 }
 
 func newPacer() pacer {
@@ -102,17 +109,31 @@
 	}
 	p.forget(seen)
 	serving, worst := p.serving(running, loads)
-	if len(fills) == 0 {
+	p.guard(worst, now)
+	p.own, p.worst, p.fills, p.full = serving, worst, fills, full
+	return p.plan(now)
+}
+
+// started returns the paces to change for a run that has just begun.
+func (p *pacer) started(r wire.Run, capacity int64, now time.Time) []paced {
+	t := p.traits[r]
+	if t == nil || !t.Fills || len(p.own) == 0 || slices.Contains(p.fills, t) {
 		return nil
 	}
+	p.fills = append(p.fills, t)
+	p.full = append(p.full, press.Load{Image: t.Image, Use: float64(t.Size) / float64(max(1, capacity))})
+	return p.plan(now)
+}
+
+// plan returns the paces to change for the tasks that fill, as the last look showed the serving tasks.
+func (p *pacer) plan(now time.Time) []paced {
 	var list []paced
-	p.guard(worst, now)
-	for i, share := range p.table.Shares(serving, full) {
+	for i, share := range p.table.Shares(p.own, p.full) {
 		if p.isHalted {
 			share = 0
 		}
-		if c, ok := p.change(fills[i], int(share*fullPace), now); ok {
-			c.tail = worst
+		if c, ok := p.change(p.fills[i], int(share*fullPace), now); ok {
+			c.tail = p.worst
 			list = append(list, c)
 		}
 	}
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -27,9 +27,11 @@
 	tasks    []task
 	offsets  []int // ordinal of the first task of each step in a round
 	perRound int
-	done     []int // tasks done, by round and step
-	left     int   // tasks not done
-	waiting  int   // tasks neither done nor with a run
+	done     []int     // tasks done, by round and step
+	left     int       // tasks not done
+	running  int       // runs
+	idleAt   time.Time // when it last ceased to have a run
+	waiting  int       // tasks neither done nor with a run
 	state    rows.State
 	stored   rows.State
 	endedAt  time.Time
@@ -49,6 +51,7 @@
 	j.tasks = make([]task, j.perRound*s.Rounds())
 	j.done = make([]int, len(s.Steps)*s.Rounds())
 	j.left = len(j.tasks)
+	j.idleAt = now
 	j.waiting = j.left
 	accepted := now
 	if age := time.Since(time.UnixMilli(s.AcceptedAt)); age > 0 && age < time.Minute {
@@ -161,6 +164,7 @@
 		j.waiting--
 	}
 	t.runs = append(t.runs, r)
+	j.running++
 }
 
 func (j *job) dropRun(r *run) {
@@ -168,6 +172,9 @@
 	for i, o := range t.runs {
 		if o == r {
 			t.runs = append(t.runs[:i], t.runs[i+1:]...)
+			if j.running--; j.running == 0 {
+				j.idleAt = time.Now()
+			}
 			if len(t.runs) == 0 && !t.done {
 				j.waiting++
 			}
--- a/internal/jobs/lead/pick.go
+++ b/internal/jobs/lead/pick.go
@@ -22,8 +22,10 @@
 	slowFillCost = 3.0  // of a worker on which a task that fills could not work at all
 	besideCost   = 0.4  // of a worker with serving tasks, for a task that fills
 	lightCost    = 0.3  // of a worker without serving tasks, for a task that would not disturb any
-	maxFillLack  = 0.05 // of the processors of a worker that tasks which fill may want beyond those left
-	lateFillLack = 0.4  // the same for a task whose job would be late otherwise
+	lateFillLack = 0.4  // of the processors of a worker that tasks which fill may want beyond those left
+
+	leastFillSpeed = 0.5                     // at which a task that fills is started
+	idleJobLimit   = 1200 * time.Millisecond // after which a job that runs nothing starts at any speed
 )
 
 // choice is the context in which workers are chosen for the tasks of a step.
@@ -88,15 +90,18 @@
 	return true
 }
 
-// fillsFit bounds what tasks that fill want beyond what the others leave, since they only slow each other.
+// fillsFit reports whether a task that fills would work at a fair speed on a worker. A job that runs nothing gets a
+// place after a while at any speed.
 func (t *Term) fillsFit(c choice, w *worker) bool {
-	share := maxFillLack
-	chain := time.Duration(c.job.spec.Chain()) * time.Millisecond
-	if c.now.Add(chain).After(c.job.target) {
-		share = lateFillLack
-	}
+	s := c.spec()
 	left, wanted := w.leftover()
-	return float64(left-wanted-c.spec().Size.Processors) >= -share*float64(w.state.Capacity.Processors)
+	if float64(left-wanted-s.Size.Processors) < -lateFillLack*float64(w.state.Capacity.Processors) {
+		return false
+	}
+	if t.fillSpeed(w, s.Image, s.Size.Processors) >= leastFillSpeed {
+		return true
+	}
+	return c.job.running == 0 && c.now.Sub(c.job.idleAt) > idleJobLimit
 }
 
 // probe lets a distrusted worker run a single task now and then.
