--- a/internal/jobs/lead/move.go
+++ b/internal/jobs/lead/move.go
@@ -10,10 +10,10 @@
 
 const (
 	shareSmooth  = 0.5  // weight of the newest share in that of a run
-	slowShareMax = 0.45 // share of its full speed below which a task that fills may be moved
+	slowShareMax = 0.6 // share of its full speed below which a task that fills may be moved
 	moveAfter    = 900 * time.Millisecond
 	moveCost     = 0.7 // seconds that a stop and a new start take
-	moveGain     = 1.2 // seconds that a move must save at least
+	moveGain     = 0.8 // seconds that a move must save at least
 	minRate      = 0.03
 	movesEach    = 4 // moves in one round at most, since each changes what the next finds
 )
