Test the leader in virtual time, with a soak of random faults

The stand-ins shelf (store) and runs (worker) keep the protocols' promises in memory, and the tests play takeovers, lost orders, unreachable workers and random faults in virtual time. Found by the soak: an agent without a leader looked at its worker without a pause.

--- a/internal/conf/setup/cell.go
+++ b/internal/conf/setup/cell.go
@@ -37,7 +37,6 @@
 	Callers    string         // listener for callers
 	Readiness  string         // listener for the platform's checks
 	Policies   string         // HOST:PORT of the policy service; empty for none
-	Machines   string         // HOST:PORT of the interface to machines; empty for none
 	Retention  model.Duration // how long callers may ask for a job after its end
 	Processors float64        // share of a processor that the process has
 }
@@ -87,7 +86,6 @@
 		{"Callers", e.Callers}, {"Readiness", e.Readiness}, {"Process.Sessions", e.Process.Sessions}, {"Process.Administration", e.Process.Administration},
 	})
 	checkDial(c.Field("Policies"), e.Policies, false)
-	checkDial(c.Field("Machines"), e.Machines, false)
 	model.CheckDuration(c.Field("Retention"), e.Retention, minRetention, maxRetention)
 	if e.Processors <= 0 {
 		c.Field("Processors").Fail(e.Processors, "more than 0")
--- a/internal/core/event/jobs.go
+++ b/internal/core/event/jobs.go
@@ -39,9 +39,6 @@
 	AdviceFailed      Number = 933
 	InputRefused      Number = 934
 	WorkerDistrusted  Number = 935
-	UpkeepOrdered     Number = 936
-	UpkeepFailed      Number = 937
-	WaveEnded         Number = 938
 	SettingsReloaded  Number = 939
 	RunMoved          Number = 940
 )
@@ -82,9 +79,6 @@
 	{AdviceFailed, zapcore.InfoLevel, "advice failed", "The policy service did not answer; it is asked again.", "Check the policy service if it lasts."},
 	{InputRefused, zapcore.InfoLevel, "input refused", "A message from outside is malformed and changed nothing.", "Check its sender."},
 	{WorkerDistrusted, zapcore.InfoLevel, "worker distrusted", "Runs fail or stand still on the worker; it gets only probes for a while.", "Check the worker."},
-	{UpkeepOrdered, zapcore.InfoLevel, "upkeep ordered", "The platform was told to take a machine down for its upkeep.", "None."},
-	{UpkeepFailed, zapcore.InfoLevel, "upkeep refused", "The platform did not take the order for a machine's upkeep; it is tried again.", "Check the platform if it lasts."},
-	{WaveEnded, zapcore.InfoLevel, "wave of upkeep ended", "Every machine of the wave has had its upkeep.", "None."},
 	{SettingsReloaded, zapcore.InfoLevel, "settings read again", "The settings file was read again; what needs a restart is left as it was.", "None."},
 	{RunMoved, zapcore.InfoLevel, "run moves", "A run is stopped because its task would end sooner on another worker.", "None."},
 }
--- a/internal/host/orders/agent.go
+++ b/internal/host/orders/agent.go
@@ -290,7 +290,7 @@
 	if a.runs > 0 {
 		wait = lookWait
 	}
-	if !a.adopted || len(a.refused) > 0 {
+	if a.leader != nil && (!a.adopted || len(a.refused) > 0) {
 		wait = 0
 	}
 	lookCtx, cancel := context.WithTimeout(ctx, wait+lookSlack)
--- a/internal/host/orders/pace.go
+++ b/internal/host/orders/pace.go
@@ -71,16 +71,6 @@
 	}
 }
 
-// isMixed reports whether serving tasks and tasks that fill share the worker.
-func (p *pacer) isMixed() bool {
-	var serving, fills bool
-	for _, t := range p.traits {
-		serving = serving || t.Target > 0
-		fills = fills || t.Fills
-	}
-	return serving && fills
-}
-
 // failed notes that a pace was not confirmed, so that it is ordered again.
 func (p *pacer) failed(r wire.Run) {
 	if t := p.traits[r]; t != nil {
--- a/internal/jobs/lead/advice.go
+++ b/internal/jobs/lead/advice.go
@@ -44,15 +44,15 @@
 		t.wakeBy(a.after)
 		return nil, false
 	}
-	t.askAdvice(ctx, key, a, j, now)
+	t.askAdvice(ctx, key, a, j)
 	return nil, false
 }
 
-func (t *Term) askAdvice(ctx context.Context, key pair, a *advice, j *job, now time.Time) {
+func (t *Term) askAdvice(ctx context.Context, key pair, a *advice, j *job) {
 	if t.asking >= maxQuestions {
 		return
 	}
-	names := t.candidates(j, &j.spec.Steps[key.step], now)
+	names := t.candidates(j, &j.spec.Steps[key.step])
 	if len(names) == 0 {
 		return
 	}
@@ -68,7 +68,7 @@
 }
 
 // candidates returns the workers to ask about: those that may run the step, the least loaded first.
-func (t *Term) candidates(j *job, s *spec.Step, now time.Time) []string {
+func (t *Term) candidates(j *job, s *spec.Step) []string {
 	var list []*worker
 	for _, w := range t.workers {
 		if w.takes() && w.state.Service == j.spec.Service && (s.Label == "" || w.hasLabel(s.Label)) {
--- a/internal/jobs/lead/intake.go
+++ b/internal/jobs/lead/intake.go
@@ -21,12 +21,12 @@
 }
 
 // addJob takes an accepted job; a job that is known already stays as it is.
-func (t *Term) addJob(s *spec.Job) *job {
-	if j := t.jobs[s.ID]; j != nil {
-		return j
+func (t *Term) addJob(s *spec.Job) {
+	if t.jobs[s.ID] != nil {
+		return
 	}
 	if s.Epoch > t.epoch {
-		return nil // it belongs to a later leader, who does not expect runs of this one
+		return // it belongs to a later leader, who does not expect runs of this one
 	}
 	j := newJob(s, time.Now())
 	j.old = s.Epoch < t.epoch // an earlier leader may have been told
@@ -39,7 +39,6 @@
 		delete(t.doomed, s.ID)
 		t.finish(j, rows.Cancelled, time.Now())
 	}
-	return j
 }
 
 // cancel takes the cancellation of a job.
--- a/internal/jobs/lead/move.go
+++ b/internal/jobs/lead/move.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	shareSmooth  = 0.5  // weight of the newest share in that of a run
+	shareSmooth  = 0.5 // weight of the newest share in that of a run
 	slowShareMax = 0.6 // share of its full speed below which a task that fills may be moved
 	moveAfter    = 900 * time.Millisecond
 	moveCost     = 0.7 // seconds that a stop and a new start take
--- a/internal/jobs/lead/pick.go
+++ b/internal/jobs/lead/pick.go
@@ -59,7 +59,7 @@
 // mayRun reports whether a worker may run one more task of the step.
 func (t *Term) mayRun(c choice, w *worker, task *task) bool {
 	s := c.spec()
-	if !w.takes() || w.state.Service != c.job.spec.Service || t.upkeep.isLeaving(w) {
+	if !w.takes() || w.state.Service != c.job.spec.Service {
 		return false
 	}
 	if s.Label != "" && !w.hasLabel(s.Label) {
--- a/internal/jobs/lead/schedule.go
+++ b/internal/jobs/lead/schedule.go
@@ -131,15 +131,14 @@
 }
 
 // start orders a run of a task on a worker.
-func (t *Term) start(j *job, ordinal int, w *worker, ticket string, now time.Time) *run {
-	task := &j.tasks[ordinal]
-	return t.startNumbered(j, ordinal, w, ticket, t.nextNumber(task), now)
+func (t *Term) start(j *job, ordinal int, w *worker, ticket string, now time.Time) {
+	t.startNumbered(j, ordinal, w, ticket, t.nextNumber(&j.tasks[ordinal]), now)
 }
 
 // nextNumber returns a number above that of each run that this or an earlier leader started.
 func (t *Term) nextNumber(task *task) int { return max(task.number, int(t.epoch-1)*runsPerEpoch) + 1 }
 
-func (t *Term) startNumbered(j *job, ordinal int, w *worker, ticket string, number int, now time.Time) *run {
+func (t *Term) startNumbered(j *job, ordinal int, w *worker, ticket string, number int, now time.Time) {
 	task := &j.tasks[ordinal]
 	task.number = number
 	_, step := j.locate(ordinal)
@@ -162,5 +161,4 @@
 	event.Log(t.cfg.Log, event.RunOrdered, zap.String("Task", r.key.Task), zap.Int("Run", number),
 		zap.String("Worker", w.state.Life.ID), zap.Int64("FreeProcessors", w.free().Processors),
 		zap.Duration("Slack", j.target.Sub(now)), zap.Duration("StateAge", now.Sub(w.seenAt)))
-	return r
 }
--- /dev/null
+++ b/internal/jobs/lead/takeover_test.go
@@ -0,0 +1,283 @@
+package lead_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/jobs/intake"
+	"trefoilramp.org/trefoilramp/internal/jobs/rows"
+	"trefoilramp.org/trefoilramp/internal/jobs/spec"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/stand/runs"
+)
+
+// inWorld runs f in virtual time with two entries, of which entry-1 leads, and two workers of four processors.
+func inWorld(t *testing.T, f func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := newWorld(ctx, t, 1)
+		w.addEntry("entry-1")
+		time.Sleep(500 * time.Millisecond)
+		w.addEntry("entry-2")
+		w.addHost("host-1", 4000)
+		w.addHost("host-2", 4000)
+		time.Sleep(3 * time.Second)
+		f(w)
+		w.checkRuns()
+		cancel()
+		for _, e := range w.entries {
+			<-e.done
+		}
+		w.wg.Wait()
+		time.Sleep(time.Minute)
+	})
+}
+
+func runsOf(w *world, id spec.ID) []runs.Record {
+	var list []runs.Record
+	for task, r := range w.records() {
+		if strings.HasPrefix(task, string(id)) {
+			list = append(list, r...)
+		}
+	}
+	return list
+}
+
+// Guards against runs that a new leader stops or starts again although they went on under the leader before.
+func TestTakeoverKeepsRuns(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.plan = func(wire.Run) runs.Plan {
+			return runs.Plan{Size: sizes.Resources{Processors: 1000}, Takes: 6 * time.Second}
+		}
+		j := job(1, 1, 6)
+		w.submit(j)
+		time.Sleep(time.Second)
+		w.kill("entry-1")
+		w.awaitState(j.ID, rows.Done, 20*time.Second)
+		if n := len(runsOf(w, j.ID)); n != 6 {
+			t.Errorf("%d runs of 6 tasks", n)
+		}
+	})
+}
+
+// Guards against a failure that is counted again by the next leader: the end is stored, but was not noted yet.
+func TestFailureCountsOnce(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.plan = func(r wire.Run) runs.Plan {
+			return runs.Plan{Size: sizes.Resources{Processors: 1000}, Takes: time.Second, Fails: r.Number == 1}
+		}
+		j := job(1, 1, 1)
+		w.submit(j)
+		time.Sleep(900 * time.Millisecond)
+		for range 3 { // the end is listed while leaders come and go
+			w.kill("entry-1")
+			time.Sleep(150 * time.Millisecond)
+			w.revive("entry-1")
+			w.kill("entry-2")
+			time.Sleep(150 * time.Millisecond)
+			w.revive("entry-2")
+		}
+		w.awaitState(j.ID, rows.Done, 20*time.Second)
+	})
+}
+
+// Guards against a cancelled job whose runs go on because the leader that knew them is gone.
+func TestTakeoverStopsCancelledRuns(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.plan = func(wire.Run) runs.Plan { return runs.Plan{Size: sizes.Resources{Processors: 1000}} }
+		j := job(1, 1, 2)
+		j.Steps[0].Lasting = true
+		w.submit(j)
+		time.Sleep(time.Second)
+		w.kill("entry-1")
+		if v := w.intake().Cancel(w.ctx, j.ID); v != intake.Accepted {
+			t.Fatalf("cancel: %v", v)
+		}
+		cancelled := time.Now()
+		time.Sleep(5 * time.Second)
+		for _, r := range runsOf(w, j.ID) {
+			if r.Ended.IsZero() || r.Ended.Sub(cancelled) > 5*time.Second {
+				t.Errorf("run %v goes on after the cancellation", r.Run)
+			}
+		}
+		w.awaitState(j.ID, rows.Cancelled, 5*time.Second)
+	})
+}
+
+// Guards against a start elsewhere before the lease of a worker that cannot be asked has certainly ended.
+func TestUnreachableWorkerIsWaitedFor(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.plan = func(wire.Run) runs.Plan {
+			return runs.Plan{Size: sizes.Resources{Processors: 1000}, Takes: time.Minute}
+		}
+		j := job(1, 1, 4)
+		w.submit(j)
+		time.Sleep(time.Second)
+		w.set(w.cut, "host-1", true)
+		w.dropLinks("host-1")
+		lost := time.Now()
+		time.Sleep(15 * time.Second)
+		moved := 0
+		for _, r := range runsOf(w, j.ID) {
+			if r.Run.Number > 1 {
+				moved++
+				if r.Worker != "host-2" || r.Began.Sub(lost) < lease-time.Second {
+					t.Errorf("run %v on %s after %v", r.Run, r.Worker, r.Began.Sub(lost))
+				}
+			}
+		}
+		if moved == 0 {
+			t.Error("no task of the lost worker was started elsewhere")
+		}
+	})
+}
+
+// Guards against a run that a new leader does not know, since the job was told to the leader before it, and that it
+// starts again beside it.
+func TestUnknownRunIsNotStartedAgain(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.plan = func(wire.Run) runs.Plan {
+			return runs.Plan{Size: sizes.Resources{Processors: 1000}, Takes: 2 * time.Second}
+		}
+		w.set(w.deaf, "entry-1", true) // it leads on until it learns that it does not
+		time.Sleep(2300 * time.Millisecond)
+		for n := range 8 {
+			w.submit(job(n+1, 1, 3))
+			time.Sleep(100 * time.Millisecond)
+		}
+		for n := range 8 {
+			w.awaitState(job(n+1, 1, 1).ID, rows.Done, 20*time.Second)
+		}
+	})
+}
+
+// Guards against orders that were lost with a session: the tasks must start all the same, and once.
+func TestLostOrderIsRepeated(t *testing.T) {
+	inWorld(t, func(w *world) {
+		for n := range 10 {
+			w.submit(job(n+1, 2, 2))
+			time.Sleep(20 * time.Millisecond)
+			w.dropLinks("host-1")
+			w.dropLinks("host-2")
+			time.Sleep(300 * time.Millisecond)
+		}
+		for n := range 10 {
+			w.awaitState(job(n+1, 1, 1).ID, rows.Done, 30*time.Second)
+		}
+	})
+}
+
+// Guards against a worker that is loaded over its capacity, also by runs that are being stopped.
+func TestCapacityHolds(t *testing.T) {
+	inWorld(t, func(w *world) {
+		for n := range 6 {
+			w.submit(job(n+1, 1, 8))
+		}
+		time.Sleep(700 * time.Millisecond)
+		for n := range 3 {
+			w.intake().Cancel(w.ctx, job(n+1, 1, 1).ID)
+		}
+		for n := 3; n < 6; n++ {
+			w.awaitState(job(n+1, 1, 1).ID, rows.Done, 30*time.Second)
+		}
+	})
+}
+
+// Guards against a job that is shown as done before that is stored, and a step that starts before the one it follows.
+func TestStepsFollowEachOther(t *testing.T) {
+	inWorld(t, func(w *world) {
+		j := job(1, 3, 4)
+		w.submit(j)
+		w.awaitState(j.ID, rows.Done, 20*time.Second)
+		var lastOf, firstOf [3]time.Time
+		for task, list := range w.records() {
+			id, err := spec.ParseTask(task)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := list[len(list)-1]
+			if r.Ended.After(lastOf[id.Step]) {
+				lastOf[id.Step] = r.Ended
+			}
+			if first := list[0].Began; firstOf[id.Step].IsZero() || first.Before(firstOf[id.Step]) {
+				firstOf[id.Step] = first
+			}
+		}
+		for s := 1; s < 3; s++ {
+			if firstOf[s].Before(lastOf[s-1]) {
+				t.Errorf("step %d began %v before step %d had ended", s, lastOf[s-1].Sub(firstOf[s]), s-1)
+			}
+		}
+	})
+}
+
+// Guards against a gang whose members start with different numbers or not together.
+func TestGangStartsTogether(t *testing.T) {
+	inWorld(t, func(w *world) {
+		j := job(1, 1, 6)
+		j.Steps[0].Gang = true
+		w.submit(job(2, 1, 5)) // leaves no room for all members at first
+		w.submit(j)
+		w.awaitState(j.ID, rows.Done, 20*time.Second)
+		var began time.Time
+		for _, r := range runsOf(w, j.ID) {
+			if began.IsZero() {
+				began = r.Began
+			}
+			if d := r.Began.Sub(began); d > 100*time.Millisecond || d < -100*time.Millisecond {
+				t.Errorf("member %v began %v apart", r.Run, d)
+			}
+			if r.Run.Number != 1 {
+				t.Errorf("member %v; want number 1", r.Run)
+			}
+		}
+	})
+}
+
+// Guards against more tasks of a step on a worker than its limit, and starts before the due time.
+func TestSpreadAndDueTime(t *testing.T) {
+	inWorld(t, func(w *world) {
+		j := job(1, 1, 2)
+		j.Steps[0].PerWorker = 1
+		due := time.Now().Add(3 * time.Second)
+		j.Occurrences, j.StartAt, j.Interval = 2, due.UnixMilli(), 2000
+		w.submit(j)
+		w.awaitState(j.ID, rows.Done, 20*time.Second)
+		seen := make(map[string]bool)
+		for _, r := range runsOf(w, j.ID) {
+			id, err := spec.ParseTask(r.Run.Task)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if at := due.Add(time.Duration(id.Round) * 2 * time.Second); r.Began.Before(at) {
+				t.Errorf("%s began %v before it was due", r.Run.Task, at.Sub(r.Began))
+			}
+			key := r.Worker + string(rune('0'+id.Round))
+			if seen[key] {
+				t.Errorf("two tasks of occurrence %d on %s", id.Round, r.Worker)
+			}
+			seen[key] = true
+		}
+	})
+}
+
+// Guards against a task that is shown as failed too early or retried without end.
+func TestAttemptsAreBounded(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.plan = func(wire.Run) runs.Plan {
+			return runs.Plan{Size: sizes.Resources{Processors: 1000}, Takes: 300 * time.Millisecond, Fails: true}
+		}
+		j := job(1, 1, 1)
+		w.submit(j)
+		w.awaitState(j.ID, rows.Failed, 20*time.Second)
+		time.Sleep(2 * time.Second)
+		if n := len(runsOf(w, j.ID)); n != 2 {
+			t.Errorf("%d runs; want 2", n)
+		}
+	})
+}
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -46,8 +46,7 @@
 	Retention time.Duration        // how long callers may ask for a job after its end
 	Queues    *queues.Holder
 	Network   Network
-	Advisor   Advisor  // nil for none
-	Machines  Machines // nil for none
+	Advisor   Advisor // nil for none
 	Log       *zap.Logger
 }
 
@@ -119,7 +118,6 @@
 	watchAt    time.Time
 	retiring   bool
 	retireAt   time.Time
-	upkeep     upkeep
 }
 
 // commit is a write of progress in flight.
@@ -166,9 +164,6 @@
 		t.cfg.Network.Connect(t, w.agent)
 	}
 	t.running.Go(func() { t.feed(ctx) })
-	if t.cfg.Machines != nil {
-		t.running.Go(func() { t.watchWaves(ctx) })
-	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -176,10 +171,10 @@
 		case <-ctx.Done():
 			return errResigned
 		case ev := <-t.events.Items():
-			if err := t.handle(ctx, ev); err != nil {
+			if err := t.handle(ev); err != nil {
 				return err
 			}
-			if err := t.drain(ctx); err != nil {
+			if err := t.drain(); err != nil {
 				return err
 			}
 		case <-timer.C:
@@ -195,13 +190,13 @@
 	}
 }
 
-func (t *Term) drain(ctx context.Context) error {
+func (t *Term) drain() error {
 	for range batchSize {
 		ev, ok := t.events.TryTake()
 		if !ok {
 			return nil
 		}
-		if err := t.handle(ctx, ev); err != nil {
+		if err := t.handle(ev); err != nil {
 			return err
 		}
 	}
@@ -215,7 +210,7 @@
 	}
 }
 
-func (t *Term) handle(ctx context.Context, ev any) error {
+func (t *Term) handle(ev any) error {
 	switch ev := ev.(type) {
 	case opened:
 		t.agentOpened(ev)
@@ -233,8 +228,6 @@
 		t.takeAdvice(ev)
 	case retired:
 		t.takeRetired(ev)
-	case upkeepEvent:
-		t.takeUpkeep(ctx, ev)
 	}
 	return nil
 }
--- a/internal/role/jobs/entry.go
+++ b/internal/role/jobs/entry.go
@@ -41,7 +41,6 @@
 	Store     *rows.Monitor
 	Source    Source
 	Advisor   lead.Advisor
-	Machines  lead.Machines
 	Log       *zap.Logger
 }
 
@@ -76,7 +75,7 @@
 	e.network = newAgents(e.sessions, cfg.Log)
 	e.leader = lead.NewLeader(lead.Config{
 		Cell: cfg.Cell, Name: cfg.Name, Address: cfg.Address, Store: cfg.Store, Patience: cfg.Store.Patience, Lease: cfg.Lease,
-		Retention: cfg.Retention, Queues: e.queues, Network: e.network, Advisor: cfg.Advisor, Machines: cfg.Machines,
+		Retention: cfg.Retention, Queues: e.queues, Network: e.network, Advisor: cfg.Advisor,
 		Log: cfg.Log,
 	}, cfg.Rank)
 	e.toLeader = newToLeader(cfg.Address, e.leader, e.sessions)
--- a/internal/role/jobs/leader.go
+++ b/internal/role/jobs/leader.go
@@ -120,16 +120,6 @@
 	}
 }
 
-// isConnected reports whether the leader can be asked.
-func (c *toLeader) isConnected() bool {
-	if c.IsSelf() {
-		return true
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.session != nil
-}
-
 // run keeps a session to the leader while another entry leads.
 func (c *toLeader) run(ctx context.Context) {
 	for ctx.Err() == nil {
