Prove that runs unknown to a new leader, counted failures and grants hold, each against a copy without its mechanism

Cause: four mechanisms had no test that failed without them (mutations on a scratch copy). Figures: without the mechanism each of TestFailureCountsOnce, TestUnknownRunIsNotStartedAgain (three mechanisms) and TestDeposedLeaderStopsGranting fails; with it all pass. Conclusion: the check for jobs of a later epoch remains without such a test.

--- a/internal/jobs/lead/takeover_test.go
+++ b/internal/jobs/lead/takeover_test.go
@@ -69,20 +69,54 @@
 func TestFailureCountsOnce(t *testing.T) {
 	inWorld(t, func(w *world) {
 		w.plan = func(r wire.Run) runs.Plan {
-			return runs.Plan{Size: sizes.Resources{Processors: 1000}, Takes: time.Second, Fails: r.Number == 1}
+			if r.Number == 1 {
+				return runs.Plan{Size: sizes.Resources{Processors: 1000}, Takes: time.Second, Fails: true}
+			}
+			return runs.Plan{Size: sizes.Resources{Processors: 1000}, Takes: 8 * time.Second}
 		}
 		j := job(1, 1, 1)
 		w.submit(j)
-		time.Sleep(900 * time.Millisecond)
-		for range 3 { // the end is listed while leaders come and go
-			w.kill("entry-1")
-			time.Sleep(150 * time.Millisecond)
-			w.revive("entry-1")
-			w.kill("entry-2")
-			time.Sleep(150 * time.Millisecond)
-			w.revive("entry-2")
+		first := w.awaitEnd(j.ID)
+		time.Sleep(3 * linkDelay) // the leader has the end
+		w.set(w.cut, first.Worker, true)
+		w.dropLinks(first.Worker)
+		time.Sleep(300 * time.Millisecond) // it is stored
+		w.kill("entry-1")
+		w.set(w.cut, first.Worker, false)
+		w.awaitState(j.ID, rows.Done, 30*time.Second)
+	})
+}
+
+// awaitEnd waits for the first end of a run of a job.
+func (w *world) awaitEnd(id spec.ID) runs.Record {
+	w.t.Helper()
+	for range 5000 {
+		for _, r := range runsOf(w, id) {
+			if !r.Ended.IsZero() {
+				return r
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	w.t.Fatalf("no run of job %s ends", id)
+	return runs.Record{}
+}
+
+// Guards against a leader that grants leases for ever although the store turns it away: the next leader counts on their
+// end and starts the tasks elsewhere.
+func TestDeposedLeaderStopsGranting(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.plan = func(wire.Run) runs.Plan {
+			return runs.Plan{Size: sizes.Resources{Processors: 1000}, Takes: time.Minute}
+		}
+		w.set(w.apart, "entry-2/host-1", true)
+		w.submit(job(1, 1, 4))
+		time.Sleep(time.Second)
+		w.set(w.deaf, "entry-1", true)
+		time.Sleep(40 * time.Second)
+		if n := len(runsOf(w, job(1, 1, 1).ID)); n <= 4 {
+			t.Errorf("%d runs; no task of host-1 was started elsewhere", n)
 		}
-		w.awaitState(j.ID, rows.Done, 20*time.Second)
 	})
 }
 
@@ -137,21 +171,36 @@
 	})
 }
 
-// Guards against a run that a new leader does not know, since the job was told to the leader before it, and that it
-// starts again beside it.
+// Guards against runs that a new leader does not know, since their jobs were told to the leader before it while it took
+// the cell over, and that it starts again beside them.
 func TestUnknownRunIsNotStartedAgain(t *testing.T) {
 	inWorld(t, func(w *world) {
 		w.plan = func(wire.Run) runs.Plan {
-			return runs.Plan{Size: sizes.Resources{Processors: 1000}, Takes: 2 * time.Second}
+			return runs.Plan{Size: sizes.Resources{Processors: 10}, Takes: 3 * time.Second}
 		}
+		w.mu.Lock()
+		w.tellTo = "entry-1"
+		w.mu.Unlock()
 		w.set(w.deaf, "entry-1", true) // it leads on until it learns that it does not
-		time.Sleep(2300 * time.Millisecond)
-		for n := range 8 {
-			w.submit(job(n+1, 1, 3))
-			time.Sleep(100 * time.Millisecond)
+		time.Sleep(2200 * time.Millisecond)
+		jobs := 0
+		submit := func(n int) {
+			j := job(n, 1, 1)
+			j.Steps[0].Size.Processors = 10
+			w.submit(j)
+		}
+		for w.entries["entry-2"].leader.Term() == nil {
+			jobs++
+			submit(jobs)
 		}
-		for n := range 8 {
-			w.awaitState(job(n+1, 1, 1).ID, rows.Done, 20*time.Second)
+		w.mu.Lock()
+		w.tellTo = ""
+		w.mu.Unlock()
+		for n := range min(jobs, 8) { // callers without an answer ask again, and the new leader hears of the jobs
+			submit(jobs - n)
+		}
+		for n := range jobs {
+			w.awaitState(job(n+1, 1, 1).ID, rows.Done, 30*time.Second)
 		}
 	})
 }
--- a/internal/jobs/lead/world_test.go
+++ b/internal/jobs/lead/world_test.go
@@ -50,6 +50,8 @@
 	hosts   map[string]*host
 	cut     map[string]bool // names of entries and agents that nobody reaches
 	deaf    map[string]bool // names that the store does not answer
+	apart   map[string]bool // entry and agent, joined by a slash, that do not reach each other
+	tellTo  string          // entry that callers tell of jobs; empty for the one that leads
 	faults  func(caller string) shelf.Fault
 }
 
@@ -75,7 +77,7 @@
 	w := &world{
 		t: t, shelf: shelf.New(), ctx: ctx, random: rand.New(rand.NewPCG(seed, 1)), log: zap.NewNop(),
 		entries: make(map[string]*entry), hosts: make(map[string]*host), cut: make(map[string]bool),
-		deaf: make(map[string]bool),
+		deaf: make(map[string]bool), apart: make(map[string]bool),
 	}
 	w.plan = func(wire.Run) runs.Plan {
 		return runs.Plan{Size: sizes.Resources{Processors: 1000}, Takes: time.Second}
@@ -158,6 +160,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var best *lead.Term
+	if e := w.entries[w.tellTo]; e != nil {
+		return e.leader.Term()
+	}
 	for _, e := range w.entries {
 		if t := e.leader.Term(); t != nil && (best == nil || t.Epoch() > best.Epoch()) {
 			best = t
@@ -324,7 +329,7 @@
 
 // session runs one session between an entry and an agent until it is closed.
 func (w *world) session(ctx context.Context, entryName, hostName string, t *lead.Term) {
-	if w.is(w.cut, entryName) || w.is(w.cut, hostName) {
+	if w.is(w.cut, entryName) || w.is(w.cut, hostName) || w.is(w.apart, entryName+"/"+hostName) {
 		return
 	}
 	w.mu.Lock()
