Serve metrics, write logs without blocking, and test the adapter, the agent and the whole path

Cause: each log line was a system call, metrics of jobs of steps were missing, and only the leader had tests. Ruled out: a buffered writer of zap, which blocks once its buffer is full.

--- a/cmd/trefoilramp/cell.go
+++ b/cmd/trefoilramp/cell.go
@@ -19,6 +19,8 @@
 	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/jobs/lead"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
+	"trefoilramp.org/trefoilramp/internal/ops/logs"
+	"trefoilramp.org/trefoilramp/internal/ops/metric"
 	"trefoilramp.org/trefoilramp/internal/role/jobs"
 	"trefoilramp.org/trefoilramp/platform"
 )
@@ -36,6 +38,7 @@
 
 const (
 	leaveTime    = 2 * time.Second // for which a leaving entry answers requests on open connections
+	countEvery   = 10 * time.Second
 	cellIdle     = 15 * time.Second
 	cellHeader   = 3 * time.Second
 	memoryShare  = 0.7 // of the process's limit that the Go runtime may use
@@ -58,13 +61,16 @@
 	debug.SetMemoryLimit(int64(float64(mib<<20) * memoryShare))
 }
 
-func runCellEntry(ctx context.Context, s setup.CellEntry, log *zap.Logger) error {
+func runCellEntry(ctx context.Context, s setup.CellEntry, _ *zap.Logger) error {
 	limitMemory(s.Process.MemoryMiB)
-	store := rows.NewMonitor(platform.NewStore(s.Process.Store), log, nil)
+	log, out := cellLog(zap.String("Instance", s.Process.Name))
+	set := metric.New(log)
+	store := rows.NewMonitor(platform.NewStore(s.Process.Store), log, jobs.StoreMeter(set))
 	cfg := jobs.EntryConfig{
 		Cell: s.Process.Cell, Name: s.Process.Name, Zone: s.Process.AvailabilityZone, Address: s.Process.Sessions, Key: s.Process.Key.Bytes(),
 		Lease: time.Duration(s.Process.Lease), Retention: time.Duration(s.Retention), Rank: entryRank(s), Store: store,
-		Source: &jobs.RowSource{Store: store, Ref: platform.ConfigRef, Decode: platform.DecodeConfig, Log: log}, Log: log,
+		Source:  &jobs.RowSource{Store: store, Ref: platform.ConfigRef, Decode: platform.DecodeConfig, Log: log},
+		Metrics: set, Log: log,
 	}
 	if s.Policies != "" {
 		cfg.Advisor = platform.NewAdvisor(s.Policies)
@@ -79,8 +85,9 @@
 		{address: s.Callers, handler: l.wrap(callers)},
 		{address: s.Readiness, handler: platform.Readiness(l.isReady)},
 	}
+	servers = append(servers, metricServer(s.Process.Administration, set)...)
 	return runCell(ctx, cellProcess{
-		log: log, role: "entry", run: e.Run, servers: servers, leaver: l, grace: time.Duration(s.Process.Grace),
+		log: log, out: out, set: set, role: "entry", run: e.Run, servers: servers, leaver: l, grace: time.Duration(s.Process.Grace),
 		reload: func() error { _, err := setup.LoadCellEntry(settingsPath); return err },
 	})
 }
@@ -96,23 +103,36 @@
 	return func() time.Duration { return delay }
 }
 
-func runCellAgent(ctx context.Context, s setup.CellAgent, log *zap.Logger) error {
+func runCellAgent(ctx context.Context, s setup.CellAgent, _ *zap.Logger) error {
 	limitMemory(s.Process.MemoryMiB)
+	log, out := cellLog(zap.String("Instance", s.Process.Name))
+	set := metric.New(log)
 	a, err := jobs.NewAgent(ctx, jobs.AgentConfig{
 		Cell: s.Process.Cell, Name: s.Process.Name, Zone: s.Process.AvailabilityZone, Address: s.Process.Sessions, Key: s.Process.Key.Bytes(),
 		Lease: time.Duration(s.Process.Lease), Worker: platform.NewWorker(s.Worker),
-		Store: rows.NewMonitor(platform.NewStore(s.Process.Store), log, nil), Log: log,
+		Store: rows.NewMonitor(platform.NewStore(s.Process.Store), log, jobs.StoreMeter(set)), Log: log,
 	})
 	if err != nil {
 		return err
 	}
 	servers := []*server{{address: s.Announcements, handler: platform.Announcements(a.Orders(), s.Service, log)}}
+	servers = append(servers, metricServer(s.Process.Administration, set)...)
 	return runCell(ctx, cellProcess{
-		log: log, role: "agent", run: a.Run, servers: servers, grace: time.Duration(s.Process.Grace),
+		log: log, out: out, set: set, role: "agent", run: a.Run, servers: servers, grace: time.Duration(s.Process.Grace),
 		reload: func() error { _, err := setup.LoadCellAgent(settingsPath); return err },
 	})
 }
 
+// metricServer serves metrics, if the settings name an address for them.
+func metricServer(address string, set *metric.Set) []*server {
+	if address == "" {
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", set.Handler())
+	return []*server{{address: address, handler: mux}}
+}
+
 // settingsPath is where the platform places the settings, for SIGHUP.
 const settingsPath = "/etc/trefoilramp/local.json"
 
@@ -157,6 +177,8 @@
 
 type cellProcess struct {
 	log     *zap.Logger
+	out     *logs.Writer
+	set     *metric.Set
 	role    string
 	run     func(context.Context) error
 	servers []*server
@@ -167,6 +189,7 @@
 
 // runCell runs a process of a cell until SIGTERM.
 func runCell(ctx context.Context, p cellProcess) error {
+	defer p.out.Sync()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(ctx)
@@ -184,6 +207,7 @@
 			failed <- err
 		}
 	}()
+	go pause.Every(ctx, countEvery, func() { p.set.Gauge(metric.LogDropped).Update(float64(p.out.Dropped())) })
 	event.Log(p.log, event.ProcessStarted, zap.String("Role", p.role))
 	for {
 		select {
--- a/cmd/trefoilramp/log.go
+++ b/cmd/trefoilramp/log.go
@@ -2,20 +2,36 @@
 
 import (
 	"fmt"
+	"os"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"trefoilramp.org/trefoilramp/internal/ops/logs"
 )
 
+// cellLog returns a log in JSON on standard output that never blocks, with its fields in Pascal case.
+func cellLog(fields ...zap.Field) (*zap.Logger, *logs.Writer) {
+	w := logs.NewWriter(os.Stdout)
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding()), w, zapcore.InfoLevel)
+	return zap.New(core, zap.Fields(fields...)), w
+}
+
+func encoding() zapcore.EncoderConfig {
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.TimeKey = "Time"
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.LevelKey = "Level"
+	cfg.MessageKey = "Message"
+	return cfg
+}
+
 // processLog returns a log in JSON on standard error, with its fields in Pascal case.
 func processLog(fields ...zap.Field) (*zap.Logger, error) {
 	cfg := zap.NewProductionConfig()
 	cfg.DisableCaller = true
 	cfg.DisableStacktrace = true
-	cfg.EncoderConfig.TimeKey = "Time"
-	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	cfg.EncoderConfig.LevelKey = "Level"
-	cfg.EncoderConfig.MessageKey = "Message"
+	cfg.EncoderConfig = encoding()
 	log, err := cfg.Build(zap.Fields(fields...))
 	if err != nil {
 		return nil, fmt.Errorf("open log: %w", err)
--- /dev/null
+++ b/internal/conf/setup/cell_test.go
@@ -0,0 +1,51 @@
+package setup_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"trefoilramp.org/trefoilramp/internal/conf/setup"
+)
+
+const cellProcess = `"Process": {"Name": "edge-1", "AvailabilityZone": "agadir", "Cell": "main", "Sessions": "10.0.0.1:7720",
+	"Store": "10.0.0.9:8169", "Key": {"Value": "key-0123456789abcdef"}, "Lease": "10000ms", "Grace": "6s", "MemoryMiB": 284}`
+
+func writeSettings(t *testing.T, s string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(path, []byte(s), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Guards against settings of a cell's processes that are refused although valid, or accepted with a fault.
+func TestCellSettings(t *testing.T) {
+	entry := "{" + cellProcess + `, "Callers": "10.0.0.1:1", "Readiness": "10.0.0.1:2", "Retention": "120s", "Processors": 0.16}`
+	agent := "{" + cellProcess + `, "Announcements": "10.0.0.1:1", "Worker": "10.0.0.1:2"}`
+	if _, err := setup.LoadCellEntry(writeSettings(t, entry)); err != nil {
+		t.Error(err)
+	}
+	if _, err := setup.LoadCellAgent(writeSettings(t, agent)); err != nil {
+		t.Error(err)
+	}
+	for _, test := range []struct{ name, from, to, fault string }{
+		{"no name", `"Name": "edge-1"`, `"Name": ""`, "$.Process.Name"},
+		{"short lease", `"10000ms"`, `"10ms"`, "$.Process.Lease"},
+		{"no memory", `284`, `0`, "$.Process.MemoryMiB"},
+		{"no store", `"10.0.0.9:8169"`, `""`, "$.Process.Store"},
+		{"unknown field", `"Callers"`, `"Caller"`, "$.Caller"},
+		{"same listeners", `"10.0.0.1:2"`, `"10.0.0.1:1"`, "$.Readiness"},
+		{"no processors", `0.16`, `0`, "$.Processors"},
+		{"short retention", `"120s"`, `"1ms"`, "$.Retention"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := setup.LoadCellEntry(writeSettings(t, strings.Replace(entry, test.from, test.to, 1)))
+			if err == nil || !strings.Contains(err.Error(), test.fault) {
+				t.Errorf("error %v; want one that names %s", err, test.fault)
+			}
+		})
+	}
+}
--- a/internal/jobs/intake/intake.go
+++ b/internal/jobs/intake/intake.go
@@ -57,6 +57,7 @@
 	// Patience is how long to wait for an answer of the store before the request is sent again.
 	Patience func() time.Duration
 	Leader   Leader
+	Taken    func(Verdict) // counts submissions; nil for none
 	Log      *zap.Logger
 }
 
@@ -89,6 +90,9 @@
 	if v == 0 {
 		v, isOwn, err = in.store(ctx, rows.JobRef(in.cfg.Cell, j.ID), packed)
 	}
+	if in.cfg.Taken != nil {
+		in.cfg.Taken(v)
+	}
 	if v != Accepted {
 		event.Log(in.cfg.Log, event.JobRefused, zap.String("Job", string(j.ID)), zap.String("Queue", j.Queue),
 			zap.Stringer("Verdict", v), zap.Duration("Took", time.Since(began)), zap.Error(err))
--- /dev/null
+++ b/internal/jobs/intake/intake_test.go
@@ -0,0 +1,183 @@
+package intake_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/jobs/intake"
+	"trefoilramp.org/trefoilramp/internal/jobs/rows"
+	"trefoilramp.org/trefoilramp/internal/jobs/spec"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/stand/shelf"
+)
+
+// leader answers as it is told and keeps what it hears.
+type leader struct {
+	answer *wire.JobTell
+	told   []*wire.JobAsk
+	asked  []*wire.JobAsk
+}
+
+func (l *leader) Epoch() uint64                 { return 4 }
+func (l *leader) IsSelf() bool                  { return false }
+func (l *leader) Tell(_ uint64, m *wire.JobAsk) { l.told = append(l.told, m) }
+func (l *leader) epochOf(t *testing.T, n int) uint64 {
+	t.Helper()
+	var j spec.Job
+	if err := wire.Unpack(l.told[n].Packed, &j); err != nil {
+		t.Fatal(err)
+	}
+	return j.Epoch
+}
+
+func (l *leader) Ask(_ context.Context, m *wire.JobAsk) (*wire.JobTell, error) {
+	l.asked = append(l.asked, m)
+	if l.answer == nil {
+		return nil, intake.ErrNoLeader
+	}
+	return l.answer, nil
+}
+
+func newJob() *spec.Job {
+	return &spec.Job{
+		ID: "5c0e7a21d94b36f8", Queue: "q", Steps: []spec.Step{{Count: 1}}, AcceptedAt: time.Now().UnixMilli(),
+	}
+}
+
+func inIntake(t *testing.T, f func(t *testing.T, in *intake.Intake, s *shelf.Shelf, l *leader, failing *time.Time)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s, l := shelf.New(), &leader{}
+		failing := &time.Time{}
+		f(t, intake.New(intake.Config{
+			Cell: "main", Store: s.As("entry"), Leader: l, Log: zap.NewNop(),
+			Failing: func() time.Time { return *failing }, Patience: func() time.Duration { return 100 * time.Millisecond },
+		}), s, l, failing)
+		time.Sleep(time.Minute) // late requests are carried out
+	})
+}
+
+func submit(t *testing.T, in *intake.Intake) (intake.Verdict, time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	v := in.Submit(ctx, newJob())
+	return v, time.Since(began)
+}
+
+func isStored(t *testing.T, s *shelf.Shelf) bool {
+	t.Helper()
+	p, err := s.As("test").Read(t.Context(), rows.JobRef("main", newJob().ID).One())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(p.Rows) == 1
+}
+
+// Guards against a refusal that is false, an acceptance that is not stored, and callers that are held without need.
+func TestSubmitTellsTheTruth(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		fault    func(call int) shelf.Fault
+		want     intake.Verdict
+		stored   bool
+		atLatest time.Duration
+	}{
+		{"calm", func(int) shelf.Fault { return shelf.Fault{} }, intake.Accepted, true, 50 * time.Millisecond},
+		{"refused", func(int) shelf.Fault { return shelf.Fault{Refuse: true} }, intake.NotDone, false, 50 * time.Millisecond},
+		{"answer lost once", func(n int) shelf.Fault { return shelf.Fault{Lose: n == 1} }, intake.Accepted, true, 300 * time.Millisecond},
+		{"late once", func(n int) shelf.Fault { return shelf.Fault{Late: time.Duration(2-min(n, 2)) * time.Second} }, intake.Accepted, true, 300 * time.Millisecond},
+		{"lost, then refused", func(n int) shelf.Fault { return shelf.Fault{Lose: n == 1, Refuse: n > 1} }, intake.Uncertain, true, 3 * time.Second},
+		{"silent", func(int) shelf.Fault { return shelf.Fault{Late: 10 * time.Second} }, intake.Uncertain, true, 3 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inIntake(t, func(t *testing.T, in *intake.Intake, s *shelf.Shelf, _ *leader, _ *time.Time) {
+				calls := 0
+				s.Decide = func(caller string) shelf.Fault {
+					if caller != "entry" {
+						return shelf.Fault{}
+					}
+					calls++
+					return test.fault(calls)
+				}
+				v, took := submit(t, in)
+				if v != test.want || took > test.atLatest {
+					t.Errorf("%v after %v; want %v within %v", v, took, test.want, test.atLatest)
+				}
+				time.Sleep(20 * time.Second)
+				if got := isStored(t, s); got != test.stored {
+					t.Errorf("stored: %v; want %v", got, test.stored)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a caller that waits for a store which is known to fail, and against a refusal although the leader could
+// have stored the job.
+func TestFailingStore(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		answer *wire.JobTell
+		want   intake.Verdict
+	}{
+		{"no leader", nil, intake.NotDone},
+		{"leader stores", &wire.JobTell{Verdict: wire.VerdictKnown}, intake.Accepted},
+		{"leader refuses", &wire.JobTell{Verdict: wire.VerdictNotDone}, intake.NotDone},
+		{"leader does not know", &wire.JobTell{Verdict: wire.VerdictUnclear}, intake.Uncertain},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inIntake(t, func(t *testing.T, in *intake.Intake, _ *shelf.Shelf, l *leader, failing *time.Time) {
+				*failing = time.Now().Add(-time.Second)
+				l.answer = test.answer
+				if v, took := submit(t, in); v != test.want || took > time.Millisecond {
+					t.Errorf("%v after %v; want %v at once", v, took, test.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a job that is told to a leader as new although another leader may have been told before.
+func TestRepeatedSubmissionHasNoEpoch(t *testing.T) {
+	inIntake(t, func(t *testing.T, in *intake.Intake, _ *shelf.Shelf, l *leader, _ *time.Time) {
+		submit(t, in)
+		time.Sleep(time.Second)
+		submit(t, in)
+		if first, second := l.epochOf(t, 0), l.epochOf(t, 1); first != 4 || second != 0 {
+			t.Errorf("told with epochs %d and %d; want 4 and 0", first, second)
+		}
+	})
+}
+
+// Guards against "no such job" for an accepted job while no leader answers, and a cancellation that is not stored.
+func TestWithoutLeader(t *testing.T) {
+	inIntake(t, func(t *testing.T, in *intake.Intake, s *shelf.Shelf, _ *leader, _ *time.Time) {
+		id := newJob().ID
+		if _, v := in.State(t.Context(), id); v != intake.Unknown {
+			t.Errorf("state of no job: %v", v)
+		}
+		if v := in.Cancel(t.Context(), id); v != intake.Unknown {
+			t.Errorf("cancel of no job: %v", v)
+		}
+		submit(t, in)
+		if st, v := in.State(t.Context(), id); v != intake.Accepted || st != rows.Queued {
+			t.Errorf("state %v, %v", st, v)
+		}
+		if v := in.Cancel(t.Context(), id); v != intake.Accepted {
+			t.Errorf("cancel: %v", v)
+		}
+		p, err := s.As("test").Read(t.Context(), rows.CancelRef("main", id).One())
+		if err != nil || len(p.Rows) != 1 {
+			t.Errorf("the cancellation is not stored: %v", err)
+		}
+		if _, v := in.Waiting(t.Context(), "q"); v != intake.NotDone {
+			t.Errorf("length of a queue without a leader: %v", v)
+		}
+	})
+}
--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -248,6 +248,7 @@
 	if r == nil && first {
 		r = t.adopt(w, e.Run, now)
 	}
+	t.cfg.Meter.RunEnded(e.Cause)
 	event.Log(t.cfg.Log, event.RunEnded, zap.String("Task", e.Task), zap.Int("Run", e.Run.Number),
 		zap.Stringer("Cause", e.Cause), zap.String("Worker", w.state.Life.ID), zap.Uint64("End", e.Number),
 		zap.Bool("Counts", r != nil))
@@ -322,6 +323,7 @@
 	j.state, j.endedAt = s, now
 	t.mark(j)
 	t.urgent = true
+	t.cfg.Meter.JobEnded(s, now.Sub(j.takenAt))
 	event.Log(t.cfg.Log, event.JobEnded, zap.String("Job", string(j.spec.ID)), zap.Stringer("State", s),
 		zap.Duration("Late", now.Sub(j.target)), zap.String("Queue", j.spec.Queue))
 	for i := range j.tasks {
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -141,6 +141,7 @@
 	if err := t.read(ctx); err != nil {
 		return nil, err
 	}
+	l.cfg.Meter.TookOver()
 	event.Log(l.cfg.Log, event.LeaderElected, zap.Uint64("Epoch", t.epoch), zap.Uint64("Token", t.token),
 		zap.String("Before", head.Leader), zap.Int("Jobs", len(t.jobs)), zap.Int("Active", len(t.active)),
 		zap.Int("Agents", len(t.workers)), zap.Duration("Took", time.Since(began)))
--- a/internal/jobs/lead/schedule.go
+++ b/internal/jobs/lead/schedule.go
@@ -148,6 +148,7 @@
 	}
 	w.add(r)
 	j.addRun(ordinal, r)
+	t.cfg.Meter.Ordered(now.Sub(j.takenAt), !j.begun)
 	j.begun = true
 	if j.state == rows.Queued {
 		j.state = rows.Running
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -47,9 +47,18 @@
 	Queues    *queues.Holder
 	Network   Network
 	Advisor   Advisor // nil for none
+	Meter     Meter
 	Log       *zap.Logger
 }
 
+// Meter counts what a leader does.
+type Meter interface {
+	TookOver()
+	Ordered(untilFirst time.Duration, isFirst bool)
+	RunEnded(cause wire.EndCause)
+	JobEnded(state rows.State, took time.Duration)
+}
+
 // Events of the term's ring.
 type (
 	opened struct {
--- a/internal/jobs/lead/world_test.go
+++ b/internal/jobs/lead/world_test.go
@@ -112,7 +112,7 @@
 	e.leader = lead.NewLeader(lead.Config{
 		Cell: cell, Name: name, Address: name + ":1", Store: w.shelf.As(name), Lease: lease,
 		Patience: func() time.Duration { return patience }, Retention: time.Minute,
-		Queues: &queues.Holder{}, Network: n, Log: w.log.With(zap.String("Entry", name)),
+		Queues: &queues.Holder{}, Network: n, Meter: noMeter{}, Log: w.log.With(zap.String("Entry", name)),
 	}, func() time.Duration { return delay })
 	w.mu.Lock()
 	w.entries[name] = e
@@ -528,3 +528,11 @@
 		}
 	}
 }
+
+// noMeter counts nothing.
+type noMeter struct{}
+
+func (noMeter) TookOver()                          {}
+func (noMeter) Ordered(time.Duration, bool)        {}
+func (noMeter) RunEnded(wire.EndCause)             {}
+func (noMeter) JobEnded(rows.State, time.Duration) {}
--- /dev/null
+++ b/internal/ops/logs/logs_test.go
@@ -0,0 +1,50 @@
+package logs_test
+
+import (
+	"bytes"
+	"sync"
+	"testing"
+	"time"
+
+	"trefoilramp.org/trefoilramp/internal/ops/logs"
+)
+
+// output blocks until it is released.
+type output struct {
+	mu      sync.Mutex
+	buf     bytes.Buffer
+	release chan struct{}
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	<-o.release
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buf.Write(p)
+}
+
+// Guards against a process that stands still because nobody reads its log, and lines that are lost without a count.
+func TestWriterNeverBlocks(t *testing.T) {
+	o := &output{release: make(chan struct{})}
+	w := logs.NewWriter(o)
+	began := time.Now()
+	const lines = 20_000
+	for range lines {
+		if _, err := w.Write([]byte("line\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("%d lines took %v", lines, took)
+	}
+	close(o.release)
+	if err := w.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	written := uint64(bytes.Count(o.buf.Bytes(), []byte("line\n")))
+	if written == 0 || w.Dropped() == 0 || written+w.Dropped() != lines {
+		t.Errorf("%d lines written, %d dropped of %d", written, w.Dropped(), lines)
+	}
+}
--- a/internal/ops/metric/catalogue.go
+++ b/internal/ops/metric/catalogue.go
@@ -47,6 +47,14 @@
 	ConfigLowest   Name = "config_lowest_version"
 	ConfigChanges  Name = "config_changes"
 	AdminRequests  Name = "admin_requests"
+	JobsTaken      Name = "jobs_taken"
+	JobsEnded      Name = "jobs_ended"
+	JobSeconds     Name = "job_seconds"
+	RunsOrdered    Name = "runs_ordered"
+	RunsEnded      Name = "runs_ended"
+	StartSeconds   Name = "job_start_seconds"
+	CellTerms      Name = "cell_terms"
+	LogDropped     Name = "log_lines_dropped"
 )
 
 var catalogue = []Entry{
@@ -70,6 +78,14 @@
 	{ConfigLowest, Gauge, []string{"zone"}, "Version that every known process of a zone applies."},
 	{ConfigChanges, Counter, []string{"outcome"}, "Submitted configurations, by HTTP status of the answer."},
 	{AdminRequests, Counter, []string{"method", "status"}, "Requests to the administration API."},
+	{JobsTaken, Counter, []string{"verdict"}, "Submitted jobs of steps, by what became of them."},
+	{JobsEnded, Counter, []string{"state"}, "Jobs of steps that reached a final state under this leader."},
+	{JobSeconds, Histogram, []string{"state"}, "Time from the acceptance of a job of steps to its final state, in seconds."},
+	{RunsOrdered, Counter, nil, "Runs that this leader ordered."},
+	{RunsEnded, Counter, []string{"cause"}, "Ends of runs that workers listed to this leader."},
+	{StartSeconds, Histogram, nil, "Time from the acceptance of a job of steps to its first run, in seconds."},
+	{CellTerms, Counter, nil, "Cells that this entry took over."},
+	{LogDropped, Gauge, nil, "Log lines dropped because the ring of the log was full."},
 }
 
 // Catalogue returns all metrics in the order of the documentation.
--- a/internal/role/jobs/entry.go
+++ b/internal/role/jobs/entry.go
@@ -17,6 +17,7 @@
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/ops/metric"
 )
 
 // readyGrace is how long the store may fail before an entry says that it is not ready.
@@ -41,6 +42,7 @@
 	Store     *rows.Monitor
 	Source    Source
 	Advisor   lead.Advisor
+	Metrics   *metric.Set
 	Log       *zap.Logger
 }
 
@@ -75,13 +77,13 @@
 	e.network = newAgents(e.sessions, cfg.Log)
 	e.leader = lead.NewLeader(lead.Config{
 		Cell: cfg.Cell, Name: cfg.Name, Address: cfg.Address, Store: cfg.Store, Patience: cfg.Store.Patience, Lease: cfg.Lease,
-		Retention: cfg.Retention, Queues: e.queues, Network: e.network, Advisor: cfg.Advisor,
+		Retention: cfg.Retention, Queues: e.queues, Network: e.network, Advisor: cfg.Advisor, Meter: meter{cfg.Metrics},
 		Log: cfg.Log,
 	}, cfg.Rank)
 	e.toLeader = newToLeader(cfg.Address, e.leader, e.sessions)
 	e.intake = intake.New(intake.Config{
 		Cell: cfg.Cell, Store: cfg.Store, Failing: cfg.Store.FailingSince, Patience: cfg.Store.Patience,
-		Leader: e.toLeader, Log: cfg.Log,
+		Leader: e.toLeader, Taken: meter{cfg.Metrics}.taken, Log: cfg.Log,
 	})
 	return e, nil
 }
--- /dev/null
+++ b/internal/role/jobs/jobs_test.go
@@ -0,0 +1,157 @@
+package jobs_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/conf/queues"
+	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/jobs/intake"
+	"trefoilramp.org/trefoilramp/internal/jobs/rows"
+	"trefoilramp.org/trefoilramp/internal/jobs/spec"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/ops/metric"
+	"trefoilramp.org/trefoilramp/internal/role/jobs"
+	"trefoilramp.org/trefoilramp/internal/stand/runs"
+	"trefoilramp.org/trefoilramp/internal/stand/shelf"
+)
+
+const (
+	lease = 3 * time.Second
+	limit = 15 * time.Second // for what a test waits for
+)
+
+var (
+	key    = []byte("key-of-the-tests-0123456789")
+	config = rows.Ref{Table: "Config", Key: "Newest"}
+)
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	var lc net.ListenConfig
+	ln, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func startEntry(ctx context.Context, t *testing.T, s *shelf.Shelf, name string, wg *sync.WaitGroup) (*jobs.Entry, context.CancelFunc) {
+	t.Helper()
+	store := rows.NewMonitor(s.As(name), zap.NewNop(), nil)
+	decode := func(b []byte) (queues.Document, error) { return queues.Document{Version: uint64(b[0])}, nil }
+	e, err := jobs.NewEntry(ctx, jobs.EntryConfig{
+		Cell: "main", Name: name, Zone: "agadir", Address: freeAddress(t), Key: key, Lease: lease, Retention: time.Minute,
+		Rank: func() time.Duration { return 0 }, Store: store, Log: zap.NewNop(),
+		Metrics: metric.New(nil),
+		Source:  &jobs.RowSource{Store: store, Ref: config, Decode: decode, Log: zap.NewNop()},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	wg.Go(func() {
+		if err := e.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	})
+	return e, cancel
+}
+
+func startAgent(ctx context.Context, t *testing.T, s *shelf.Shelf, name string, wg *sync.WaitGroup) *runs.Worker {
+	t.Helper()
+	w := &runs.Worker{
+		Name: name, Capacity: sizes.Resources{Processors: 4000, Memory: 1 << 40}, StopTime: 50 * time.Millisecond, MaxLease: lease,
+		Plan: func(wire.Run) runs.Plan {
+			return runs.Plan{Size: sizes.Resources{Processors: 500}, Takes: 100 * time.Millisecond}
+		},
+	}
+	w.Begin(wire.Life{ID: name, Born: 1})
+	a, err := jobs.NewAgent(ctx, jobs.AgentConfig{
+		Cell: "main", Name: name, Zone: "agadir", Address: freeAddress(t), Key: key, Lease: lease, Worker: w,
+		Store: s.As(name), Log: zap.NewNop(),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.Orders().Announce(w.State(), 1)
+	wg.Go(func() {
+		if err := a.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	})
+	return w
+}
+
+func await(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if is() {
+			return
+		}
+	}
+	t.Fatalf("%s: not within %v", what, limit)
+}
+
+func putConfig(t *testing.T, s *shelf.Shelf, version byte) {
+	t.Helper()
+	if _, err := s.As("operator").Change(t.Context(), rows.Change{Puts: []rows.Row{{Ref: config, Value: []byte{version}}}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a break anywhere between an accepted job and its end, with sessions over TCP, and against an entry that
+// leaves a job behind when it is stopped.
+func TestWholePath(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	s := shelf.New()
+	putConfig(t, s, 3)
+	first, stopFirst := startEntry(ctx, t, s, "entry-1", &wg)
+	second, _ := startEntry(ctx, t, s, "entry-2", &wg)
+	startAgent(ctx, t, s, "worker-1", &wg)
+	startAgent(ctx, t, s, "worker-2", &wg)
+	await(t, "both entries are ready", func() bool { return first.IsReady() && second.IsReady() })
+	putConfig(t, s, 4)
+	await(t, "configuration in force", func() bool { return second.Queues().Table().Document.Version == 4 })
+
+	submit := func(e *jobs.Entry, n int) spec.ID {
+		t.Helper()
+		j := &spec.Job{
+			ID: spec.ID(fmt.Sprintf("%016x", n)), Queue: "q", Service: "packing", MaxAttempts: 2,
+			Steps: []spec.Step{
+				{Count: 6, Size: sizes.Resources{Processors: 500}, Estimate: 100},
+				{Count: 3, Size: sizes.Resources{Processors: 500}, Estimate: 100, After: []int{0}},
+			},
+		}
+		if v := e.Intake().Submit(ctx, j); v != intake.Accepted {
+			t.Fatalf("job %d: %v", n, v)
+		}
+		return j.ID
+	}
+	isDone := func(e *jobs.Entry, id spec.ID) func() bool {
+		return func() bool {
+			st, v := e.Intake().State(ctx, id)
+			return v == intake.Accepted && st == rows.Done
+		}
+	}
+	a, b := submit(first, 1), submit(second, 2)
+	await(t, "job of the first entry", isDone(second, a))
+	await(t, "job of the second entry", isDone(first, b))
+	if _, v := second.Intake().Waiting(ctx, "q"); v != intake.Accepted {
+		t.Errorf("length of the queue: %v", v)
+	}
+	c := submit(second, 3)
+	stopFirst()
+	await(t, "job across a handover", isDone(second, c))
+	await(t, "job after a handover", isDone(second, submit(second, 4)))
+}
--- /dev/null
+++ b/internal/role/jobs/meter.go
@@ -0,0 +1,52 @@
+package jobs
+
+import (
+	"strings"
+	"time"
+
+	"trefoilramp.org/trefoilramp/internal/jobs/intake"
+	"trefoilramp.org/trefoilramp/internal/jobs/rows"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/ops/metric"
+)
+
+// meter counts what an entry does; it implements lead.Meter.
+type meter struct {
+	set *metric.Set
+}
+
+// TookOver implements lead.Meter.
+func (m meter) TookOver() { m.set.Counter(metric.CellTerms).Inc(1) }
+
+// Ordered implements lead.Meter.
+func (m meter) Ordered(untilFirst time.Duration, isFirst bool) {
+	m.set.Counter(metric.RunsOrdered).Inc(1)
+	if isFirst {
+		m.set.Histogram(metric.StartSeconds).RecordDuration(untilFirst)
+	}
+}
+
+// RunEnded implements lead.Meter.
+func (m meter) RunEnded(cause wire.EndCause) {
+	m.set.Counter(metric.RunsEnded, strings.TrimPrefix(cause.String(), "End")).Inc(1)
+}
+
+// JobEnded implements lead.Meter.
+func (m meter) JobEnded(state rows.State, took time.Duration) {
+	m.set.Counter(metric.JobsEnded, state.String()).Inc(1)
+	m.set.Histogram(metric.JobSeconds, state.String()).RecordDuration(took)
+}
+
+func (m meter) taken(v intake.Verdict) { m.set.Counter(metric.JobsTaken, v.String()).Inc(1) }
+
+// StoreMeter returns what notes the calls to a store.
+func StoreMeter(set *metric.Set) func(call string, took time.Duration, err error) {
+	return func(call string, took time.Duration, err error) {
+		outcome := "done"
+		if err != nil {
+			outcome = "failed"
+		}
+		set.Counter(metric.StoreCalls, call, outcome).Inc(1)
+		set.Histogram(metric.StoreSeconds, call).RecordDuration(took)
+	}
+}
--- a/internal/stand/runs/worker.go
+++ b/internal/stand/runs/worker.go
@@ -21,6 +21,7 @@
 	Takes   time.Duration // of work; 0 for a task that lasts
 	Fails   bool
 	Serving int // figure that a serving task shows, ms
+	Figure  int // figure that any other task shows, thousandths of a processor
 }
 
 // Fault decides what happens to an order.
@@ -69,6 +70,7 @@
 	plan   Plan
 	timer  *time.Timer
 	ending bool
+	pace   int // percent
 }
 
 // Begin starts a life of the worker; everything of the life before ends.
@@ -96,6 +98,8 @@
 	defer w.mu.Unlock()
 	w.stopAll()
 	w.down = true
+	close(w.changed) // connections break
+	w.changed = make(chan struct{})
 }
 
 func (w *Worker) stopAll() {
@@ -249,7 +253,7 @@
 	if !used.Fits(w.Capacity) {
 		w.over = append(w.over, run)
 	}
-	a := &active{plan: p, record: &Record{Worker: w.Name, Run: run, Began: time.Now()}}
+	a := &active{plan: p, pace: 100, record: &Record{Worker: w.Name, Run: run, Began: time.Now()}}
 	w.records = append(w.records, a.record)
 	w.active[run] = a
 	life := w.life
@@ -310,8 +314,36 @@
 }
 
 // Pace implements orders.Worker.
-func (w *Worker) Pace(ctx context.Context, life wire.Life, token uint64, _ wire.Run, _ int) error {
-	return w.order(ctx, life, func() error { return w.fence(token) })
+func (w *Worker) Pace(ctx context.Context, life wire.Life, token uint64, r wire.Run, percent int) error {
+	return w.order(ctx, life, func() error {
+		if err := w.fence(token); err != nil {
+			return err
+		}
+		if a := w.active[r]; a != nil {
+			a.pace = percent
+		}
+		return nil
+	})
+}
+
+// Paced returns the pace of a run in percent, or -1 when it is not there.
+func (w *Worker) Paced(r wire.Run) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if a := w.active[r]; a != nil {
+		return a.pace
+	}
+	return -1
+}
+
+// Refresh asks Plan again for the figures of all runs.
+func (w *Worker) Refresh() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for run, a := range w.active {
+		p := w.Plan(run)
+		a.plan.Serving, a.plan.Figure = p.Serving, p.Figure
+	}
 }
 
 // Look implements orders.Worker.
@@ -357,7 +389,7 @@
 		if a.plan.Takes > 0 {
 			percent = int(100 * time.Since(a.record.Began) / a.plan.Takes)
 		}
-		s.Running = append(s.Running, wire.RunState{Run: run, Percent: percent, Figure: a.plan.Serving})
+		s.Running = append(s.Running, wire.RunState{Run: run, Percent: percent, Figure: a.plan.Serving + a.plan.Figure})
 	}
 	return s, nil
 }
