--- a/internal/host/orders/agent.go
+++ b/internal/host/orders/agent.go
@@ -16,11 +16,12 @@
 const (
 	idleWait    = time.Second            // of a look; the worker answers sooner when a run ends
 	lookWait    = 400 * time.Millisecond // the same while the worker has runs, whose figures the leader follows
-	lookSlack   = 700 * time.Millisecond // beyond the wait, after which a look has no answer
+	lookSlack   = 400 * time.Millisecond // beyond the wait, after which a look has no answer
 	askInterval = 450 * time.Millisecond // between requests for the lease, with all runs
 	notePause   = 40 * time.Millisecond  // while ends wait to be durable, for which a look does not wait
 	retryPause  = 60 * time.Millisecond  // after a failed look
 	downLooks   = 3                      // refused connections in a row after which the worker's process has ended
+	silentLooks = 2                      // looks without answer in a row after which the worker gets no runs
 )
 
 // ErrSuperseded closes the session of a leader with a lower token.
@@ -311,7 +312,7 @@
 	return list
 }
 
-// lookFailed notes a failed look and returns how many connections in a row were refused.
+// lookFailed notes a failed look and returns how many failed in a row.
 func (a *Agent) lookFailed(l Look, err error, failures int) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -324,13 +325,15 @@
 	case errors.Is(err, ErrDown) && failures+1 >= downLooks:
 	case errors.Is(err, ErrDown):
 		return failures + 1
+	case failures+1 < silentLooks:
+		return failures + 1
 	default:
 		if a.state.Healthy {
 			a.state.Healthy = false
 			event.Log(a.cfg.Log, event.WorkerSilent, zap.String("Worker", l.Life.ID), zap.Error(err))
 			a.tell()
 		}
-		return 0
+		return failures
 	}
 	event.Log(a.cfg.Log, event.WorkerEnded, zap.String("Worker", l.Life.ID), zap.Int64("Born", l.Life.Born), zap.Error(err))
 	a.gone = true
--- a/internal/host/orders/call.go
+++ b/internal/host/orders/call.go
@@ -138,7 +138,7 @@
 			zap.Int("Percent", p.percent), zap.Error(err))
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		a.pacer.failed(p.run)
+		a.pacer.failed(p.run, time.Now())
 		return
 	}
 	event.Log(a.cfg.Log, event.RunPaced, zap.String("Task", p.run.Task), zap.Int("Run", p.run.Number),
--- a/internal/host/orders/orders_test.go
+++ b/internal/host/orders/orders_test.go
@@ -20,6 +20,7 @@
 	mu     sync.Mutex
 	list   []wire.Message
 	closed error
+	grant  func()
 }
 
 func (l *leader) Send(m wire.Message) error {
@@ -114,7 +115,16 @@
 		l := &leader{}
 		a.Adopt(l, &wire.LeadAdopt{Token: 5})
 		time.Sleep(100 * time.Millisecond)
-		a.Grant(l, &wire.LeaseGrant{Life: w.Life(), Clock: 100})
+		began := time.Now()
+		l.grant = func() {
+			a.Grant(l, &wire.LeaseGrant{Life: w.Life(), Clock: time.Since(began).Milliseconds() + 100})
+		}
+		wg.Go(func() {
+			for ; ctx.Err() == nil; time.Sleep(time.Second) {
+				l.grant()
+			}
+		})
+		time.Sleep(time.Millisecond)
 		f(ctx, a, w, l)
 		cancel()
 		wg.Wait()
@@ -296,3 +306,42 @@
 		}
 	})
 }
+
+// Guards against a pace that is carried out after a newer one and stays: the task would stand still for good.
+func TestLatePaceIsCorrected(t *testing.T) {
+	inAgent(t, func(ctx context.Context, a *orders.Agent, w *looking, l *leader) {
+		serving := wire.Run{Task: "5c0e7a21d94b36f8.0.0.1", Number: 1}
+		var mu sync.Mutex
+		figure := 20
+		w.Plan = func(r wire.Run) runs.Plan {
+			mu.Lock()
+			defer mu.Unlock()
+			if r == serving {
+				return runs.Plan{Serving: figure}
+			}
+			return runs.Plan{Takes: time.Hour, Figure: 100}
+		}
+		show := func(f int) {
+			mu.Lock()
+			figure = f
+			mu.Unlock()
+			w.Refresh()
+		}
+		o := order(1, w)
+		o.Starts = []wire.StartOrder{
+			{RunTrait: wire.RunTrait{Run: serving, Target: 100, Image: "s"}},
+			{RunTrait: wire.RunTrait{Run: first, Fills: true, Size: 400, Image: "f"}},
+		}
+		a.Order(ctx, l, o)
+		time.Sleep(time.Second)
+		w.SetFaults(func() runs.Fault { return runs.Fault{Late: 6 * time.Second} })
+		show(500) // the halt of the task that fills gets no answer and is carried out late
+		time.Sleep(1500 * time.Millisecond)
+		w.SetFaults(nil)
+		show(20)
+		time.Sleep(10 * time.Second)
+		if p := w.Paced(first); p != 100 {
+			t.Errorf("paced to %d long after the serving task is calm", p)
+		}
+	})
+}
--- a/internal/host/orders/pace.go
+++ b/internal/host/orders/pace.go
@@ -12,9 +12,16 @@
 	fullPace    = 100
 	paceFloor   = 8                      // percent; a lower pace becomes 0
 	paceChange  = 12                     // percent; a smaller change is not ordered
+	lateOrders  = 13 * time.Second       // after which an order without answer is no longer carried out
+	repeatPace  = 900 * time.Millisecond // between the same pace until then
 	settleTime  = 350 * time.Millisecond // after a change until the figures show it
 	ownSmooth   = 0.5                    // weight of the newest figure in the load without tasks that fill
-	haltAfter   = time.Second            // over the target, before all tasks that fill halt
+	calmTail    = 55                     // percent of the target below which the limit rises
+	tightTail   = 80                     // percent of the target above which it falls
+	trimUp      = 0.05                   // per look
+	trimDown    = 0.3                    // per look
+	mostTrim    = 0.6
+	haltAfter   = time.Second // over the target, before all tasks that fill halt
 	leastHalt   = 600 * time.Millisecond
 	longestHalt = 2500 * time.Millisecond // after which the tasks that fill are not the cause
 	forgetLooks = 8                       // looks without a run after which its trait is dropped
@@ -30,17 +37,19 @@
 
 type trait struct {
 	wire.RunTrait
-	missing   int // looks in a row that did not show the run
-	percent   int // pace that was ordered
-	changedAt time.Time
-	served    bool
-	own       float64 // load of a serving task without tasks that fill
+	missing     int // looks in a row that did not show the run
+	percent     int // pace that was ordered
+	changedAt   time.Time
+	unsureUntil time.Time // an earlier pace may still be carried out until then
+	served      bool
+	own         float64 // load of a serving task without tasks that fill
 }
 
 // pacer decides how much the tasks that fill a worker may work beside its serving tasks.
 type pacer struct {
 	traits    map[wire.Run]*trait
 	table     *press.Table
+	trim      float64   // added to the limit of the load of serving tasks
 	overSince time.Time // a serving task has been over its target since
 	isHalted  bool      // no task that fills may work
 	haltedAt  time.Time
@@ -71,10 +80,11 @@
 	}
 }
 
-// failed notes that a pace was not confirmed, so that it is ordered again.
-func (p *pacer) failed(r wire.Run) {
+// failed notes that a pace was not confirmed: it is ordered again, and for a while again and again, since the worker may
+// carry out the one without an answer after newer ones.
+func (p *pacer) failed(r wire.Run, now time.Time) {
 	if t := p.traits[r]; t != nil {
-		t.percent = -1
+		t.percent, t.unsureUntil = -1, now.Add(lateOrders)
 	}
 }
 
@@ -100,6 +110,7 @@
 	p.forget(seen)
 	serving, worst := p.serving(running, loads)
 	p.guard(worst, now)
+	p.adjust(worst)
 	p.own, p.worst, p.fills, p.full = serving, worst, fills, full
 	return p.plan(now)
 }
@@ -118,7 +129,7 @@
 // plan returns the paces to change for the tasks that fill, as the last look showed the serving tasks.
 func (p *pacer) plan(now time.Time) []paced {
 	var list []paced
-	for i, share := range p.table.Shares(p.own, p.full) {
+	for i, share := range p.table.Shares(p.own, p.full, press.Limit+p.trim) {
 		if p.isHalted {
 			share = 0
 		}
@@ -130,6 +141,17 @@
 	return list
 }
 
+// adjust corrects the limit by what the figures show: an image that counts as heavy by mistake would never work enough to
+// be known better.
+func (p *pacer) adjust(worst int) {
+	switch {
+	case worst < calmTail:
+		p.trim = min(mostTrim, p.trim+trimUp)
+	case worst > tightTail:
+		p.trim = max(0, p.trim-trimDown)
+	}
+}
+
 // guard halts all tasks that fill while a serving task stays over its target whatever the model expects. A task that
 // stays over it beside none that work is slow by its own load, and the halt ends.
 func (p *pacer) guard(worst int, now time.Time) {
@@ -184,7 +206,11 @@
 	}
 	isSmall := percent-t.percent < paceChange && t.percent-percent < paceChange
 	isEdge := (percent == 0 || percent == fullPace) && percent != t.percent
-	if isSmall && !isEdge || percent > t.percent && now.Sub(t.changedAt) < settleTime {
+	isUnsure := now.Before(t.unsureUntil) && now.Sub(t.changedAt) >= repeatPace
+	if isUnsure && isSmall && t.percent >= 0 {
+		percent = t.percent
+	}
+	if isSmall && !isEdge && !isUnsure || percent > t.percent && now.Sub(t.changedAt) < settleTime {
 		return paced{}, false
 	}
 	t.percent, t.changedAt = percent, now
