Remove the correction of the limit of serving tasks

Cause: it let heavy images work until the figures rose, which costs more than what stands still wins.

--- a/internal/host/orders/pace.go
+++ b/internal/host/orders/pace.go
@@ -16,12 +16,7 @@
 	repeatPace  = 900 * time.Millisecond // between the same pace until then
 	settleTime  = 350 * time.Millisecond // after a change until the figures show it
 	ownSmooth   = 0.5                    // weight of the newest figure in the load without tasks that fill
-	calmTail    = 55                     // percent of the target below which the limit rises
-	tightTail   = 80                     // percent of the target above which it falls
-	trimUp      = 0.05                   // per look
-	trimDown    = 0.3                    // per look
-	mostTrim    = 0.6
-	haltAfter   = time.Second // over the target, before all tasks that fill halt
+	haltAfter   = time.Second            // over the target, before all tasks that fill halt
 	leastHalt   = 600 * time.Millisecond
 	longestHalt = 2500 * time.Millisecond // after which the tasks that fill are not the cause
 	forgetLooks = 8                       // looks without a run after which its trait is dropped
@@ -49,7 +44,6 @@
 type pacer struct {
 	traits    map[wire.Run]*trait
 	table     *press.Table
-	trim      float64   // added to the limit of the load of serving tasks
 	overSince time.Time // a serving task has been over its target since
 	isHalted  bool      // no task that fills may work
 	haltedAt  time.Time
@@ -110,7 +104,6 @@
 	p.forget(seen)
 	serving, worst := p.serving(running, loads)
 	p.guard(worst, now)
-	p.adjust(worst)
 	p.own, p.worst, p.fills, p.full = serving, worst, fills, full
 	return p.plan(now)
 }
@@ -129,7 +122,7 @@
 // plan returns the paces to change for the tasks that fill, as the last look showed the serving tasks.
 func (p *pacer) plan(now time.Time) []paced {
 	var list []paced
-	for i, share := range p.table.Shares(p.own, p.full, press.Limit+p.trim) {
+	for i, share := range p.table.Shares(p.own, p.full) {
 		if p.isHalted {
 			share = 0
 		}
@@ -141,17 +134,6 @@
 	return list
 }
 
-// adjust corrects the limit by what the figures show: an image that counts as heavy by mistake would never work enough to
-// be known better.
-func (p *pacer) adjust(worst int) {
-	switch {
-	case worst < calmTail:
-		p.trim = min(mostTrim, p.trim+trimUp)
-	case worst > tightTail:
-		p.trim = max(0, p.trim-trimDown)
-	}
-}
-
 // guard halts all tasks that fill while a serving task stays over its target whatever the model expects. A task that
 // stays over it beside none that work is slow by its own load, and the halt ends.
 func (p *pacer) guard(worst int, now time.Time) {
--- a/internal/jobs/press/press_test.go
+++ b/internal/jobs/press/press_test.go
@@ -51,7 +51,7 @@
 	table.Set("heavy", 5)
 	table.Set("light", 0.1)
 	fills := []press.Load{{Image: "light", Use: 0.2}, {Image: "heavy", Use: 0.1}, {Image: "heavy", Use: 0.1}}
-	shares := table.Shares([]float64{0.3, 0.5}, fills, press.Limit)
+	shares := table.Shares([]float64{0.3, 0.5}, fills)
 	if shares[0] != 1 {
 		t.Errorf("the light task works at %.2f", shares[0])
 	}
@@ -62,7 +62,7 @@
 	if load > press.Limit+0.001 {
 		t.Errorf("load %.2f over the limit", load)
 	}
-	if all := table.Shares(nil, fills, press.Limit); all[1] != 1 || all[2] != 1 {
+	if all := table.Shares(nil, fills); all[1] != 1 || all[2] != 1 {
 		t.Errorf("shares without a serving task are %v", all)
 	}
 }
--- a/internal/jobs/press/share.go
+++ b/internal/jobs/press/share.go
@@ -8,10 +8,10 @@
 	leastUse   = 0.001
 )
 
-// Shares returns how much each task that fills may work, from 0 to 1, so that no serving task is expected above a limit
+// Shares returns how much each task that fills may work, from 0 to 1, so that no serving task is expected above Limit
 // through them; the heaviest give way first. Own holds the loads of the serving tasks without them, fills their use at
 // full work.
-func (t *Table) Shares(own []float64, fills []Load, limit float64) []float64 {
+func (t *Table) Shares(own []float64, fills []Load) []float64 {
 	shares := make([]float64, len(fills))
 	for i := range shares {
 		shares[i] = 1
@@ -23,7 +23,7 @@
 	for _, o := range own {
 		busiest = max(busiest, o)
 	}
-	over := busiest + t.Pressed(fills) - limit
+	over := busiest + t.Pressed(fills) - Limit
 	for over > 0 {
 		heaviest := t.heaviest(fills, shares)
 		if heaviest < 0 {
