--- a/internal/host/orders/agent.go
+++ b/internal/host/orders/agent.go
@@ -373,6 +373,9 @@
 	m := &wire.RunReport{Ended: ended, Order: order}
 	if !a.adopted || now.Sub(a.askedAt) >= askInterval {
 		m.Complete, m.Running, m.AskLease = true, s.Running, true
+		if !a.adopted {
+			m.Press = a.pacer.known()
+		}
 		m.Pending = before
 		for r := range a.pending {
 			if !slices.Contains(before, r) {
--- a/internal/host/orders/pace.go
+++ b/internal/host/orders/pace.go
@@ -74,6 +74,15 @@
 	}
 }
 
+// known returns what a leader has told.
+func (p *pacer) known() []wire.PressWeight {
+	var list []wire.PressWeight
+	for image, w := range p.table.Known() {
+		list = append(list, wire.PressWeight{Image: image, Weight: w})
+	}
+	return list
+}
+
 // failed notes that a pace was not confirmed: it is ordered again, and for a while again and again, since the worker may
 // carry out the one without an answer after newer ones.
 func (p *pacer) failed(r wire.Run, now time.Time) {
--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -81,6 +81,9 @@
 	}
 	now := time.Now()
 	first := !w.heard
+	for _, p := range m.Press {
+		t.press.Hint(p.Image, p.Weight)
+	}
 	if first && m.Complete {
 		// Runs that an earlier leader started are known before their ends are taken.
 		for i := range m.Running {
--- a/internal/jobs/press/press_test.go
+++ b/internal/jobs/press/press_test.go
@@ -90,3 +90,23 @@
 		})
 	}
 }
+
+// Guards against a leader that forgets what the one before it learned, and against hints that outweigh what was seen.
+func TestHint(t *testing.T) {
+	known := press.NewTable()
+	for _, w := range []float64{0.1, 5} {
+		table := press.NewTable()
+		table.Hint("a", w)
+		if got := table.Weight("a"); got < w*0.6-0.1 || got > w*1.4+0.3 {
+			t.Errorf("hint of %.1f gives %.2f", w, got)
+		}
+		before := table.Weight("a")
+		table.Hint("a", 8)
+		if got := table.Weight("a"); got != before {
+			t.Errorf("a second hint changes %.2f to %.2f", before, got)
+		}
+	}
+	if len(known.Known()) != 0 {
+		t.Error("a new table knows something")
+	}
+}
--- a/internal/jobs/press/table.go
+++ b/internal/jobs/press/table.go
@@ -1,6 +1,9 @@
 package press
 
-import "math"
+import (
+	"maps"
+	"math"
+)
 
 const (
 	figureError = 0.16  // standard deviation of the load that a figure tells
@@ -11,6 +14,8 @@
 	fullLoad    = 0.98  // load that figures tell at most
 	firstFloor  = 0.16  // tail of an idle serving task as a share of its target, before lower ones are seen
 	leastFloor  = 0.02
+	hintTrust   = 3.0 // of a hint against the first shares, for a weight that differs by a factor of e
+	hintBlur    = 0.4 // weights that differ by less than this are alike
 )
 
 // steps are the weights that an image may have, and the share of images that have each before any figure.
@@ -53,6 +58,23 @@
 // Set replaces the weight of an image.
 func (t *Table) Set(image string, w float64) { t.weights[image] = w }
 
+// Hint takes a weight that was learned elsewhere as a first belief; what is known here already counts more.
+func (t *Table) Hint(image string, w float64) {
+	if t.belief[image] != nil {
+		return
+	}
+	b := &[len(steps)]float64{}
+	for i, s := range steps {
+		d := math.Log((s.weight + hintBlur) / (w + hintBlur))
+		b[i] = -hintTrust * d * d
+	}
+	t.belief[image] = b
+	t.weights[image] = mean(b)
+}
+
+// Known returns the weights that were learned or told.
+func (t *Table) Known() map[string]float64 { return maps.Clone(t.weights) }
+
 // mean returns the expected weight under a belief.
 func mean(b *[len(steps)]float64) float64 {
 	top := math.Inf(-1)
--- a/internal/link/wire/task.go
+++ b/internal/link/wire/task.go
@@ -107,7 +107,8 @@
 	Ended    []RunEnd
 	Refused  []RunRefused
 	AskLease bool
-	Order    uint64 // number of the last orders that were taken before the look
+	Press    []PressWeight // what an earlier leader had told, in the first report to a leader
+	Order    uint64        // number of the last orders that were taken before the look
 }
 
 // LeaseGrant permits the agent to hold the lease of its worker for the agreed time after Clock.
