--- a/cmd/trefoilramp/cell.go
+++ b/cmd/trefoilramp/cell.go
@@ -189,7 +189,7 @@
 
 // runCell runs a process of a cell until SIGTERM.
 func runCell(ctx context.Context, p cellProcess) error {
-	defer p.out.Sync()
+	defer p.out.Flush()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -127,7 +127,7 @@
 	t := &Term{
 		cfg: l.cfg, events: queue.NewRing[any](ringSize), jobs: make(map[spec.ID]*job),
 		workers: make(map[string]*worker), dirty: make(map[*job]struct{}), advice: make(map[pair]*advice),
-		press: press.NewTable(), usual: make(map[string]*usual), doomed: make(map[spec.ID]bool), orphans: make(map[spec.ID][]orphan), done: make(chan struct{}),
+		press: press.NewTable(), usual: make(map[string]*usual), doomed: make(map[spec.ID]bool), orphans: make(map[spec.ID][]orphan),
 	}
 	next := rows.Head{Leader: l.cfg.Name, Address: l.cfg.Address, Epoch: head.Epoch + 1, Write: head.Write}
 	t.writer = headWriter{store: l.cfg.Store, patience: l.cfg.Patience, cell: l.cfg.Cell, head: next, version: version}
@@ -225,7 +225,6 @@
 	l.term.Store(t)
 	err := t.run(ctx)
 	l.term.Store(nil)
-	close(t.done)
 	for name := range t.workers {
 		l.cfg.Network.Forget(name)
 	}
--- a/internal/jobs/lead/pick.go
+++ b/internal/jobs/lead/pick.go
@@ -42,11 +42,14 @@
 func (c *choice) spec() *spec.Step { return &c.job.spec.Steps[c.step] }
 
 // pick returns the best worker for a task, or nil when none may run it now.
-func (t *Term) pick(c choice, task *task) *worker {
+func (t *Term) pick(c choice, task *task) *worker { return t.pickOnRack(c, task, "") }
+
+// pickOnRack returns the best worker of a rack, or of all racks when rack is empty.
+func (t *Term) pickOnRack(c choice, task *task, rack string) *worker {
 	var best *worker
 	var cost float64
 	for _, w := range t.workers {
-		if !t.mayRun(c, w, task) {
+		if rack != "" && w.state.Rack != rack || !t.mayRun(c, w, task) {
 			continue
 		}
 		if v := t.cost(c, w, task); best == nil || v < cost || v == cost && w.agent.Name < best.agent.Name {
@@ -212,20 +215,6 @@
 	return chosen
 }
 
-func (t *Term) pickOnRack(c choice, task *task, rack string) *worker {
-	var best *worker
-	var cost float64
-	for _, w := range t.workers {
-		if rack != "" && w.state.Rack != rack || !t.mayRun(c, w, task) {
-			continue
-		}
-		if v := t.cost(c, w, task); best == nil || v < cost || v == cost && w.agent.Name < best.agent.Name {
-			best, cost = w, v
-		}
-	}
-	return best
-}
-
 // startMembers starts the members of a gang with the same number and the same checkpoint.
 func (t *Term) startMembers(c choice, ready []int, chosen []*worker) {
 	number := 0
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -119,7 +119,6 @@
 	jobsAfter  uint64 // versions up to which the feeds were read
 	cancAfter  uint64
 	agentAfter uint64
-	done       chan struct{}
 	running    sync.WaitGroup
 	orphans    map[spec.ID][]orphan
 	doomed     map[spec.ID]bool // cancelled before the job was known
--- a/internal/ops/logs/writer.go
+++ b/internal/ops/logs/writer.go
@@ -41,12 +41,17 @@
 // Dropped returns the number of lines that found the ring full.
 func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
 
-// Sync returns when the lines queued before have been written.
+// Sync implements zapcore.WriteSyncer.
 func (w *Writer) Sync() error {
+	w.Flush()
+	return nil
+}
+
+// Flush returns when the lines queued before have been written.
+func (w *Writer) Flush() {
 	done := make(chan struct{})
 	w.sync <- done
 	<-done
-	return nil
 }
 
 func (w *Writer) run() {
--- a/internal/role/jobs/jobs_test.go
+++ b/internal/role/jobs/jobs_test.go
@@ -65,7 +65,7 @@
 	return e, cancel
 }
 
-func startAgent(ctx context.Context, t *testing.T, s *shelf.Shelf, name string, wg *sync.WaitGroup) *runs.Worker {
+func startAgent(ctx context.Context, t *testing.T, s *shelf.Shelf, name string, wg *sync.WaitGroup) {
 	t.Helper()
 	w := &runs.Worker{
 		Name: name, Capacity: sizes.Resources{Processors: 4000, Memory: 1 << 40}, StopTime: 50 * time.Millisecond, MaxLease: lease,
@@ -87,7 +87,6 @@
 			t.Error(err)
 		}
 	})
-	return w
 }
 
 func await(t *testing.T, what string, is func() bool) {
