--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -12,7 +12,9 @@
 type task struct {
 	done   bool
 	runs   []*run
-	failed []int // numbers of the runs that ended in failure
+	took   float64 // seconds that the run which was done took
+	ranOn  *worker // where it was done
+	failed []int   // numbers of the runs that ended in failure
 	saved  string
 	number int // of the last run
 	after  time.Time
--- a/internal/jobs/lead/watch.go
+++ b/internal/jobs/lead/watch.go
@@ -61,7 +61,7 @@
 
 // lags reports whether a run needs much longer than usual, and would on another worker end sooner.
 func (t *Term) lags(r *run, now time.Time) bool {
-	want, ok := t.expected(r)
+	want, ok := t.reference(r, now)
 	if !ok || !isTimed(r) || r.stopping || r.copied || !r.listed || r.job.state.IsFinal() {
 		return false
 	}
