--- a/internal/host/orders/pace.go
+++ b/internal/host/orders/pace.go
@@ -18,7 +18,8 @@
 	ownSmooth   = 0.5                    // weight of the newest figure in the load without tasks that fill
 	haltAfter   = time.Second            // over the target, before all tasks that fill halt
 	leastHalt   = 600 * time.Millisecond
-	longestHalt = 2500 * time.Millisecond // after which the tasks that fill are not the cause
+	longestHalt = 5 * time.Second         // after which the tasks that fill are not the cause
+	freeTime    = 1500 * time.Millisecond // until the next halt then
 	forgetLooks = 8                       // looks without a run after which its trait is dropped
 	atWork      = 100                     // percent of a serving task that is at work
 )
@@ -159,7 +160,7 @@
 	}
 	switch {
 	case p.isHalted && now.Sub(p.haltedAt) > longestHalt:
-		p.isHalted, p.freeUntil = false, now.Add(longestHalt)
+		p.isHalted, p.freeUntil = false, now.Add(freeTime)
 	case !p.isHalted && now.Sub(p.overSince) > haltAfter && now.After(p.freeUntil):
 		p.isHalted, p.haltedAt = true, now
 	}
