Rank entries by their processors before their names when a cell is taken over

Cause: on the grown sites entries have 0.11 to 0.8 of a core, and the spread by name decided who leads. Ruled out: a list of entries, which nobody keeps.

--- a/cmd/trefoilramp/cell.go
+++ b/cmd/trefoilramp/cell.go
@@ -43,9 +43,9 @@
 	cellHeader   = 3 * time.Second
 	memoryShare  = 0.7 // of the process's limit that the Go runtime may use
 	gcPercent    = 300 // growth of the heap between collections, since processors are scarcer than memory
-	slowestRank  = 200 * time.Millisecond
-	fullRank     = 1.0 // processors at which an entry takes a cell over without delay
-	rankedSpread = 200 * time.Millisecond
+	slowestRank  = 300 * time.Millisecond
+	fullRank     = 0.5 // processors at which an entry takes a cell over without delay
+	rankedSpread = 100 * time.Millisecond
 )
 
 func cellCommand() *cli.Command {
