Shorten the wait for lost workers: leases of 6 s, a reign of 4 s, none after a certain end

Ruled out: starting them at once (TWICE); storing each start, see docs/platform.md; a refused connection as proof of an end, since a cut may refuse too.

--- a/cmd/trefoilramp/cell.go
+++ b/cmd/trefoilramp/cell.go
@@ -68,7 +68,7 @@
 	store := rows.NewMonitor(platform.NewStore(s.Process.Store), log, jobs.StoreMeter(set))
 	cfg := jobs.EntryConfig{
 		Cell: s.Process.Cell, Name: s.Process.Name, Zone: s.Process.AvailabilityZone, Address: s.Process.Sessions, Key: s.Process.Key.Bytes(),
-		Lease: time.Duration(s.Process.Lease), Retention: time.Duration(s.Retention), Rank: entryRank(s), Store: store,
+		Lease: workerLease(s.Process), Retention: time.Duration(s.Retention), Rank: entryRank(s), Store: store,
 		Source:  &jobs.RowSource{Store: store, Ref: platform.ConfigRef, Decode: platform.DecodeConfig, Log: log},
 		Metrics: set, Log: log,
 	}
@@ -92,6 +92,11 @@
 	})
 }
 
+// workerLease returns the lease that entries and agents agree on.
+func workerLease(s setup.CellProcess) time.Duration {
+	return min(time.Duration(s.Lease), lead.LongestLease)
+}
+
 // entryRank delays the takeover of a cell by entries with few processors, so that larger ones come first.
 func entryRank(s setup.CellEntry) func() time.Duration {
 	var sum uint32
@@ -109,7 +114,7 @@
 	set := metric.New(log)
 	a, err := jobs.NewAgent(ctx, jobs.AgentConfig{
 		Cell: s.Process.Cell, Name: s.Process.Name, Zone: s.Process.AvailabilityZone, Address: s.Process.Sessions, Key: s.Process.Key.Bytes(),
-		Lease: time.Duration(s.Process.Lease), Worker: platform.NewWorker(s.Worker),
+		Lease: workerLease(s.Process), Worker: platform.NewWorker(s.Worker),
 		Store: rows.NewMonitor(platform.NewStore(s.Process.Store), log, jobs.StoreMeter(set)), Log: log,
 	})
 	if err != nil {
--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -382,7 +382,7 @@
 	for name, w := range t.workers {
 		end := t.leaseEnd(w.grantAt)
 		if !w.heard || w.grantAt.IsZero() {
-			end = t.leaseEnd(t.tookAt.Add(reign)) // an earlier leader may have granted until then
+			end = t.leaseEnd(t.grantedTo)
 		}
 		if now.Before(end) {
 			if len(w.runs) > 0 || !w.heard {
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -24,7 +24,8 @@
 	head    atomic.Pointer[rows.Head]
 	changed chan struct{} // the head row may have changed
 	leading atomic.Bool   // from before a takeover to the end of the term
-	vacant  atomic.Uint64 // epoch whose leader has certainly ended
+	vacant  atomic.Uint64 // epoch whose leader does not seem to run any more
+	ended   atomic.Uint64 // epoch whose leader has certainly ended
 	suspect atomic.Bool   // the leader does not answer this entry
 	rank    func() time.Duration
 }
@@ -43,12 +44,21 @@
 // IsLeading reports whether this entry leads or is taking the cell over.
 func (l *Leader) IsLeading() bool { return l.leading.Load() }
 
-// Vacate tells that the leader of an epoch has ended.
-func (l *Leader) Vacate(epoch uint64) {
+// Vacate tells that the leader of an epoch does not seem to run; certain, that it has ended and grants nothing.
+func (l *Leader) Vacate(epoch uint64, certain bool) {
 	l.vacant.Store(epoch)
+	if certain {
+		l.ended.Store(epoch)
+	}
 	l.Check()
 }
 
+// hasEnded reports whether the leader that a head row names has certainly ended: it has handed over, it was an earlier
+// process of this entry, or the process at its address says so.
+func (l *Leader) hasEnded(head rows.Head) bool {
+	return head.Leader == "" || head.Leader == l.cfg.Name || head.Epoch == l.ended.Load()
+}
+
 // Suspect tells whether the leader answers this entry; one that does not is replaced sooner.
 func (l *Leader) Suspect(is bool) { l.suspect.Store(is) }
 
@@ -136,6 +146,10 @@
 		return nil, err
 	}
 	t.token, t.epoch, t.confirmed, t.tookAt = t.writer.version, next.Epoch, began, time.Now()
+	t.grantedTo = t.tookAt.Add(reign)
+	if l.hasEnded(head) {
+		t.grantedTo = t.tookAt
+	}
 	current := t.writer.head
 	l.head.Store(&current)
 	if err := t.read(ctx); err != nil {
--- a/internal/jobs/lead/takeover_test.go
+++ b/internal/jobs/lead/takeover_test.go
@@ -143,6 +143,36 @@
 	})
 }
 
+// Guards against tasks that wait for more than the lease of a lost worker when the leader before has certainly ended.
+func TestHandoverShortensTheWait(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.plan = func(wire.Run) runs.Plan {
+			return runs.Plan{Size: sizes.Resources{Processors: 1000}, Takes: time.Minute}
+		}
+		j := job(1, 1, 4)
+		w.submit(j)
+		time.Sleep(time.Second)
+		w.set(w.cut, "host-1", true)
+		w.dropLinks("host-1")
+		lost := time.Now()
+		w.mu.Lock()
+		e := w.entries["entry-1"]
+		w.mu.Unlock()
+		e.cancel() // hands the cell over
+		<-e.done
+		time.Sleep(lease + 2*time.Second)
+		moved := 0
+		for _, r := range runsOf(w, j.ID) {
+			if r.Began.After(lost) {
+				moved++
+			}
+		}
+		if moved == 0 {
+			t.Errorf("no task of the lost worker was started within %v", lease+2*time.Second)
+		}
+	})
+}
+
 // Guards against a start elsewhere before the lease of a worker that cannot be asked has certainly ended.
 func TestUnreachableWorkerIsWaitedFor(t *testing.T) {
 	inWorld(t, func(w *world) {
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -101,6 +101,8 @@
 	token  uint64
 	epoch  uint64
 	tookAt time.Time
+	// grantedTo is when the leader before this one has certainly ceased to grant leases.
+	grantedTo time.Time
 
 	jobs       map[spec.ID]*job
 	active     []*job // not in a final state
--- a/internal/jobs/lead/timing.go
+++ b/internal/jobs/lead/timing.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
+	// LongestLease bounds the lease of a worker: its tasks wait that long when it is lost without a trace.
+	LongestLease = 6 * time.Second
 	// reign is how long a leader grants leases after the start of its last confirmed write.
-	reign = 6 * time.Second
+	reign = 4 * time.Second
 	// renewEvery is the longest time between two writes of the head row.
 	renewEvery = 800 * time.Millisecond
 	// commitGap is the shortest time between two commits of progress; commits in between are merged.
--- a/internal/role/jobs/leader.go
+++ b/internal/role/jobs/leader.go
@@ -132,7 +132,7 @@
 		s, err := sess.Dial(limited, h.Address, c.cfg, c)
 		cancel()
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			c.leader.Vacate(h.Epoch) // its process has ended
+			c.leader.Vacate(h.Epoch, false) // its process has ended, or a cut refuses connections
 		}
 		if err != nil {
 			c.leader.Suspect(true)
@@ -174,7 +174,7 @@
 	defer cancel()
 	t, err := c.Ask(limited, &wire.JobAsk{Action: wire.QueueLength})
 	if err == nil && t.Verdict == wire.VerdictNotReady {
-		c.leader.Vacate(epoch)
+		c.leader.Vacate(epoch, true)
 	}
 	c.leader.Suspect(err != nil)
 }
