Call the store in memory what it is

Cause: the package of the tests' store and a field of the leader had names that describe nothing. Ruled out: sharing internal/stand/store, which speaks another protocol.

--- a/internal/jobs/intake/intake_test.go
+++ b/internal/jobs/intake/intake_test.go
@@ -12,7 +12,7 @@
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
-	"trefoilramp.org/trefoilramp/internal/stand/shelf"
+	"trefoilramp.org/trefoilramp/internal/stand/memory"
 )
 
 // leader answers as it is told and keeps what it hears.
@@ -48,10 +48,10 @@
 	}
 }
 
-func inIntake(t *testing.T, f func(t *testing.T, in *intake.Intake, s *shelf.Shelf, l *leader, failing *time.Time)) {
+func inIntake(t *testing.T, f func(t *testing.T, in *intake.Intake, s *memory.Store, l *leader, failing *time.Time)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		s, l := shelf.New(), &leader{}
+		s, l := memory.New(), &leader{}
 		failing := &time.Time{}
 		f(t, intake.New(intake.Config{
 			Cell: "main", Store: s.As("entry"), Leader: l, Log: zap.NewNop(),
@@ -70,7 +70,7 @@
 	return v, time.Since(began)
 }
 
-func isStored(t *testing.T, s *shelf.Shelf) bool {
+func isStored(t *testing.T, s *memory.Store) bool {
 	t.Helper()
 	p, err := s.As("test").Read(t.Context(), rows.JobRef("main", newJob().ID).One())
 	if err != nil {
@@ -83,24 +83,24 @@
 func TestSubmitTellsTheTruth(t *testing.T) {
 	for _, test := range []struct {
 		name     string
-		fault    func(call int) shelf.Fault
+		fault    func(call int) memory.Fault
 		want     intake.Verdict
 		stored   bool
 		atLatest time.Duration
 	}{
-		{"calm", func(int) shelf.Fault { return shelf.Fault{} }, intake.Accepted, true, 50 * time.Millisecond},
-		{"refused", func(int) shelf.Fault { return shelf.Fault{Refuse: true} }, intake.NotDone, false, 50 * time.Millisecond},
-		{"answer lost once", func(n int) shelf.Fault { return shelf.Fault{Lose: n == 1} }, intake.Accepted, true, 300 * time.Millisecond},
-		{"late once", func(n int) shelf.Fault { return shelf.Fault{Late: time.Duration(2-min(n, 2)) * time.Second} }, intake.Accepted, true, 300 * time.Millisecond},
-		{"lost, then refused", func(n int) shelf.Fault { return shelf.Fault{Lose: n == 1, Refuse: n > 1} }, intake.Uncertain, true, 3 * time.Second},
-		{"silent", func(int) shelf.Fault { return shelf.Fault{Late: 10 * time.Second} }, intake.Uncertain, true, 3 * time.Second},
+		{"calm", func(int) memory.Fault { return memory.Fault{} }, intake.Accepted, true, 50 * time.Millisecond},
+		{"refused", func(int) memory.Fault { return memory.Fault{Refuse: true} }, intake.NotDone, false, 50 * time.Millisecond},
+		{"answer lost once", func(n int) memory.Fault { return memory.Fault{Lose: n == 1} }, intake.Accepted, true, 300 * time.Millisecond},
+		{"late once", func(n int) memory.Fault { return memory.Fault{Late: time.Duration(2-min(n, 2)) * time.Second} }, intake.Accepted, true, 300 * time.Millisecond},
+		{"lost, then refused", func(n int) memory.Fault { return memory.Fault{Lose: n == 1, Refuse: n > 1} }, intake.Uncertain, true, 3 * time.Second},
+		{"silent", func(int) memory.Fault { return memory.Fault{Late: 10 * time.Second} }, intake.Uncertain, true, 3 * time.Second},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			inIntake(t, func(t *testing.T, in *intake.Intake, s *shelf.Shelf, _ *leader, _ *time.Time) {
+			inIntake(t, func(t *testing.T, in *intake.Intake, s *memory.Store, _ *leader, _ *time.Time) {
 				calls := 0
-				s.Decide = func(caller string) shelf.Fault {
+				s.Decide = func(caller string) memory.Fault {
 					if caller != "entry" {
-						return shelf.Fault{}
+						return memory.Fault{}
 					}
 					calls++
 					return test.fault(calls)
@@ -132,7 +132,7 @@
 		{"leader does not know", &wire.JobTell{Verdict: wire.VerdictUnclear}, intake.Uncertain},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			inIntake(t, func(t *testing.T, in *intake.Intake, _ *shelf.Shelf, l *leader, failing *time.Time) {
+			inIntake(t, func(t *testing.T, in *intake.Intake, _ *memory.Store, l *leader, failing *time.Time) {
 				*failing = time.Now().Add(-time.Second)
 				l.answer = test.answer
 				if v, took := submit(t, in); v != test.want || took > time.Millisecond {
@@ -145,7 +145,7 @@
 
 // Guards against a job that is told to a leader as new although another leader may have been told before.
 func TestRepeatedSubmissionHasNoEpoch(t *testing.T) {
-	inIntake(t, func(t *testing.T, in *intake.Intake, _ *shelf.Shelf, l *leader, _ *time.Time) {
+	inIntake(t, func(t *testing.T, in *intake.Intake, _ *memory.Store, l *leader, _ *time.Time) {
 		submit(t, in)
 		time.Sleep(time.Second)
 		submit(t, in)
@@ -157,7 +157,7 @@
 
 // Guards against "no such job" for an accepted job while no leader answers, and a cancellation that is not stored.
 func TestWithoutLeader(t *testing.T) {
-	inIntake(t, func(t *testing.T, in *intake.Intake, s *shelf.Shelf, _ *leader, _ *time.Time) {
+	inIntake(t, func(t *testing.T, in *intake.Intake, s *memory.Store, _ *leader, _ *time.Time) {
 		id := newJob().ID
 		if _, v := in.State(t.Context(), id); v != intake.Unknown {
 			t.Errorf("state of no job: %v", v)
--- a/internal/jobs/lead/intake.go
+++ b/internal/jobs/lead/intake.go
@@ -35,8 +35,8 @@
 	if j.old {
 		t.claimOrphans(j, j.takenAt)
 	}
-	if t.doomed[s.ID] {
-		delete(t.doomed, s.ID)
+	if t.cancelledEarly[s.ID] {
+		delete(t.cancelledEarly, s.ID)
 		t.finish(j, rows.Cancelled, time.Now())
 	}
 }
@@ -45,7 +45,7 @@
 func (t *Term) cancel(id spec.ID) {
 	j := t.jobs[id]
 	if j == nil {
-		t.doomed[id] = true
+		t.cancelledEarly[id] = true
 		return
 	}
 	t.finish(j, rows.Cancelled, time.Now())
--- a/internal/jobs/lead/soak_test.go
+++ b/internal/jobs/lead/soak_test.go
@@ -11,8 +11,8 @@
 	"trefoilramp.org/trefoilramp/internal/core/sizes"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/stand/memory"
 	"trefoilramp.org/trefoilramp/internal/stand/runs"
-	"trefoilramp.org/trefoilramp/internal/stand/shelf"
 )
 
 var soakSeeds = flag.Uint64("soak", 30, "seeds of TestSoak, each in virtual time")
@@ -107,14 +107,14 @@
 			wait(ctx, lasts)
 			h.worker.SetFaults(nil)
 		case 7: // answers of the store are lost or late
-			w.setFaults(func(string) shelf.Fault {
+			w.setFaults(func(string) memory.Fault {
 				switch w.draw(4) {
 				case 0:
-					return shelf.Fault{Lose: true}
+					return memory.Fault{Lose: true}
 				case 1:
-					return shelf.Fault{Late: time.Duration(1+w.draw(3)) * time.Second}
+					return memory.Fault{Late: time.Duration(1+w.draw(3)) * time.Second}
 				default:
-					return shelf.Fault{Slow: 50 * time.Millisecond}
+					return memory.Fault{Slow: 50 * time.Millisecond}
 				}
 			})
 			wait(ctx, lasts)
@@ -126,7 +126,7 @@
 	}
 }
 
-func (w *world) setFaults(f func(string) shelf.Fault) {
+func (w *world) setFaults(f func(string) memory.Fault) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.faults = f
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -104,30 +104,30 @@
 	// grantedTo is when the leader before this one has certainly ceased to grant leases.
 	grantedTo time.Time
 
-	jobs       map[spec.ID]*job
-	active     []*job // not in a final state
-	workers    map[string]*worker
-	unheard    int // workers of earlier leaders that were not heard yet
-	dirty      map[*job]struct{}
-	urgent     bool // a final state waits for its commit
-	commit     *commit
-	confirmed  time.Time // begin of the last confirmed write
-	commitAt   time.Time // when the last commit began
-	press      *press.Table
-	usual      map[string]*usual // by queue: run time compared with the estimate
-	advice     map[pair]*advice
-	asking     int // questions to the policy service in progress
-	wakeAt     time.Time
-	jobsAfter  uint64 // versions up to which the feeds were read
-	cancAfter  uint64
-	agentAfter uint64
-	running    sync.WaitGroup
-	orphans    map[spec.ID][]orphan
-	doomed     map[spec.ID]bool // cancelled before the job was known
-	dropped    []rows.Ref       // rows to delete with the next commit
-	watchAt    time.Time
-	retiring   bool
-	retireAt   time.Time
+	jobs           map[spec.ID]*job
+	active         []*job // not in a final state
+	workers        map[string]*worker
+	unheard        int // workers of earlier leaders that were not heard yet
+	dirty          map[*job]struct{}
+	urgent         bool // a final state waits for its commit
+	commit         *commit
+	confirmed      time.Time // begin of the last confirmed write
+	commitAt       time.Time // when the last commit began
+	press          *press.Table
+	usual          map[string]*usual // by queue: run time compared with the estimate
+	advice         map[pair]*advice
+	asking         int // questions to the policy service in progress
+	wakeAt         time.Time
+	jobsAfter      uint64 // versions up to which the feeds were read
+	cancAfter      uint64
+	agentAfter     uint64
+	running        sync.WaitGroup
+	orphans        map[spec.ID][]orphan
+	cancelledEarly map[spec.ID]bool // cancelled before the job was known
+	dropped        []rows.Ref       // rows to delete with the next commit
+	watchAt        time.Time
+	retiring       bool
+	retireAt       time.Time
 }
 
 // commit is a write of progress in flight.
--- a/internal/jobs/lead/world_test.go
+++ b/internal/jobs/lead/world_test.go
@@ -20,8 +20,8 @@
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/stand/memory"
 	"trefoilramp.org/trefoilramp/internal/stand/runs"
-	"trefoilramp.org/trefoilramp/internal/stand/shelf"
 )
 
 const (
@@ -37,7 +37,7 @@
 // world is a cell in memory: a store, entries that may lead, and agents with their workers.
 type world struct {
 	t      testing.TB
-	shelf  *shelf.Shelf
+	store  *memory.Store
 	plan   func(wire.Run) runs.Plan
 	log    *zap.Logger
 	ctx    context.Context
@@ -52,7 +52,7 @@
 	deaf    map[string]bool // names that the store does not answer
 	apart   map[string]bool // entry and agent, joined by a slash, that do not reach each other
 	tellTo  string          // entry that callers tell of jobs; empty for the one that leads
-	faults  func(caller string) shelf.Fault
+	faults  func(caller string) memory.Fault
 }
 
 // entry is a process that may lead.
@@ -75,23 +75,23 @@
 
 func newWorld(ctx context.Context, t testing.TB, seed uint64) *world {
 	w := &world{
-		t: t, shelf: shelf.New(), ctx: ctx, random: rand.New(rand.NewPCG(seed, 1)), log: zap.NewNop(),
+		t: t, store: memory.New(), ctx: ctx, random: rand.New(rand.NewPCG(seed, 1)), log: zap.NewNop(),
 		entries: make(map[string]*entry), hosts: make(map[string]*host), cut: make(map[string]bool),
 		deaf: make(map[string]bool), apart: make(map[string]bool),
 	}
 	w.plan = func(wire.Run) runs.Plan {
 		return runs.Plan{Size: sizes.Resources{Processors: 1000}, Takes: time.Second}
 	}
-	w.shelf.Decide = func(caller string) shelf.Fault {
+	w.store.Decide = func(caller string) memory.Fault {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.deaf[caller] {
-			return shelf.Fault{Refuse: true}
+			return memory.Fault{Refuse: true}
 		}
 		if w.faults != nil {
 			return w.faults(caller)
 		}
-		return shelf.Fault{}
+		return memory.Fault{}
 	}
 	return w
 }
@@ -110,7 +110,7 @@
 	n := &network{world: w, entry: name, links: make(map[string]context.CancelFunc)}
 	delay := time.Duration(len(w.entries)) * 50 * time.Millisecond
 	e.leader = lead.NewLeader(lead.Config{
-		Cell: cell, Name: name, Address: name + ":1", Store: w.shelf.As(name), Lease: lease,
+		Cell: cell, Name: name, Address: name + ":1", Store: w.store.As(name), Lease: lease,
 		Patience: func() time.Duration { return patience }, Retention: time.Minute,
 		Queues: &queues.Holder{}, Network: n, Meter: noMeter{}, Log: w.log.With(zap.String("Entry", name)),
 	}, func() time.Duration { return delay })
@@ -222,7 +222,7 @@
 	limited, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	// A row that is there already makes no change; a failure is tried again with the next announcement.
-	_, _ = w.shelf.As(h.name).Change(limited, rows.Change{
+	_, _ = w.store.As(h.name).Change(limited, rows.Change{
 		Conditions: []rows.Condition{{Ref: ref}}, Puts: []rows.Row{{Ref: ref, Value: value}},
 	})
 }
@@ -290,7 +290,7 @@
 // intake returns an intake that nobody cuts off.
 func (w *world) intake() *intake.Intake {
 	return intake.New(intake.Config{
-		Cell: cell, Store: w.shelf.As("caller"), Leader: reach{w}, Log: w.log,
+		Cell: cell, Store: w.store.As("caller"), Leader: reach{w}, Log: w.log,
 		Failing: func() time.Time { return time.Time{} }, Patience: func() time.Duration { return patience },
 	})
 }
--- a/internal/role/jobs/jobs_test.go
+++ b/internal/role/jobs/jobs_test.go
@@ -18,8 +18,8 @@
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/ops/metric"
 	"trefoilramp.org/trefoilramp/internal/role/jobs"
+	"trefoilramp.org/trefoilramp/internal/stand/memory"
 	"trefoilramp.org/trefoilramp/internal/stand/runs"
-	"trefoilramp.org/trefoilramp/internal/stand/shelf"
 )
 
 const (
@@ -43,7 +43,7 @@
 	return ln.Addr().String()
 }
 
-func startEntry(ctx context.Context, t *testing.T, s *shelf.Shelf, name string, wg *sync.WaitGroup) (*jobs.Entry, context.CancelFunc) {
+func startEntry(ctx context.Context, t *testing.T, s *memory.Store, name string, wg *sync.WaitGroup) (*jobs.Entry, context.CancelFunc) {
 	t.Helper()
 	store := rows.NewMonitor(s.As(name), zap.NewNop(), nil)
 	decode := func(b []byte) (queues.Document, error) { return queues.Document{Version: uint64(b[0])}, nil }
@@ -65,7 +65,7 @@
 	return e, cancel
 }
 
-func startAgent(ctx context.Context, t *testing.T, s *shelf.Shelf, name string, wg *sync.WaitGroup) {
+func startAgent(ctx context.Context, t *testing.T, s *memory.Store, name string, wg *sync.WaitGroup) {
 	t.Helper()
 	w := &runs.Worker{
 		Name: name, Capacity: sizes.Resources{Processors: 4000, Memory: 1 << 40}, StopTime: 50 * time.Millisecond, MaxLease: lease,
@@ -99,7 +99,7 @@
 	t.Fatalf("%s: not within %v", what, limit)
 }
 
-func putConfig(t *testing.T, s *shelf.Shelf, version byte) {
+func putConfig(t *testing.T, s *memory.Store, version byte) {
 	t.Helper()
 	if _, err := s.As("operator").Change(t.Context(), rows.Change{Puts: []rows.Row{{Ref: config, Value: []byte{version}}}}); err != nil {
 		t.Fatal(err)
@@ -113,7 +113,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
-	s := shelf.New()
+	s := memory.New()
 	putConfig(t, s, 3)
 	first, stopFirst := startEntry(ctx, t, s, "entry-1", &wg)
 	second, _ := startEntry(ctx, t, s, "entry-2", &wg)
--- a/internal/stand/shelf/shelf.go
+++ b/internal/stand/memory/store.go
@@ -1,4 +1,4 @@
-package shelf
+package memory
 
 import (
 	"context"
@@ -18,8 +18,8 @@
 	Gone   bool          // the history of changes is no longer kept
 }
 
-// Shelf is a store of rows. It is safe for concurrent use.
-type Shelf struct {
+// Store is a store of rows. It is safe for concurrent use.
+type Store struct {
 	// Decide returns the fault of a request by its caller, nil for none; it is set before the first request.
 	Decide func(caller string) Fault
 
@@ -30,14 +30,14 @@
 }
 
 // New returns an empty store.
-func New() *Shelf { return &Shelf{rows: make(map[rows.Ref]rows.Row)} }
+func New() *Store { return &Store{rows: make(map[rows.Ref]rows.Row)} }
 
 // As returns the store as a caller reaches it.
-func (s *Shelf) As(caller string) rows.Store { return view{s, caller} }
+func (s *Store) As(caller string) rows.Store { return view{s, caller} }
 
 // view is the store as one caller reaches it.
 type view struct {
-	shelf  *Shelf
+	store  *Store
 	caller string
 }
 
@@ -45,8 +45,8 @@
 
 func (v view) fault(ctx context.Context) (Fault, error) {
 	var f Fault
-	if v.shelf.Decide != nil {
-		f = v.shelf.Decide(v.caller)
+	if v.store.Decide != nil {
+		f = v.store.Decide(v.caller)
 	}
 	if f.Refuse {
 		return f, rows.ErrNotDone
@@ -66,15 +66,15 @@
 		return rows.Outcome{}, err
 	}
 	if f.Late > 0 {
-		time.AfterFunc(f.Late, func() { v.shelf.apply(c) })
-	} else if out := v.shelf.apply(c); !f.Lose {
+		time.AfterFunc(f.Late, func() { v.store.apply(c) })
+	} else if out := v.store.apply(c); !f.Lose {
 		return out, nil
 	}
 	<-ctx.Done()
 	return rows.Outcome{}, rows.ErrUnknown
 }
 
-func (s *Shelf) apply(c rows.Change) rows.Outcome {
+func (s *Store) apply(c rows.Change) rows.Outcome {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	holds := true
@@ -109,10 +109,10 @@
 	if _, err := v.fault(ctx); err != nil {
 		return rows.Page{}, err
 	}
-	v.shelf.mu.Lock()
-	defer v.shelf.mu.Unlock()
-	p := rows.Page{Version: v.shelf.version}
-	for ref, r := range v.shelf.rows {
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	p := rows.Page{Version: v.store.version}
+	for ref, r := range v.store.rows {
 		if ref.Table == span.Table && ref.Part == span.Part && ref.Key >= span.From && (span.To == "" || ref.Key < span.To) {
 			p.Rows = append(p.Rows, r)
 		}
@@ -132,7 +132,7 @@
 		if f.Gone {
 			return rows.Page{}, rows.ErrHistory
 		}
-		if p := v.shelf.since(table, after); len(p.Rows) > 0 || !time.Now().Before(deadline) {
+		if p := v.store.since(table, after); len(p.Rows) > 0 || !time.Now().Before(deadline) {
 			return p, nil
 		}
 		select {
@@ -143,7 +143,7 @@
 	}
 }
 
-func (s *Shelf) since(table string, after uint64) rows.Page {
+func (s *Store) since(table string, after uint64) rows.Page {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := rows.Page{Version: s.version}
