Give up on a store request whose tries are all lost, and send it again

A hedged request without a deadline waited for ever once all four of its tries had lost their answers; a leader's commit or a takeover then stood still. Ruled out: noise or load; TestHedgeGivesUp does not end without the mend.

--- a/internal/jobs/intake/intake.go
+++ b/internal/jobs/intake/intake.go
@@ -10,6 +10,7 @@
 
 	"trefoilramp.org/trefoilramp/internal/conf/queues"
 	"trefoilramp.org/trefoilramp/internal/core/event"
+	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -17,6 +18,7 @@
 
 const (
 	readLimit   = 600 * time.Millisecond // for an answer of the store to a question
+	retryPause  = 50 * time.Millisecond  // between writes whose outcome is unknown
 	askLimit    = 400 * time.Millisecond // for an answer of the leader
 	relayLimit  = 2 * time.Second        // for an answer of the leader that stores something for this entry
 	failingLong = 300 * time.Millisecond // without an answer of the store, after which nothing is sent to it for a caller
@@ -162,9 +164,12 @@
 // IsOwn tells that the row holds this value.
 func (in *Intake) store(ctx context.Context, ref rows.Ref, value []byte) (v Verdict, isOwn bool, err error) {
 	c := rows.Change{Conditions: []rows.Condition{{Ref: ref}}, Puts: []rows.Row{{Ref: ref, Value: value}}}
-	res := rows.Hedge(ctx, in.cfg.Patience(), func(ctx context.Context) (rows.Outcome, error) {
-		return in.cfg.Store.Change(ctx, c)
-	})
+	change := func(ctx context.Context) (rows.Outcome, error) { return in.cfg.Store.Change(ctx, c) }
+	res := rows.Hedge(ctx, in.cfg.Patience(), change)
+	for res.Err != nil && res.Sent && pause.For(ctx, retryPause) { // the same write shows what became of those before
+		res = rows.Hedge(ctx, in.cfg.Patience(), change)
+		res.Sent = true
+	}
 	switch {
 	case res.Err == nil:
 		isOwn = res.Value.Applied
--- a/internal/jobs/rows/hedge.go
+++ b/internal/jobs/rows/hedge.go
@@ -18,8 +18,8 @@
 	Began time.Time // when the first try began
 }
 
-// Hedge calls f, and again beside it after each pause without an answer, until a call succeeds, all calls say ErrNotDone
-// or ctx ends. The request must be idempotent.
+// Hedge calls f, and again beside it after each pause without an answer, until a call succeeds, all calls say ErrNotDone,
+// the last call gets no answer in its time either, or ctx ends. The request must be idempotent.
 func Hedge[T any](ctx context.Context, wait time.Duration, f func(context.Context) (T, error)) Result[T] {
 	type answer struct {
 		value T
@@ -58,9 +58,10 @@
 			}
 			start() // a lost answer: the same request shows what became of it
 		case <-timer.C:
-			if tries < maxTries {
-				start()
+			if tries == maxTries {
+				return Result[T]{Err: ErrUnknown, Sent: true, Began: res.Began}
 			}
+			start()
 			wait *= 2
 			timer.Reset(wait)
 		case <-ctx.Done():
--- /dev/null
+++ b/internal/jobs/rows/hedge_test.go
@@ -0,0 +1,29 @@
+package rows_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"trefoilramp.org/trefoilramp/internal/jobs/rows"
+)
+
+// Guards against a caller without a deadline that waits for ever when the answers to all tries are lost.
+func TestHedgeGivesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		res := rows.Hedge(context.Background(), 100*time.Millisecond, func(ctx context.Context) (int, error) {
+			<-ctx.Done()
+			return 0, rows.ErrUnknown
+		})
+		if !errors.Is(res.Err, rows.ErrUnknown) || !res.Sent {
+			t.Errorf("error %v, sent %v", res.Err, res.Sent)
+		}
+		if took := time.Since(began); took > 5*time.Second {
+			t.Errorf("gave up after %v", took)
+		}
+	})
+}
