Reserve slots for short requests by their measured load

Cause: TestShortP99OnOneWorker (known red): of 8 slots long requests could take 6, which left short ones, 1.3 slots of work, two slots: their p99 was 1.75 times that alone. Ruled out: that a third slot can't be spared. Change: admission follows both loads and reserves what leaves at most a tenth of short requests waiting, within what long work leaves.

--- a/internal/serve/admit/pool.go
+++ b/internal/serve/admit/pool.go
@@ -67,6 +67,7 @@
 	longs    int // of inFlight
 	short    lane
 	long     lane
+	loads    loads
 }
 
 // NewPool returns a pool without slots; SetSlots must follow.
@@ -148,13 +149,15 @@
 
 func (p *Pool) newWaiter(kind string, deadline, now time.Time) *waiter {
 	expected := p.learned.expect(kind)
+	long := p.learned.isLong(kind)
+	p.loads.add(now, expected, long)
 	return &waiter{
 		position: p.cfg.Order(now, expected),
 		expected: expected,
 		deadline: deadline,
 		latest:   deadline.Add(-expected - p.learned.slack(kind)),
 		kind:     kind,
-		long:     p.learned.isLong(kind),
+		long:     long,
 		index:    -1,
 		done:     make(chan *RefusalError, 1),
 	}
@@ -205,12 +208,14 @@
 	return (ahead + time.Duration(p.learned.all.mean/2)) / time.Duration(slots)
 }
 
-// longLimit returns the number of slots that long work may take; it is never zero, or long work would not run at all.
+// longLimit returns the number of slots that long work may take; it is never zero, or long work would not run at all. Short
+// work gets its configured share, and more where its load needs more and the load of long work leaves it.
 func (p *Pool) longLimit() int {
 	if p.cfg.ShortShare < 0 {
 		return max(1, int(p.limit))
 	}
 	reserved := max(1, int(p.limit*p.cfg.ShortShare))
+	reserved = max(reserved, min(p.loads.shortNeed, int(p.limit)-p.loads.longNeed))
 	return max(1, int(p.limit)-reserved)
 }
 
