Weigh tasks that fill by pairs of images

One weight per image held back what does no harm and let loose what does. Ruled out: lack of processors.

--- a/internal/host/orders/pace.go
+++ b/internal/host/orders/pace.go
@@ -51,8 +51,8 @@
 	freeUntil time.Time // after a halt that did not help
 
 	// As the last look showed them, with the runs that began since:
-	own   []float64 // loads of serving tasks without tasks that fill
-	worst int       // slowest serving task in percent of its target
+	own   []press.Serving
+	worst int // slowest serving task in percent of its target
 	fills []*trait
 	full  []press.Load // of fills at full work
 }
@@ -71,15 +71,15 @@
 // weigh takes what the leader has learned.
 func (p *pacer) weigh(list []wire.PressWeight) {
 	for _, w := range list {
-		p.table.Set(w.Image, w.Weight)
+		p.table.Set(press.Pair{Serving: w.Serving, Filling: w.Filling}, w.Weight)
 	}
 }
 
 // known returns what a leader has told.
 func (p *pacer) known() []wire.PressWeight {
 	var list []wire.PressWeight
-	for image, w := range p.table.Known() {
-		list = append(list, wire.PressWeight{Image: image, Weight: w})
+	for pair, w := range p.table.Known() {
+		list = append(list, wire.PressWeight{Serving: pair.Serving, Filling: pair.Filling, Weight: w})
 	}
 	return list
 }
@@ -166,9 +166,9 @@
 	}
 }
 
-// serving returns the loads of the serving tasks at work without tasks that fill, and the worst tail in percent.
-func (p *pacer) serving(running []wire.RunState, loads []press.Load) ([]float64, int) {
-	var list []float64
+// serving returns the serving tasks at work, and the worst tail in percent.
+func (p *pacer) serving(running []wire.RunState, loads []press.Load) ([]press.Serving, int) {
+	var list []press.Serving
 	worst := 0
 	for i := range running {
 		r := &running[i]
@@ -178,12 +178,12 @@
 		}
 		tail := float64(r.Figure) / float64(t.Target)
 		worst = max(worst, int(tail*fullPace))
-		own := max(0, p.table.Busy(t.Image, tail)-p.table.Pressed(loads))
+		own := max(0, p.table.Busy(t.Image, tail)-p.table.Pressed(t.Image, loads))
 		if !t.served {
 			t.own, t.served = own, true
 		}
 		t.own += ownSmooth * (own - t.own)
-		list = append(list, max(t.own, own))
+		list = append(list, press.Serving{Image: t.Image, Own: max(t.own, own)})
 	}
 	return list, worst
 }
--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"trefoilramp.org/trefoilramp/internal/core/event"
+	"trefoilramp.org/trefoilramp/internal/jobs/press"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -82,7 +83,7 @@
 	now := time.Now()
 	first := !w.heard
 	for _, p := range m.Press {
-		t.press.Hint(p.Image, p.Weight)
+		t.press.Hint(press.Pair{Serving: p.Serving, Filling: p.Filling}, p.Weight)
 	}
 	if first && m.Complete {
 		// Runs that an earlier leader started are known before their ends are taken.
--- a/internal/jobs/lead/balance.go
+++ b/internal/jobs/lead/balance.go
@@ -45,26 +45,32 @@
 	t.tellPress(w)
 }
 
-// tellPress tells an agent the weights of the images on its worker that have changed.
+// tellPress tells an agent the weights of the pairs of images on its worker that have changed.
 func (t *Term) tellPress(w *worker) {
 	if w.serving == 0 || w.filling == 0 {
 		return
 	}
 	if w.pressed == nil {
-		w.pressed = make(map[string]float64)
+		w.pressed = make(map[press.Pair]float64)
 	}
-	for _, r := range w.runs {
-		if !r.step.Fills {
+	for _, s := range w.runs {
+		if s.step.Target == 0 {
 			continue
 		}
-		v := t.press.Weight(r.step.Image)
-		told, ok := w.pressed[r.step.Image]
-		if ok && math.Abs(v-told) < max(tellFloor, tellChange*told) {
-			continue
+		for _, f := range w.runs {
+			if !f.step.Fills {
+				continue
+			}
+			p := press.Pair{Serving: s.step.Image, Filling: f.step.Image}
+			v := t.press.Weight(p)
+			told, ok := w.pressed[p]
+			if ok && math.Abs(v-told) < max(tellFloor, tellChange*told) {
+				continue
+			}
+			w.pressed[p] = v
+			o := w.outgoing()
+			o.Press = append(o.Press, wire.PressWeight{Serving: p.Serving, Filling: p.Filling, Weight: v})
 		}
-		w.pressed[r.step.Image] = v
-		o := w.outgoing()
-		o.Press = append(o.Press, wire.PressWeight{Image: r.step.Image, Weight: v})
 	}
 }
 
@@ -75,16 +81,16 @@
 	if w.serving == 0 {
 		return speed
 	}
-	var serving []float64 // own loads
+	var serving []press.Serving
 	var loads []press.Load
 	for _, r := range w.runs {
 		switch {
 		case r.step.Target > 0:
-			own := firstOwn
+			s := press.Serving{Image: r.step.Image, Own: firstOwn}
 			if r.served {
-				own = max(r.own, r.ownMean)
+				s.Own = max(r.own, r.ownMean)
 			}
-			serving = append(serving, own)
+			serving = append(serving, s)
 		case r.step.Fills:
 			loads = append(loads, press.Load{Image: r.step.Image, Use: w.use(r.step.Size.Processors)})
 		}
--- a/internal/jobs/lead/pick.go
+++ b/internal/jobs/lead/pick.go
@@ -135,7 +135,7 @@
 	case s.Fills:
 		v += slowFillCost * (1 - t.fillSpeed(w, s.Image, s.Size.Processors))
 		if w.serving == 0 {
-			v += lightCost / (1 + t.press.Weight(s.Image))
+			v += lightCost / (1 + t.press.Typical(s.Image))
 		} else {
 			v += besideCost
 		}
--- a/internal/jobs/lead/worker.go
+++ b/internal/jobs/lead/worker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/jobs/press"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -38,7 +39,7 @@
 	safeEnd  uint64 // highest end whose effects are durable
 	noted    uint64 // highest end that the agent was told to forget
 	trust    trust
-	pressed  map[string]float64 // weights by image that the agent was told
+	pressed  map[press.Pair]float64 // weights by image that the agent was told
 }
 
 func newWorker(a rows.Agent, version uint64) *worker {
--- a/internal/jobs/press/share.go
+++ b/internal/jobs/press/share.go
@@ -6,61 +6,58 @@
 	// idleWeight is the weight below which a task that fills is not held responsible.
 	idleWeight = 0.3
 	leastUse   = 0.001
+	leastGive  = 0.001 // of a share, that a step of the search must change
 )
 
 // Shares returns how much each task that fills may work, from 0 to 1, so that no serving task is expected above Limit
-// through them; the heaviest give way first. Own holds the loads of the serving tasks without them, fills their use at
-// full work.
-func (t *Table) Shares(own []float64, fills []Load) []float64 {
+// through them; the heaviest give way first. Fills holds their use at full work.
+func (t *Table) Shares(serving []Serving, fills []Load) []float64 {
 	shares := make([]float64, len(fills))
 	for i := range shares {
 		shares[i] = 1
 	}
-	if len(own) == 0 {
-		return shares
-	}
-	busiest := 0.0
-	for _, o := range own {
-		busiest = max(busiest, o)
-	}
-	over := busiest + t.Pressed(fills) - Limit
-	for over > 0 {
-		heaviest := t.heaviest(fills, shares)
-		if heaviest < 0 {
-			break
+	for _, s := range serving {
+		over := s.Own - Limit
+		for i, f := range fills {
+			over += t.Weight(Pair{s.Image, f.Image}) * f.Use * shares[i]
 		}
-		f := fills[heaviest]
-		weight := t.Weight(f.Image) * max(leastUse, f.Use)
-		give := min(shares[heaviest], over/weight)
-		shares[heaviest] -= give
-		over -= give * weight
-		if give == 0 {
-			break
+		for over > 0 {
+			i, w := t.heaviest(s.Image, fills, shares)
+			if i < 0 {
+				break
+			}
+			weight := w * max(leastUse, fills[i].Use)
+			give := min(shares[i], over/weight)
+			shares[i] = max(0, shares[i]-give)
+			over -= give * weight
+			if give < leastGive {
+				break
+			}
 		}
 	}
 	return shares
 }
 
 // heaviest returns the task with the largest weight that still works, or -1 when none is held responsible.
-func (t *Table) heaviest(fills []Load, shares []float64) int {
-	worst, heavy := -1, idleWeight
+func (t *Table) heaviest(serving string, fills []Load, shares []float64) (worst int, heavy float64) {
+	worst, heavy = -1, idleWeight
 	for i, f := range fills {
-		if w := t.Weight(f.Image); shares[i] > 0 && w > heavy {
+		if w := t.Weight(Pair{serving, f.Image}); shares[i] > 0 && w > heavy {
 			worst, heavy = i, w
 		}
 	}
-	return worst
+	return worst, heavy
 }
 
 // Room returns how much one more task that fills may work beside serving tasks and other tasks that fill.
-func (t *Table) Room(fill Load, own []float64, loads []Load) float64 {
-	w := t.Weight(fill.Image)
-	if w < idleWeight || len(own) == 0 {
-		return 1
-	}
-	busiest := 0.0
-	for _, o := range own {
-		busiest = max(busiest, o)
+func (t *Table) Room(fill Load, serving []Serving, loads []Load) float64 {
+	room := 1.0
+	for _, s := range serving {
+		w := t.Weight(Pair{s.Image, fill.Image})
+		if w < idleWeight {
+			continue
+		}
+		room = min(room, (Limit-s.Own-t.Pressed(s.Image, loads))/(w*max(leastUse, fill.Use)))
 	}
-	return min(1, max(0, (Limit-busiest-t.Pressed(loads))/(w*max(leastUse, fill.Use))))
+	return max(0, room)
 }
--- a/internal/jobs/press/table.go
+++ b/internal/jobs/press/table.go
@@ -15,7 +15,9 @@
 	firstFloor  = 0.16  // tail of an idle serving task as a share of its target, before lower ones are seen
 	leastFloor  = 0.02
 	hintTrust   = 3.0 // of a hint against the first shares, for a weight that differs by a factor of e
-	hintBlur    = 0.4 // weights that differ by less than this are alike
+	// typicalTrust is that of the typical weight of an image for its pairs without figures.
+	typicalTrust = 0.5
+	hintBlur     = 0.4 // weights that differ by less than this are alike
 )
 
 // steps are the weights that an image may have, and the share of images that have each before any figure.
@@ -29,54 +31,101 @@
 	Use   float64
 }
 
+// Serving is a serving task: its image, and its load without the tasks that fill, from 0 to 1.
+type Serving struct {
+	Image string
+	Own   float64
+}
+
+// Pair is an image of serving tasks and one of tasks that fill beside them.
+type Pair struct {
+	Serving, Filling string
+}
+
+// sum is that of the weights of several pairs.
+type sum struct {
+	weight float64
+	pairs  int
+}
+
+// belief holds the logarithms of the likelihood of each weight.
+type belief [len(steps)]float64
+
 // Table holds what was learned. A serving task is modeled as a queue: its tail is that of an idle task divided by what
-// is left of its load, and its load is its own and, for each task that fills beside it, the weight of its image times its
-// use.
+// is left of its load, and its load is its own and, for each task that fills beside it, the weight of the two images times
+// the use of the task that fills.
 type Table struct {
-	weights map[string]float64              // expected weight by image of tasks that fill
-	belief  map[string]*[len(steps)]float64 // logarithms of the likelihood of each weight
-	floors  map[string]float64              // tail of an idle serving task as a share of its target, by image
+	weights map[Pair]float64 // expected
+	typical map[string]*sum  // of the weights, by image of tasks that fill
+	beliefs map[Pair]*belief
+	floors  map[string]float64 // tail of an idle serving task as a share of its target, by image
 }
 
 // NewTable returns a table that has learned nothing.
 func NewTable() *Table {
 	return &Table{
-		weights: make(map[string]float64), belief: make(map[string]*[len(steps)]float64),
+		weights: make(map[Pair]float64), typical: make(map[string]*sum), beliefs: make(map[Pair]*belief),
 		floors: make(map[string]float64),
 	}
 }
 
-// Weight returns the expected weight of an image of tasks that fill.
-func (t *Table) Weight(image string) float64 {
-	if w, ok := t.weights[image]; ok {
+// Weight returns the expected weight of a pair of images.
+func (t *Table) Weight(p Pair) float64 {
+	if w, ok := t.weights[p]; ok {
 		return w
 	}
-	var none [len(steps)]float64
-	return mean(&none)
+	return t.Typical(p.Filling)
 }
 
-// Set replaces the weight of an image.
-func (t *Table) Set(image string, w float64) { t.weights[image] = w }
+// Typical returns the expected weight of an image of tasks that fill beside serving tasks of any image.
+func (t *Table) Typical(filling string) float64 {
+	first := mean(&belief{})
+	if s := t.typical[filling]; s != nil {
+		return (first + s.weight) / float64(1+s.pairs)
+	}
+	return first
+}
+
+// Set replaces the weight of a pair.
+func (t *Table) Set(p Pair, w float64) {
+	s := t.typical[p.Filling]
+	if s == nil {
+		s = &sum{}
+		t.typical[p.Filling] = s
+	}
+	if old, ok := t.weights[p]; ok {
+		s.weight -= old
+	} else {
+		s.pairs++
+	}
+	s.weight += w
+	t.weights[p] = w
+}
 
 // Hint takes a weight that was learned elsewhere as a first belief; what is known here already counts more.
-func (t *Table) Hint(image string, w float64) {
-	if t.belief[image] != nil {
-		return
+func (t *Table) Hint(p Pair, w float64) {
+	if t.beliefs[p] == nil {
+		t.expect(p, w, hintTrust)
 	}
-	b := &[len(steps)]float64{}
+}
+
+// expect sets the first belief in the weight of a pair.
+func (t *Table) expect(p Pair, w, trust float64) *belief {
+	b := &belief{}
 	for i, s := range steps {
 		d := math.Log((s.weight + hintBlur) / (w + hintBlur))
-		b[i] = -hintTrust * d * d
+		b[i] = -trust * d * d
 	}
-	t.belief[image] = b
-	t.weights[image] = mean(b)
+	t.beliefs[p] = b
+	t.Set(p, mean(b))
+	return b
 }
 
 // Known returns the weights that were learned or told.
-func (t *Table) Known() map[string]float64 { return maps.Clone(t.weights) }
+func (t *Table) Known() map[Pair]float64 { return maps.Clone(t.weights) }
 
 // mean returns the expected weight under a belief.
-func mean(b *[len(steps)]float64) float64 {
+func mean(b *belief) float64 {
 	top := math.Inf(-1)
 	for _, l := range b {
 		top = max(top, l)
@@ -103,11 +152,11 @@
 	return min(fullLoad, max(0, 1-floor/max(tail, leastFloor)))
 }
 
-// Pressed returns the load that tasks which fill put on serving tasks.
-func (t *Table) Pressed(loads []Load) float64 {
+// Pressed returns the load that tasks which fill put on serving tasks of an image.
+func (t *Table) Pressed(serving string, loads []Load) float64 {
 	sum := 0.0
 	for _, l := range loads {
-		sum += t.Weight(l.Image) * l.Use
+		sum += t.Weight(Pair{serving, l.Image}) * l.Use
 	}
 	return sum
 }
@@ -119,7 +168,7 @@
 		return own
 	}
 	busy := t.Busy(serving, tail)
-	pressed := t.Pressed(loads)
+	pressed := t.Pressed(serving, loads)
 	if own < 0 {
 		return max(0, min(1, busy-pressed))
 	}
@@ -128,18 +177,18 @@
 		uses[l.Image] += l.Use
 	}
 	for image, use := range uses {
-		t.learn(image, use, busy, own+pressed-t.Weight(image)*use)
+		p := Pair{serving, image}
+		t.learn(p, use, busy, own+pressed-t.Weight(p)*use)
 	}
 	e := busy - own - pressed
 	return max(0, min(1, own+ownStep*e*ownUse/(ownUse+pressed)))
 }
 
-// learn weighs the steps of an image by how well they explain the load of a serving task beside other loads.
-func (t *Table) learn(image string, use, busy, others float64) {
-	b := t.belief[image]
+// learn weighs the steps of a pair by how well they explain the load of a serving task beside other loads.
+func (t *Table) learn(p Pair, use, busy, others float64) {
+	b := t.beliefs[p]
 	if b == nil {
-		b = &[len(steps)]float64{}
-		t.belief[image] = b
+		b = t.expect(p, t.Typical(p.Filling), typicalTrust)
 	}
 	top := math.Inf(-1)
 	for i, s := range steps {
@@ -150,5 +199,5 @@
 	for i := range b {
 		b[i] -= top
 	}
-	t.weights[image] = mean(b)
+	t.Set(p, mean(b))
 }
--- a/internal/link/wire/task.go
+++ b/internal/link/wire/task.go
@@ -146,10 +146,11 @@
 	Press  []PressWeight
 }
 
-// PressWeight says how much tasks of an image that fill a worker load the serving tasks beside them.
+// PressWeight says how much tasks of an image that fill a worker load serving tasks of another beside them.
 type PressWeight struct {
-	Image  string
-	Weight float64
+	Serving string
+	Filling string
+	Weight  float64
 }
 
 // JobAction is what an entry asks a leader.
