Foresee the loads of serving tasks by their period

Places were chosen by the larger of the newest and the mean load, so that the time of low load went unused. Change: a rhythm learns the period, a wave per step its phase; places take the mean load foreseen for the next 2.4 s, and weights are learned against it.

--- a/internal/jobs/lead/balance.go
+++ b/internal/jobs/lead/balance.go
@@ -16,6 +16,9 @@
 	ownSmooth  = 0.1  // weight of the newest sample in the mean load of a serving task
 	firstOwn   = 0.5  // load of a serving task before its first sample
 	unknownOwn = -1.0
+
+	foreseeSteps = 3                      // looks ahead
+	foreseeStep  = 800 * time.Millisecond // between them; together about the run of a task that fills
 )
 
 // learn takes the figures of a complete report.
@@ -30,21 +33,77 @@
 		r.note(min(1, float64(s.Figure)/float64(r.step.Size.Processors)), s.Percent, now)
 		loads = append(loads, press.Load{Image: r.step.Image, Use: w.use(int64(s.Figure))})
 	}
+	waves := make(map[*press.Wave]*sample)
 	for i := range m.Running {
 		s := &m.Running[i]
 		r := w.runs[s.Run]
-		if r == nil || r.step.Target == 0 || s.Percent < atWork {
+		if r == nil || r.step.Target == 0 || s.Percent < atWork || s.Figure <= 0 {
 			continue
 		}
+		wave := t.wave(r)
+		own, doubt := r.own, press.SmoothDoubt
+		if v, ok := wave.At(now); ok {
+			own, doubt = v, press.WaveDoubt
+		}
 		if !r.served {
-			r.own, r.served = unknownOwn, true
+			own, r.served = unknownOwn, true
 		}
-		r.own = t.press.Observe(r.step.Image, float64(s.Figure)/float64(r.step.Target), r.own, loads)
+		tail := float64(s.Figure) / float64(r.step.Target)
+		r.own = t.press.Observe(r.step.Image, tail, own, doubt, loads)
 		r.ownMean += ownSmooth * (r.own - r.ownMean)
+		a := waves[wave]
+		if a == nil {
+			a = &sample{}
+			waves[wave] = a
+		}
+		a.add(t.press.Own(r.step.Image, tail, loads))
+	}
+	for wave, a := range waves {
+		wave.Add(now, a.load/a.sure, min(1, a.sure))
 	}
 	t.tellPress(w)
 }
 
+// sample is the mean load of the serving tasks of a step on a worker, weighed by how sure each is.
+type sample struct {
+	load, sure float64
+}
+
+func (a *sample) add(load, sure float64) {
+	a.load += load * sure
+	a.sure += sure
+}
+
+// wave returns the wave that the loads of the tasks of a run's step follow.
+func (t *Term) wave(r *run) *press.Wave {
+	_, step := r.job.locate(r.ordinal)
+	if r.job.waves == nil {
+		r.job.waves = make(map[int]*press.Wave)
+	}
+	w := r.job.waves[step]
+	if w == nil {
+		w = press.NewWave(t.rhythm)
+		r.job.waves[step] = w
+	}
+	return w
+}
+
+// foresee returns the mean load that a serving task is expected to have while a task that fills would run beside it.
+func (t *Term) foresee(r *run, now time.Time) float64 {
+	if !r.served {
+		return firstOwn
+	}
+	wave, sum := t.wave(r), 0.0
+	for i := range foreseeSteps {
+		v, ok := wave.At(now.Add(foreseeStep * time.Duration(2*i+1) / 2))
+		if !ok {
+			return max(r.own, r.ownMean)
+		}
+		sum += v
+	}
+	return sum / foreseeSteps
+}
+
 // tellPress tells an agent the weights of the pairs of images on its worker that have changed.
 func (t *Term) tellPress(w *worker) {
 	if w.serving == 0 || w.filling == 0 {
@@ -75,7 +134,7 @@
 }
 
 // fillSpeed estimates the share of its full speed that one more task that fills gets on a worker.
-func (t *Term) fillSpeed(w *worker, image string, processors int64) float64 {
+func (t *Term) fillSpeed(w *worker, image string, processors int64, now time.Time) float64 {
 	left, wanted := w.leftover()
 	speed := min(1, max(0, float64(left)/float64(max(1, wanted+processors))))
 	if w.serving == 0 {
@@ -86,11 +145,7 @@
 	for _, r := range w.runs {
 		switch {
 		case r.step.Target > 0:
-			s := press.Serving{Image: r.step.Image, Own: firstOwn}
-			if r.served {
-				s.Own = max(r.own, r.ownMean)
-			}
-			serving = append(serving, s)
+			serving = append(serving, press.Serving{Image: r.step.Image, Own: t.foresee(r, now)})
 		case r.step.Fills:
 			loads = append(loads, press.Load{Image: r.step.Image, Use: w.use(r.step.Size.Processors)})
 		}
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"trefoilramp.org/trefoilramp/internal/jobs/press"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -41,7 +42,8 @@
 	old      bool // accepted before the takeover: runs may exist that the leader has not heard of
 	begun    bool
 	takenAt  time.Time
-	target   time.Time // when the job should be done
+	target   time.Time           // when the job should be done
+	waves    map[int]*press.Wave // of the loads of serving tasks, by step
 }
 
 func newJob(s *spec.Job, now time.Time) *job {
--- a/internal/jobs/lead/pick.go
+++ b/internal/jobs/lead/pick.go
@@ -15,6 +15,7 @@
 	fillingCost  = 0.1  // of each of them
 	packShare    = 0.25 // of the load of a worker that counts for a serving task, so that they share workers
 	spreadCost   = 0.5  // of a serving task on a worker without serving tasks
+	otherCost    = 0.3  // of a serving task beside serving tasks of other images, which other tasks disturb
 	crowdCost    = 0.5  // of a full load of tasks that fill, for a task that takes processors from them
 	trustCost    = 0.5  // of each point of distrust
 	slowCost     = 1.5  // of a worker that runs tasks slower than others
@@ -101,7 +102,7 @@
 	if float64(left-wanted-s.Size.Processors) < -lateFillLack*float64(w.state.Capacity.Processors) {
 		return false
 	}
-	if t.fillSpeed(w, s.Image, s.Size.Processors) >= leastFillSpeed {
+	if t.fillSpeed(w, s.Image, s.Size.Processors, c.now) >= leastFillSpeed {
 		return true
 	}
 	return c.job.running == 0 && c.now.Sub(c.job.idleAt) > idleJobLimit
@@ -133,7 +134,7 @@
 	}
 	switch {
 	case s.Fills:
-		v += slowFillCost * (1 - t.fillSpeed(w, s.Image, s.Size.Processors))
+		v += slowFillCost * (1 - t.fillSpeed(w, s.Image, s.Size.Processors, c.now))
 		if w.serving == 0 {
 			v += lightCost / (1 + t.press.Typical(s.Image))
 		} else {
@@ -144,8 +145,11 @@
 		if w.filling > 0 {
 			v += mixedCost + fillingCost*float64(w.filling)
 		}
-		if w.serving == 0 {
+		switch {
+		case w.serving == 0:
 			v += spreadCost
+		case w.servesOther(s.Image):
+			v += otherCost
 		}
 	}
 	if w.state.Cold > 0 {
--- a/internal/jobs/press/table.go
+++ b/internal/jobs/press/table.go
@@ -6,7 +6,11 @@
 )
 
 const (
-	figureError = 0.16  // standard deviation of the load that a figure tells
+	figureError = 0.06 // standard deviation of the load that a figure tells
+	// SmoothDoubt is the standard deviation of a load that is only the smoothed one of the last figures, and WaveDoubt that
+	// of one that a wave foresees.
+	SmoothDoubt = 0.15
+	WaveDoubt   = 0.07
 	maxError    = 2.5   // standard deviations that one figure counts at most, since single figures are rough
 	forgetting  = 0.997 // of what earlier figures told, for each new one
 	ownStep     = 0.35  // of the error of a figure that goes into a serving task's own load
@@ -162,8 +166,9 @@
 }
 
 // Observe learns from the tail of a serving task, as a share of its target, beside loads. Own is the load that it is
-// expected to have without them, negative when unknown; the result is the new expectation.
-func (t *Table) Observe(serving string, tail, own float64, loads []Load) float64 {
+// expected to have without them, negative when unknown, and doubt its standard deviation; the result is the new
+// expectation.
+func (t *Table) Observe(serving string, tail, own, doubt float64, loads []Load) float64 {
 	if tail <= 0 {
 		return own
 	}
@@ -172,27 +177,37 @@
 	if own < 0 {
 		return max(0, min(1, busy-pressed))
 	}
+	deviation := math.Hypot(figureError, doubt)
 	uses := make(map[string]float64, len(loads))
 	for _, l := range loads {
 		uses[l.Image] += l.Use
 	}
 	for image, use := range uses {
 		p := Pair{serving, image}
-		t.learn(p, use, busy, own+pressed-t.Weight(p)*use)
+		t.learn(p, use, busy, own+pressed-t.Weight(p)*use, deviation)
 	}
 	e := busy - own - pressed
-	return max(0, min(1, own+ownStep*e*ownUse/(ownUse+pressed)))
+	return max(0, min(1, own+ownStep*e*sureness(pressed)))
 }
 
+// Own returns the load that a serving task has without the tasks that fill, by its newest tail alone, and how sure that is,
+// from 0 to 1.
+func (t *Table) Own(serving string, tail float64, loads []Load) (own, sure float64) {
+	pressed := t.Pressed(serving, loads)
+	return max(0, t.Busy(serving, tail)-pressed), sureness(pressed)
+}
+
+func sureness(pressed float64) float64 { return ownUse / (ownUse + pressed) }
+
 // learn weighs the steps of a pair by how well they explain the load of a serving task beside other loads.
-func (t *Table) learn(p Pair, use, busy, others float64) {
+func (t *Table) learn(p Pair, use, busy, others, deviation float64) {
 	b := t.beliefs[p]
 	if b == nil {
 		b = t.expect(p, t.Typical(p.Filling), typicalTrust)
 	}
 	top := math.Inf(-1)
 	for i, s := range steps {
-		e := min(maxError, math.Abs(busy-min(fullLoad, others+s.weight*use))/figureError)
+		e := min(maxError, math.Abs(busy-min(fullLoad, others+s.weight*use))/deviation)
 		b[i] = b[i]*forgetting - e*e/2
 		top = max(top, b[i])
 	}
