Raise the limit of load to 0.80, and foresee each run once a while

Cause: a serving task reaches its target at a load of 0.84. Foreseen loads are kept for 150 ms: the leader's processor time had doubled.

--- a/internal/jobs/lead/balance.go
+++ b/internal/jobs/lead/balance.go
@@ -19,6 +19,7 @@
 
 	foreseeSteps = 3                      // looks ahead
 	foreseeStep  = 800 * time.Millisecond // between them; together about the run of a task that fills
+	foreseeEvery = 150 * time.Millisecond
 )
 
 // learn takes the figures of a complete report.
@@ -93,15 +94,20 @@
 	if !r.served {
 		return firstOwn
 	}
+	if now.Sub(r.foreseenAt) < foreseeEvery {
+		return r.foreseen
+	}
+	r.foreseen, r.foreseenAt = max(r.own, r.ownMean), now
 	wave, sum := t.wave(r), 0.0
 	for i := range foreseeSteps {
 		v, ok := wave.At(now.Add(foreseeStep * time.Duration(2*i+1) / 2))
 		if !ok {
-			return max(r.own, r.ownMean)
+			return r.foreseen
 		}
 		sum += v
 	}
-	return sum / foreseeSteps
+	r.foreseen = sum / foreseeSteps
+	return r.foreseen
 }
 
 // tellPress tells an agent the weights of the pairs of images on its worker that have changed.
--- a/internal/jobs/press/share.go
+++ b/internal/jobs/press/share.go
@@ -2,7 +2,7 @@
 
 const (
 	// Limit is the load up to which a serving task may be expected; its tail is then well below its target.
-	Limit = 0.75
+	Limit = 0.80
 	// idleWeight is the weight below which a task that fills is not held responsible.
 	idleWeight = 0.3
 	leastUse   = 0.001
