--- a/internal/jobs/lead/pick.go
+++ b/internal/jobs/lead/pick.go
@@ -15,7 +15,6 @@
 	fillingCost  = 0.1  // of each of them
 	packShare    = 0.25 // of the load of a worker that counts for a serving task, so that they share workers
 	spreadCost   = 0.5  // of a serving task on a worker without serving tasks
-	otherCost    = 0.3  // of a serving task beside serving tasks of other images, which other tasks disturb
 	crowdCost    = 0.5  // of a full load of tasks that fill, for a task that takes processors from them
 	trustCost    = 0.5  // of each point of distrust
 	slowCost     = 1.5  // of a worker that runs tasks slower than others
@@ -145,11 +144,8 @@
 		if w.filling > 0 {
 			v += mixedCost + fillingCost*float64(w.filling)
 		}
-		switch {
-		case w.serving == 0:
+		if w.serving == 0 {
 			v += spreadCost
-		case w.servesOther(s.Image):
-			v += otherCost
 		}
 	}
 	if w.state.Cold > 0 {
--- a/internal/jobs/lead/worker.go
+++ b/internal/jobs/lead/worker.go
@@ -46,16 +46,6 @@
 	return &worker{agent: a, rowVer: version, runs: make(map[wire.Run]*run)}
 }
 
-// servesOther reports whether serving tasks of another image run on the worker.
-func (w *worker) servesOther(image string) bool {
-	for _, r := range w.runs {
-		if r.step.Target > 0 && r.step.Image != image {
-			return true
-		}
-	}
-	return false
-}
-
 func (w *worker) hasLabel(label string) bool {
 	for _, l := range w.state.Labels {
 		if l == label {
