Finer steps of weights, lighter before any figure

Cause: the weights that fits show lie at 0 to 0.4 (half of the pairs), about 1 (three of ten) and 2 to 3; the steps were 0, 0.5, 1, 2, 4, 8 with a mean of 1.6 at first, so that unknown pairs were paced to 0.

--- a/internal/jobs/press/table.go
+++ b/internal/jobs/press/table.go
@@ -26,7 +26,7 @@
 
 // steps are the weights that an image may have, and the share of images that have each before any figure.
 var steps = [...]struct{ weight, share float64 }{
-	{0, 0.2}, {0.5, 0.25}, {1, 0.2}, {2, 0.15}, {4, 0.15}, {8, 0.05},
+	{0, 0.3}, {0.3, 0.12}, {0.7, 0.13}, {1.2, 0.18}, {2, 0.15}, {3.5, 0.09}, {7, 0.03},
 }
 
 // Load is what a task that fills uses of the processors of its worker, from 0 to 1.
