Try jobs that are nearly done first

Jobs with tasks that last are never late; a job is late when its remaining chain does not fit before its target; jobs that are nearly done come first.

--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -42,7 +42,8 @@
 	old      bool // accepted before the takeover: runs may exist that the leader has not heard of
 	begun    bool
 	takenAt  time.Time
-	target   time.Time           // when the job should be done
+	target   time.Time // when the job should be done
+	urgency  urgency
 	waves    map[int]*press.Wave // of the loads of serving tasks, by step
 }
 
--- a/internal/jobs/lead/schedule.go
+++ b/internal/jobs/lead/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -18,6 +19,7 @@
 	refusalPause = 150 * time.Millisecond // before a refused task is started again
 	forgetAgent  = 20 * time.Second       // without a session, after which an agent's row is deleted
 	earlyMargin  = 5 * time.Millisecond   // after the due time of an occurrence
+	leftSteps    = 4                      // in which the rest of a job is compared
 )
 
 // schedule starts the tasks that may start, the most urgent jobs first.
@@ -26,7 +28,10 @@
 	if !t.mayGrant(now) {
 		return // a later leader counts on the end of every start by then
 	}
-	slices.SortStableFunc(t.active, func(a, b *job) int { return compareUrgency(a, b, now) })
+	for _, j := range t.active {
+		j.rate(now)
+	}
+	slices.SortStableFunc(t.active, compareUrgency)
 	var blocked []sizes.Resources // sizes for which no worker has room in this round
 	for _, j := range t.active {
 		if j.waiting > 0 && !j.state.IsFinal() {
@@ -36,18 +41,57 @@
 	t.watchRuns(now)
 }
 
-// compareUrgency orders jobs by priority, then those that can still be in time, then by target.
-func compareUrgency(a, b *job, now time.Time) int {
-	if c := cmp.Compare(a.spec.Priority, b.spec.Priority); c != 0 {
+// urgency is the place of a job in the order of starts.
+type urgency struct {
+	priority int
+	late     bool    // it cannot be done by its target any more
+	left     float64 // share of its tasks that are not done, in steps of a quarter
+	target   time.Time
+}
+
+// rate notes how urgent a job is. Jobs whose tasks last come before those that end, since they earn from their start on;
+// of the others, those that are nearly done come first, so that work beyond the room delays few jobs and not all.
+func (j *job) rate(now time.Time) {
+	j.urgency = urgency{priority: j.spec.Priority, target: j.target}
+	if j.spec.IsLasting() {
+		return
+	}
+	j.urgency.left = math.Ceil(leftSteps * float64(j.left) / float64(max(1, len(j.tasks))))
+	j.urgency.late = now.Add(j.remaining()).After(j.target)
+}
+
+// remaining returns the declared run time of the longest chain of steps that are not done.
+func (j *job) remaining() time.Duration {
+	if j.spec.Rounds() > 1 {
+		return 0
+	}
+	ends := make([]int64, len(j.spec.Steps))
+	var longest int64
+	for i := range j.spec.Steps {
+		s := &j.spec.Steps[i]
+		for _, a := range s.After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		if j.done[i] < s.Count {
+			ends[i] += s.Estimate
+		}
+		longest = max(longest, ends[i])
+	}
+	return time.Duration(longest) * time.Millisecond
+}
+
+func compareUrgency(a, b *job) int {
+	x, y := &a.urgency, &b.urgency
+	if c := cmp.Compare(x.priority, y.priority); c != 0 {
 		return c
 	}
-	if lateA, lateB := now.After(a.target), now.After(b.target); lateA != lateB {
-		if lateA {
+	if x.late != y.late {
+		if x.late {
 			return 1
 		}
 		return -1
 	}
-	return a.target.Compare(b.target)
+	return cmp.Or(cmp.Compare(x.left, y.left), x.target.Compare(y.target))
 }
 
 func (t *Term) scheduleJob(ctx context.Context, j *job, now time.Time, blocked []sizes.Resources) []sizes.Resources {
