Order jobs by lateness and target, not by what is left of them

Kept: jobs with tasks that last are never late. Without that, a lost task that lasts waits behind all work that ends: TestLostLastingTaskComesFirst fails.

--- a/internal/jobs/lead/schedule.go
+++ b/internal/jobs/lead/schedule.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"math"
 	"slices"
 	"time"
 
@@ -19,7 +18,6 @@
 	refusalPause = 150 * time.Millisecond // before a refused task is started again
 	forgetAgent  = 20 * time.Second       // without a session, after which an agent's row is deleted
 	earlyMargin  = 5 * time.Millisecond   // after the due time of an occurrence
-	leftSteps    = 4                      // in which the rest of a job is compared
 )
 
 // schedule starts the tasks that may start, the most urgent jobs first.
@@ -45,19 +43,13 @@
 type urgency struct {
 	priority int
 	late     bool    // it cannot be done by its target any more
-	left     float64 // share of its tasks that are not done, in steps of a quarter
 	target   time.Time
 }
 
-// rate notes how urgent a job is. Jobs whose tasks last come before those that end, since they earn from their start on;
-// of the others, those that are nearly done come first, so that work beyond the room delays few jobs and not all.
+// rate notes how urgent a job is. Jobs whose tasks last are never late, since they earn from their start on.
 func (j *job) rate(now time.Time) {
 	j.urgency = urgency{priority: j.spec.Priority, target: j.target}
-	if j.spec.IsLasting() {
-		return
-	}
-	j.urgency.left = math.Ceil(leftSteps * float64(j.left) / float64(max(1, len(j.tasks))))
-	j.urgency.late = now.Add(j.remaining()).After(j.target)
+	j.urgency.late = !j.spec.IsLasting() && now.Add(j.remaining()).After(j.target)
 }
 
 // remaining returns the declared run time of the longest chain of steps that are not done.
@@ -91,7 +83,7 @@
 		}
 		return -1
 	}
-	return cmp.Or(cmp.Compare(x.left, y.left), x.target.Compare(y.target))
+	return x.target.Compare(y.target)
 }
 
 func (t *Term) scheduleJob(ctx context.Context, j *job, now time.Time, blocked []sizes.Resources) []sizes.Resources {
