--- a/internal/jobs/lead/schedule.go
+++ b/internal/jobs/lead/schedule.go
@@ -42,7 +42,7 @@
 // urgency is the place of a job in the order of starts.
 type urgency struct {
 	priority int
-	late     bool    // it cannot be done by its target any more
+	late     bool // it cannot be done by its target any more
 	target   time.Time
 }
 
