--- a/internal/jobs/press/wave.go
+++ b/internal/jobs/press/wave.go
@@ -13,7 +13,7 @@
 	firstLevel     = 0.5   // load expected before any figure
 	levelTrust     = 0.3   // of it, in figures
 	swingTrust     = 0.6   // of the expectation that a load does not swing, in figures
-	leastSpan      = 0.7   // of a period that must have been seen
+	leastSpan      = 0.4   // of a period that must have been seen
 	waveError      = 0.13  // standard deviation up to which a wave is followed
 	settleFigures  = 12.0  // figures after which errors count
 )
