--- a/internal/jobs/lead/stuck.go
+++ b/internal/jobs/lead/stuck.go
@@ -25,7 +25,7 @@
 
 // leaveStuck stops the tasks that fill a worker whose serving tasks do not answer, so that they start elsewhere: they are
 // paced down there without use. Serving tasks stay, since a stop would take them away for longer than most such workers need.
-func (t *Term) leaveStuck(w *worker, now time.Time) {
+func (t *Term) leaveStuck(w *worker) {
 	for _, r := range w.runs {
 		if r.step.Fills && r.listed && !r.stopping && !r.step.Gang && !r.job.state.IsFinal() {
 			r.job.tasks[r.ordinal].avoid = w
--- a/internal/jobs/lead/watch.go
+++ b/internal/jobs/lead/watch.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		if w.isStuck(now) {
-			t.leaveStuck(w, now)
+			t.leaveStuck(w)
 		}
 		for _, r := range w.runs {
 			t.noteLate(r, now)
