Play faults on real processes of a cell

Settings of a cell's processes get Advertise, so that sessions can run through a relay or an address translation. What both soaks on processes need of outages is shared (outage_test.go); TestFaultRounds keeps its own field, since it plays the other roles.

--- a/cmd/trefoilramp/cell.go
+++ b/cmd/trefoilramp/cell.go
@@ -67,7 +67,8 @@
 	set := metric.New(log)
 	store := rows.NewMonitor(platform.NewStore(s.Process.Store), log, jobs.StoreMeter(set))
 	cfg := jobs.EntryConfig{
-		Cell: s.Process.Cell, Name: s.Process.Name, Zone: s.Process.AvailabilityZone, Address: s.Process.Sessions, Key: s.Process.Key.Bytes(),
+		Cell: s.Process.Cell, Name: s.Process.Name, Zone: s.Process.AvailabilityZone, Address: s.Process.Reach(),
+		Listen: s.Process.Sessions, Key: s.Process.Key.Bytes(),
 		Lease: workerLease(s.Process), Retention: time.Duration(s.Retention), Rank: entryRank(s), Store: store,
 		Source:  &jobs.RowSource{Store: store, Ref: platform.ConfigRef, Decode: platform.DecodeConfig, Log: log},
 		Metrics: set, Log: log,
@@ -113,7 +114,8 @@
 	log, out := cellLog(zap.String("Instance", s.Process.Name))
 	set := metric.New(log)
 	a, err := jobs.NewAgent(ctx, jobs.AgentConfig{
-		Cell: s.Process.Cell, Name: s.Process.Name, Zone: s.Process.AvailabilityZone, Address: s.Process.Sessions, Key: s.Process.Key.Bytes(),
+		Cell: s.Process.Cell, Name: s.Process.Name, Zone: s.Process.AvailabilityZone, Address: s.Process.Reach(),
+		Listen: s.Process.Sessions, Key: s.Process.Key.Bytes(),
 		Lease: workerLease(s.Process), Worker: platform.NewWorker(s.Worker),
 		Store: rows.NewMonitor(platform.NewStore(s.Process.Store), log, jobs.StoreMeter(set)), Log: log,
 	})
--- /dev/null
+++ b/cmd/trefoilramp/cell_test.go
@@ -0,0 +1,337 @@
+package main_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"trefoilramp.org/trefoilramp/internal/conf/queues"
+	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/jobs/rows"
+	"trefoilramp.org/trefoilramp/internal/jobs/spec"
+	"trefoilramp.org/trefoilramp/internal/link/relay"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/stand/memory"
+	"trefoilramp.org/trefoilramp/internal/stand/runs"
+	adapter "trefoilramp.org/trefoilramp/platform"
+)
+
+const (
+	cellLease      = 6 * time.Second // as both sites of the users have
+	cellHost       = "plans.example"
+	cellPrefix     = "/plans/"
+	cellTask       = 1000 // processors of a task
+	cellProcessors = 4000
+)
+
+// part is a process of a cell that is replaced under the same name and addresses.
+type part struct {
+	name     string
+	role     string // entry or agent
+	settings object
+	base     string // of callers; empty for an agent
+	logs     []string
+	cmd      *exec.Cmd
+	done     chan struct{}
+}
+
+// cell is a cell of real processes on stand-ins, whose links run through relays.
+type cell struct {
+	t       testing.TB
+	dir     string
+	host    string          // loopback address on which its processes listen
+	taken   map[string]bool // addresses of its processes
+	binary  string
+	rows    *memory.Store
+	entries []*part
+	agents  []*part
+	workers []*runs.Worker
+	relays  map[string]*relay.Relay
+
+	mu     sync.Mutex
+	faults map[string]memory.Fault // of the store, by caller
+}
+
+func newCell(ctx context.Context, t testing.TB, entries, agents int) *cell {
+	c := &cell{
+		t: t, dir: t.TempDir(), host: fmt.Sprintf("127.0.%d.1", 1+cells.Add(1)%250), taken: make(map[string]bool),
+		rows: memory.New(), relays: make(map[string]*relay.Relay), faults: make(map[string]memory.Fault),
+	}
+	c.rows.Decide = func(caller string) memory.Fault {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.faults[caller]
+	}
+	c.binary = filepath.Join(c.dir, "trefoilramp")
+	if b, err := exec.CommandContext(ctx, "go", "build", "-o", c.binary, ".").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, b)
+	}
+	c.configure()
+	for i := range entries {
+		c.addEntry(fmt.Sprintf("entry-%d", i+1))
+	}
+	for i := range agents {
+		c.addAgent(ctx, fmt.Sprintf("w%d", i+1))
+	}
+	return c
+}
+
+// configure stores the configuration with one queue.
+func (c *cell) configure() {
+	b, err := adapter.EncodeConfig(queues.Document{
+		Version: 1,
+		Queues: []queues.Queue{{
+			Name: "plans", Host: cellHost, Prefix: cellPrefix, Service: "packing", MaxAttempts: 3, Stretch: 2, Objective: time.Second,
+		}},
+		Services: []queues.Service{{Name: "packing"}},
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	put := rows.Change{Puts: []rows.Row{{Ref: adapter.ConfigRef, Value: b}}}
+	if _, err := c.rows.As("operator").Change(c.t.Context(), put); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// through returns the address of a new relay to an address.
+func (c *cell) through(name, address string) string {
+	r, err := relay.New(c.t.Context(), address)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(r.Close)
+	c.relays[name] = r
+	return r.Address()
+}
+
+// serve returns the address of a server.
+func (c *cell) serve(h http.Handler) string {
+	s := httptest.NewServer(h)
+	c.t.Cleanup(s.CloseClientConnections)
+	return s.Listener.Addr().String()
+}
+
+// cells counts the cells of this test process, for loopback addresses of their own.
+var cells atomic.Uint32
+
+// freeAddress returns an address at which nothing listens, a new one each time. Each cell has a loopback address of its own,
+// since a port that is free now may be taken by another cell while a process is down.
+func (c *cell) freeAddress() string {
+	var lc net.ListenConfig
+	for {
+		ln, err := lc.Listen(c.t.Context(), "tcp", c.host+":0")
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		address := ln.Addr().String()
+		if err := ln.Close(); err != nil {
+			c.t.Fatal(err)
+		}
+		if !c.taken[address] {
+			c.taken[address] = true
+			return address
+		}
+	}
+}
+
+func (c *cell) process(name string) object {
+	sessions := c.freeAddress()
+	return object{
+		"Name": name, "AvailabilityZone": processZone, "Cell": "main", "Sessions": sessions,
+		"Advertise": c.through("sessions of "+name, sessions), "Administration": c.freeAddress(),
+		"Store": c.through("store of "+name, c.serve(adapter.StoreHandler(c.rows.As(name)))),
+		"Key":   secretOf(processKey), "Lease": cellLease.String(), "Grace": "6s", "MemoryMiB": 284,
+	}
+}
+
+func (c *cell) addEntry(name string) {
+	callers := c.freeAddress()
+	p := &part{name: name, role: "entry", base: "http://" + callers, settings: object{
+		"Process": c.process(name), "Callers": callers, "Readiness": c.freeAddress(), "Policies": "", "Retention": "120s", "Processors": 0.16,
+	}}
+	c.entries = append(c.entries, p)
+	c.launch(p)
+}
+
+func (c *cell) addAgent(ctx context.Context, name string) {
+	w := &runs.Worker{
+		Name: name, Capacity: sizes.Resources{Processors: cellProcessors, Memory: 1 << 40}, StopTime: 300 * time.Millisecond,
+		MaxLease: cellLease,
+		Plan: func(r wire.Run) runs.Plan {
+			takes := 300*time.Millisecond + time.Duration(len(r.Task)*7919%900)*time.Millisecond
+			return runs.Plan{Size: sizes.Resources{Processors: cellTask}, Takes: takes}
+		},
+	}
+	w.Begin(wire.Life{ID: name + "-1", Born: 1})
+	c.workers = append(c.workers, w)
+	announcements := c.freeAddress()
+	p := &part{name: "agent-" + name, role: "agent", settings: object{
+		"Process": c.process("agent-" + name), "Announcements": announcements, "Service": "packing",
+		"Worker": c.through("worker "+name, c.serve(adapter.WorkerHandler(w, w.Life))),
+	}}
+	c.agents = append(c.agents, p)
+	c.launch(p)
+	announcer := adapter.NewAnnouncer(announcements)
+	go func() {
+		for n := uint64(1); ctx.Err() == nil; n++ {
+			call, cancel := context.WithTimeout(ctx, time.Second)
+			_ = announcer.Announce(call, w.State(), n) // the agent may be down; the next announcement follows
+			cancel()
+			time.Sleep(500 * time.Millisecond)
+		}
+	}()
+}
+
+// launch starts a process; its output goes to a file.
+func (c *cell) launch(p *part) {
+	c.t.Helper()
+	path := filepath.Join(c.dir, p.name+".json")
+	b, err := json.Marshal(p.settings)
+	if err == nil {
+		err = os.WriteFile(path, b, 0o600)
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	log := filepath.Join(c.dir, fmt.Sprintf("%s.%d.log", p.name, len(p.logs)+1))
+	p.logs = append(p.logs, log)
+	f, err := os.Create(log)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	p.cmd = exec.Command(c.binary, "cell", p.role, "--settings", path) //nolint:noctx // it ends with end, by its own id
+	p.cmd.Stdout, p.cmd.Stderr, p.done = f, f, make(chan struct{})
+	if err := p.cmd.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	go func(cmd *exec.Cmd, done chan struct{}) {
+		_ = cmd.Wait() // the exit code of a killed process says nothing
+		_ = f.Close()  // a log that is cut off fails no test
+		close(done)
+	}(p.cmd, p.done)
+	c.t.Cleanup(func() { c.end(p) })
+}
+
+// end kills a process, also a stopped one, and waits for its end.
+func (c *cell) end(p *part) {
+	_ = p.cmd.Process.Kill() // it may have ended
+	<-p.done
+}
+
+func (p *part) signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// hasEnded reports whether the process has ended.
+func (p *part) hasEnded() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// cellCaller is a caller that keeps its connections and repeats a request with the same id until it knows the outcome.
+type cellCaller struct {
+	cell   *cell
+	client *http.Client
+	rng    *rand.Rand
+}
+
+func (c *cell) caller(seed uint64) *cellCaller {
+	return &cellCaller{c, &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{}}, rand.New(rand.NewPCG(seed, 7))}
+}
+
+// ask sends a request to an entry and returns the status, or 0 without an answer.
+func (a *cellCaller) ask(ctx context.Context, entry *part, method string, id spec.ID, body []byte) (int, []byte) {
+	r, err := http.NewRequestWithContext(ctx, method, entry.base+cellPrefix+string(id), bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	r.Host = cellHost
+	w, err := a.client.Do(r)
+	if err != nil {
+		return 0, nil
+	}
+	defer w.Body.Close()
+	var b bytes.Buffer
+	if _, err := b.ReadFrom(w.Body); err != nil {
+		return 0, nil
+	}
+	return w.StatusCode, b.Bytes()
+}
+
+// submit repeats a submission at changing entries. Refused is true when every try was refused, accepted when one was taken.
+func (a *cellCaller) submit(ctx context.Context, j *spec.Job, tries int) (accepted, refused bool) {
+	b, err := adapter.EncodeJob(j)
+	if err != nil {
+		a.cell.t.Error(err)
+		return false, false
+	}
+	refused = true
+	for range tries {
+		status, _ := a.ask(ctx, a.cell.entries[a.rng.IntN(len(a.cell.entries))], http.MethodPost, j.ID, b)
+		switch status {
+		case http.StatusOK:
+			return true, false
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		default:
+			refused = false
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return false, refused
+}
+
+// state returns the state that an entry tells, or "" without an answer; gone is true for 410.
+func (a *cellCaller) state(ctx context.Context, entry *part, id spec.ID) (state string, gone bool) {
+	status, b := a.ask(ctx, entry, http.MethodGet, id, nil)
+	var out struct{ State string }
+	if status == http.StatusOK && json.Unmarshal(b, &out) == nil {
+		return out.State, false
+	}
+	return "", status == http.StatusGone
+}
+
+// lastLines returns the end of the newest log of a process.
+func (p *part) lastLines() string {
+	b, err := os.ReadFile(p.logs[len(p.logs)-1])
+	if err != nil {
+		return err.Error()
+	}
+	return string(b[max(0, len(b)-1000):])
+}
+
+// checkLogs fails for a process that wrote a stack trace.
+func (c *cell) checkLogs() {
+	c.t.Helper()
+	for _, group := range [][]*part{c.entries, c.agents} {
+		for _, p := range group {
+			for _, log := range p.logs {
+				b, err := os.ReadFile(log)
+				if err != nil {
+					c.t.Error(err)
+				}
+				for _, sign := range []string{"panic:", "goroutine 1 [", "DATA RACE"} {
+					if i := bytes.Index(b, []byte(sign)); i >= 0 {
+						c.t.Errorf("%s: %s", log, strings.TrimSpace(string(b[i:min(len(b), i+2000)])))
+					}
+				}
+			}
+		}
+	}
+}
--- a/cmd/trefoilramp/fault_test.go
+++ b/cmd/trefoilramp/fault_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -208,19 +207,11 @@
 	return list
 }
 
-// outage is a fault in force.
-type outage struct {
-	part string // that no other fault touches meanwhile
-	ends time.Time
-	heal func()
-}
-
 // storm draws faults, injects them and ends them.
 type storm struct {
 	*field
-	rng     *rand.Rand
-	outages []outage
-	counts  map[string]int
+	*outages
+	rng *rand.Rand
 }
 
 // round injects one or two faults.
@@ -277,42 +268,3 @@
 	g := groups[s.rng.IntN(len(groups))]
 	return g[s.rng.IntN(len(g))]
 }
-
-// add injects a fault unless the part has one.
-func (s *storm) add(what, part string, lasts time.Duration, inject, heal func()) {
-	if slices.ContainsFunc(s.outages, func(o outage) bool { return o.part == part }) {
-		return
-	}
-	s.counts[what]++
-	s.t.Logf("%s %s %s for %s", time.Now().Format("05.000"), what, part, lasts)
-	inject()
-	s.outages = append(s.outages, outage{part, time.Now().Add(lasts), heal})
-}
-
-// healUntil ends the faults that are due until the time end.
-func (s *storm) healUntil(end time.Time) {
-	for ; time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		s.heal(time.Now())
-	}
-}
-
-func (s *storm) heal(now time.Time) {
-	var left []outage
-	for _, o := range s.outages {
-		if o.ends.After(now) {
-			left = append(left, o)
-			continue
-		}
-		o.heal()
-	}
-	s.outages = left
-}
-
-func (s *storm) summary() string {
-	var list []string
-	for what, n := range s.counts {
-		list = append(list, fmt.Sprintf("%s: %d", what, n))
-	}
-	slices.Sort(list)
-	return strings.Join(list, ", ")
-}
--- a/cmd/trefoilramp/rounds_test.go
+++ b/cmd/trefoilramp/rounds_test.go
@@ -129,7 +129,7 @@
 func TestFaultRounds(t *testing.T) {
 	t.Parallel() // with the other tests of processes: one after the other they come close to 120 s
 	f := newField(t, 4, shortLeases())
-	s := &storm{field: f, rng: rand.New(rand.NewPCG(*faultSeed, 0)), counts: make(map[string]int)}
+	s := &storm{field: f, outages: newOutages(t), rng: rand.New(rand.NewPCG(*faultSeed, 0))}
 	callers := make([]string, len(f.entries))
 	for i, m := range f.entries {
 		callers[i] = "http://" + m.line.Callers
--- a/internal/conf/setup/cell.go
+++ b/internal/conf/setup/cell.go
@@ -23,6 +23,7 @@
 	AvailabilityZone string
 	Cell             string         // the workers and jobs that one leader schedules
 	Sessions         string         // listener for sessions of the cell's other processes, as they reach it
+	Advertise        string         // HOST:PORT at which the others reach Sessions; empty for Sessions itself
 	Administration   string         // listener for health and metrics; empty for none
 	Store            string         // HOST:PORT of the store of rows
 	Key              Secret         // shared key of the handshake
@@ -63,11 +64,20 @@
 	return a, err
 }
 
+// Reach returns the address at which the cell's other processes reach this one.
+func (s *CellProcess) Reach() string {
+	if s.Advertise != "" {
+		return s.Advertise
+	}
+	return s.Sessions
+}
+
 func (s *CellProcess) check(c strict.Check, base string) {
 	model.CheckName(c.Field("Name"), s.Name)
 	model.CheckName(c.Field("AvailabilityZone"), s.AvailabilityZone)
 	model.CheckName(c.Field("Cell"), s.Cell)
 	checkDial(c.Field("Sessions"), s.Sessions, true)
+	checkDial(c.Field("Advertise"), s.Advertise, false)
 	checkListen(c.Field("Administration"), s.Administration, false)
 	checkDial(c.Field("Store"), s.Store, true)
 	s.Key.check(c.Field("Key"), base, true)
--- a/internal/role/jobs/agent.go
+++ b/internal/role/jobs/agent.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -30,6 +31,7 @@
 	Name    string
 	Zone    string
 	Address string // where it accepts sessions, HOST:PORT
+	Listen  string // where it listens for them; empty for Address
 	Key     []byte // shared key of the handshake
 	Lease   time.Duration
 	Worker  orders.Worker
@@ -61,7 +63,7 @@
 		Key: cfg.Key, Log: cfg.Log,
 	}
 	var lc net.ListenConfig
-	ln, err := lc.Listen(ctx, "tcp", cfg.Address)
+	ln, err := lc.Listen(ctx, "tcp", cmp.Or(cfg.Listen, cfg.Address))
 	if err != nil {
 		return nil, fmt.Errorf("listen for sessions: %w", err)
 	}
--- a/internal/role/jobs/entry.go
+++ b/internal/role/jobs/entry.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -35,6 +36,7 @@
 	Name      string
 	Zone      string
 	Address   string // where it accepts sessions, HOST:PORT
+	Listen    string // where it listens for them; empty for Address
 	Key       []byte // shared key of the handshake
 	Lease     time.Duration
 	Retention time.Duration
@@ -69,7 +71,7 @@
 		Key: cfg.Key, Log: cfg.Log,
 	}
 	var lc net.ListenConfig
-	ln, err := lc.Listen(ctx, "tcp", cfg.Address)
+	ln, err := lc.Listen(ctx, "tcp", cmp.Or(cfg.Listen, cfg.Address))
 	if err != nil {
 		return nil, fmt.Errorf("listen for sessions: %w", err)
 	}
