Name the forecast of loads by the usual terms, and split what grew

A figure of a worker that stands still no longer counts as the first of a serving task, which would have set its load to 0 (found by reading).

--- a/internal/jobs/lead/balance.go
+++ b/internal/jobs/lead/balance.go
@@ -17,9 +17,9 @@
 	firstOwn   = 0.5  // load of a serving task before its first sample
 	unknownOwn = -1.0
 
-	foreseeSteps = 3                      // looks ahead
-	foreseeStep  = 800 * time.Millisecond // between them; together about the run of a task that fills
-	foreseeEvery = 150 * time.Millisecond
+	forecastSteps = 3                      // looks ahead
+	forecastStep  = 800 * time.Millisecond // between them; together about the run of a task that fills
+	forecastEvery = 150 * time.Millisecond
 )
 
 // learn takes the figures of a complete report.
@@ -34,41 +34,46 @@
 		r.note(min(1, float64(s.Figure)/float64(r.step.Size.Processors)), s.Percent, now)
 		loads = append(loads, press.Load{Image: r.step.Image, Use: w.use(int64(s.Figure))})
 	}
+	t.learnServing(w, m, loads, now)
+	t.tellPress(w)
+}
+
+// learnServing takes the figures of the serving tasks beside loads.
+func (t *Term) learnServing(w *worker, m *wire.RunReport, loads []press.Load, now time.Time) {
 	longest := 0.0
-	waves := make(map[*press.Wave]*sample)
+	samples := make(map[*press.Forecast]*sample)
 	for i := range m.Running {
 		s := &m.Running[i]
 		r := w.runs[s.Run]
 		if r == nil || r.step.Target == 0 || s.Percent < atWork || s.Figure <= 0 {
 			continue
 		}
-		wave := t.wave(r)
-		own, doubt := r.own, press.SmoothDoubt
-		if v, ok := wave.At(now); ok {
-			own, doubt = v, press.WaveDoubt
-		}
-		if !r.served {
-			own, r.served = unknownOwn, true
-		}
 		tail := float64(s.Figure) / float64(r.step.Target)
 		longest = max(longest, tail)
 		if tail >= stuckTail {
 			continue // nothing about loads
 		}
+		f := t.forecastOf(r)
+		own, doubt := r.own, press.SmoothDoubt
+		if v, ok := f.At(now); ok {
+			own, doubt = v, press.ForecastDoubt
+		}
+		if !r.served {
+			own, r.served = unknownOwn, true
+		}
 		r.own = t.press.Observe(r.step.Image, tail, own, doubt, loads)
 		r.ownMean += ownSmooth * (r.own - r.ownMean)
-		a := waves[wave]
+		a := samples[f]
 		if a == nil {
 			a = &sample{}
-			waves[wave] = a
+			samples[f] = a
 		}
 		a.add(t.press.Own(r.step.Image, tail, loads))
 	}
 	w.noteTail(longest, now)
-	for wave, a := range waves {
-		wave.Add(now, a.load/a.sure, min(1, a.sure))
+	for f, a := range samples {
+		f.Add(now, a.load/a.sure, min(1, a.sure))
 	}
-	t.tellPress(w)
 }
 
 // sample is the mean load of the serving tasks of a step on a worker, weighed by how sure each is.
@@ -81,39 +86,39 @@
 	a.sure += sure
 }
 
-// wave returns the wave that the loads of the tasks of a run's step follow.
-func (t *Term) wave(r *run) *press.Wave {
+// forecastOf returns the forecast of the loads of the tasks of a run's step.
+func (t *Term) forecastOf(r *run) *press.Forecast {
 	_, step := r.job.locate(r.ordinal)
-	if r.job.waves == nil {
-		r.job.waves = make(map[int]*press.Wave)
+	if r.job.forecasts == nil {
+		r.job.forecasts = make(map[int]*press.Forecast)
 	}
-	w := r.job.waves[step]
-	if w == nil {
-		w = press.NewWave(t.rhythm)
-		r.job.waves[step] = w
+	f := r.job.forecasts[step]
+	if f == nil {
+		f = press.NewForecast(t.period)
+		r.job.forecasts[step] = f
 	}
-	return w
+	return f
 }
 
-// foresee returns the mean load that a serving task is expected to have while a task that fills would run beside it.
-func (t *Term) foresee(r *run, now time.Time) float64 {
+// forecast returns the mean load that a serving task is expected to have while a task that fills would run beside it.
+func (t *Term) forecast(r *run, now time.Time) float64 {
 	if !r.served {
 		return firstOwn
 	}
-	if now.Sub(r.foreseenAt) < foreseeEvery {
-		return r.foreseen
+	if now.Sub(r.forecastAt) < forecastEvery {
+		return r.forecastLoad
 	}
-	r.foreseen, r.foreseenAt = max(r.own, r.ownMean), now
-	wave, sum := t.wave(r), 0.0
-	for i := range foreseeSteps {
-		v, ok := wave.At(now.Add(foreseeStep * time.Duration(2*i+1) / 2))
+	r.forecastLoad, r.forecastAt = max(r.own, r.ownMean), now
+	f, sum := t.forecastOf(r), 0.0
+	for i := range forecastSteps {
+		v, ok := f.At(now.Add(forecastStep * time.Duration(2*i+1) / 2))
 		if !ok {
-			return r.foreseen
+			return r.forecastLoad
 		}
 		sum += v
 	}
-	r.foreseen = sum / foreseeSteps
-	return r.foreseen
+	r.forecastLoad = sum / forecastSteps
+	return r.forecastLoad
 }
 
 // tellPress tells an agent the weights of the pairs of images on its worker that have changed.
@@ -157,7 +162,7 @@
 	for _, r := range w.runs {
 		switch {
 		case r.step.Target > 0:
-			serving = append(serving, press.Serving{Image: r.step.Image, Own: t.foresee(r, now)})
+			serving = append(serving, press.Serving{Image: r.step.Image, Own: t.forecast(r, now)})
 		case r.step.Fills:
 			loads = append(loads, press.Load{Image: r.step.Image, Use: w.use(r.step.Size.Processors)})
 		}
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -26,25 +26,25 @@
 
 // job is the state of one job in the leader's memory.
 type job struct {
-	spec     *spec.Job
-	tasks    []task
-	offsets  []int // ordinal of the first task of each step in a round
-	perRound int
-	done     []int     // tasks done, by round and step
-	left     int       // tasks not done
-	running  int       // runs
-	idleAt   time.Time // when it last ceased to have a run
-	waiting  int       // tasks neither done nor with a run
-	state    rows.State
-	stored   rows.State
-	endedAt  time.Time
-	dirty    bool
-	old      bool // accepted before the takeover: runs may exist that the leader has not heard of
-	begun    bool
-	takenAt  time.Time
-	target   time.Time // when the job should be done
-	urgency  urgency
-	waves    map[int]*press.Wave // of the loads of serving tasks, by step
+	spec      *spec.Job
+	tasks     []task
+	offsets   []int // ordinal of the first task of each step in a round
+	perRound  int
+	done      []int     // tasks done, by round and step
+	left      int       // tasks not done
+	running   int       // runs
+	idleAt    time.Time // when it last ceased to have a run
+	waiting   int       // tasks neither done nor with a run
+	state     rows.State
+	stored    rows.State
+	endedAt   time.Time
+	dirty     bool
+	old       bool // accepted before the takeover: runs may exist that the leader has not heard of
+	begun     bool
+	takenAt   time.Time
+	target    time.Time // when the job should be done
+	urgency   urgency
+	forecasts map[int]*press.Forecast // of the loads of serving tasks, by step
 }
 
 func newJob(s *spec.Job, now time.Time) *job {
@@ -190,30 +190,30 @@
 
 // run is a run that occupies a worker, from the order to start it until its end is listed.
 type run struct {
-	job        *job
-	ordinal    int
-	step       *spec.Step
-	key        wire.Run
-	worker     *worker
-	order      uint64 // number of the orders with the start
-	listed     bool   // a look has shown it
-	stopping   bool
-	counted    bool // its length was taken for the speed of its worker
-	resumed    bool // it began from a checkpoint
-	copied     bool // another run of the task was started beside it
-	closed     bool // a stop has made sure that the worker never starts it
-	orderAt    time.Time
-	percent    int
-	moved      time.Time // when the percent grew last
-	startPct   int       // percent at the first look
-	served     bool      // a serving task has shown a figure
-	own        float64   // load of a serving task without tasks that fill
-	ownMean    float64   // the same over several seconds
-	foreseen   float64   // mean of the same over the next seconds
-	foreseenAt time.Time
-	share      float64   // of its processors that a task that fills used lately
-	work       float64   // seconds of full work that a task that fills has done here
-	workAt     time.Time // up to when work is known
-	workPct    int       // percent when work was zero
-	firstAt    time.Time // of the first look
+	job          *job
+	ordinal      int
+	step         *spec.Step
+	key          wire.Run
+	worker       *worker
+	order        uint64 // number of the orders with the start
+	listed       bool   // a look has shown it
+	stopping     bool
+	counted      bool // its length was taken for the speed of its worker
+	resumed      bool // it began from a checkpoint
+	copied       bool // another run of the task was started beside it
+	closed       bool // a stop has made sure that the worker never starts it
+	orderAt      time.Time
+	percent      int
+	moved        time.Time // when the percent grew last
+	startPct     int       // percent at the first look
+	served       bool      // a serving task has shown a figure
+	own          float64   // load of a serving task without tasks that fill
+	ownMean      float64   // the same over several seconds
+	forecastLoad float64   // mean of the same over the next seconds
+	forecastAt   time.Time
+	share        float64   // of its processors that a task that fills used lately
+	work         float64   // seconds of full work that a task that fills has done here
+	workAt       time.Time // up to when work is known
+	workPct      int       // percent when work was zero
+	firstAt      time.Time // of the first look
 }
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -137,7 +137,7 @@
 	t := &Term{
 		cfg: l.cfg, events: queue.NewRing[any](ringSize), jobs: make(map[spec.ID]*job),
 		workers: make(map[string]*worker), dirty: make(map[*job]struct{}), advice: make(map[pair]*advice),
-		press: press.NewTable(), rhythm: press.NewRhythm(time.Now()), usual: make(map[string]*usual), cancelledEarly: make(map[spec.ID]bool), orphans: make(map[spec.ID][]orphan),
+		press: press.NewTable(), period: press.NewPeriodEstimate(time.Now()), usual: make(map[string]*usual), cancelledEarly: make(map[spec.ID]bool), orphans: make(map[spec.ID][]orphan),
 	}
 	next := rows.Head{Leader: l.cfg.Name, Address: l.cfg.Address, Epoch: head.Epoch + 1, Write: head.Write}
 	t.writer = headWriter{store: l.cfg.Store, patience: l.cfg.Patience, cell: l.cfg.Cell, head: next, version: version}
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -114,8 +114,8 @@
 	confirmed      time.Time // begin of the last confirmed write
 	commitAt       time.Time // when the last commit began
 	press          *press.Table
-	rhythm         *press.Rhythm     // of the loads of serving tasks
-	usual          map[string]*usual // by queue: run time compared with the estimate
+	period         *press.PeriodEstimate // of the loads of serving tasks
+	usual          map[string]*usual     // by queue: run time compared with the estimate
 	advice         map[pair]*advice
 	asking         int // questions to the policy service in progress
 	wakeAt         time.Time
--- a/internal/jobs/press/wave_test.go
+++ b/internal/jobs/press/forecast_test.go
@@ -9,28 +9,28 @@
 	"trefoilramp.org/trefoilramp/internal/jobs/press"
 )
 
-// Guards against a swing that is not foreseen: two seconds ahead the error must stay well below the swing itself.
-func TestWaveIsForeseen(t *testing.T) {
+// Guards against a swing that is not forecastLoad: two seconds ahead the error must stay well below the swing itself.
+func TestSwingIsForecast(t *testing.T) {
 	for _, period := range []float64{7, 10, 20, 33} {
 		rng := rand.New(rand.NewPCG(1, uint64(period)))
 		start := time.Now()
-		r := press.NewRhythm(start)
+		r := press.NewPeriodEstimate(start)
 		phases := []float64{0.3, 2.1, 4.4}
 		load := func(i int, at float64) float64 {
 			return 0.54 + 0.22*math.Sin(2*math.Pi*at/period+phases[i])
 		}
-		waves := make([]*press.Wave, len(phases))
-		for i := range waves {
-			waves[i] = press.NewWave(r)
+		forecasts := make([]*press.Forecast, len(phases))
+		for i := range forecasts {
+			forecasts[i] = press.NewForecast(r)
 		}
 		var sum, n float64
 		for at := 0.0; at < 40+period; at += 0.45 {
-			for i, w := range waves {
-				w.Add(start.Add(time.Duration(at*1e9)), load(i, at)+0.05*rng.NormFloat64(), 1)
+			for i, f := range forecasts {
+				f.Add(start.Add(time.Duration(at*1e9)), load(i, at)+0.05*rng.NormFloat64(), 1)
 				if at < 10+1.5*period {
 					continue
 				}
-				got, ok := w.At(start.Add(time.Duration((at + 2) * 1e9)))
+				got, ok := f.At(start.Add(time.Duration((at + 2) * 1e9)))
 				if !ok {
 					t.Fatalf("period %v is not known after %.0f s", period, at)
 				}
@@ -45,15 +45,15 @@
 	}
 }
 
-// Guards against a wave seen in figures that only jump about.
-func TestNoWaveInNoise(t *testing.T) {
+// Guards against a swing seen in figures that only jump about.
+func TestNoSwingInNoise(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	start := time.Now()
-	w := press.NewWave(press.NewRhythm(start))
+	f := press.NewForecast(press.NewPeriodEstimate(start))
 	for at := 0.0; at < 60; at += 0.45 {
-		w.Add(start.Add(time.Duration(at*1e9)), rng.Float64(), 1)
+		f.Add(start.Add(time.Duration(at*1e9)), rng.Float64(), 1)
 	}
-	if v, ok := w.At(start.Add(62 * time.Second)); ok {
-		t.Errorf("noise is taken for a wave of load %.2f", v)
+	if v, ok := f.At(start.Add(62 * time.Second)); ok {
+		t.Errorf("noise is taken for a swing of load %.2f", v)
 	}
 }
--- a/internal/jobs/press/table.go
+++ b/internal/jobs/press/table.go
@@ -9,16 +9,16 @@
 	figureError = 0.06 // standard deviation of the load that a figure tells
 	// SmoothDoubt is the standard deviation of a load that is only the smoothed one of the last figures.
 	SmoothDoubt = 0.15
-	// WaveDoubt is the standard deviation of a load that a wave foresees.
-	WaveDoubt  = 0.07
-	maxError   = 2.5   // standard deviations that one figure counts at most, since single figures are rough
-	forgetting = 0.997 // of what earlier figures told, for each new one
-	ownStep    = 0.35  // of the error of a figure that goes into a serving task's own load
-	ownUse     = 0.15  // load of tasks that fill at which half of that remains
-	fullLoad   = 0.98  // load that figures tell at most
-	firstFloor = 0.16  // tail of an idle serving task as a share of its target, before lower ones are seen
-	leastFloor = 0.02
-	hintTrust  = 3.0 // of a hint against the first shares, for a weight that differs by a factor of e
+	// ForecastDoubt is the standard deviation of a load that a Forecast gives.
+	ForecastDoubt = 0.07
+	maxError      = 2.5   // standard deviations that one figure counts at most, since single figures are rough
+	forgetting    = 0.997 // of what earlier figures told, for each new one
+	ownStep       = 0.35  // of the error of a figure that goes into a serving task's own load
+	ownUse        = 0.15  // load of tasks that fill at which half of that remains
+	fullLoad      = 0.98  // load that figures tell at most
+	firstFloor    = 0.16  // tail of an idle serving task as a share of its target, before lower ones are seen
+	leastFloor    = 0.02
+	hintTrust     = 3.0 // of a hint against the first shares, for a weight that differs by a factor of e
 	// typicalTrust is that of the typical weight of an image for its pairs without figures.
 	typicalTrust = 0.5
 	hintBlur     = 0.4 // weights that differ by less than this are alike
