--- a/internal/jobs/lead/stuck.go
+++ b/internal/jobs/lead/stuck.go
@@ -1,8 +1,6 @@
 package lead
 
-import (
-	"time"
-)
+import "time"
 
 const (
 	stuckTail  = 40.0                   // times its target that no load brings the tail of a serving task to
@@ -24,7 +22,7 @@
 }
 
 // leaveStuck stops the tasks that fill a worker whose serving tasks do not answer, so that they start elsewhere: they are
-// paced down there without use. Serving tasks stay, since a stop would take them away for longer than most such workers need.
+// paced down there without use.
 func (t *Term) leaveStuck(w *worker) {
 	for _, r := range w.runs {
 		if r.step.Fills && r.listed && !r.stopping && !r.step.Gang && !r.job.state.IsFinal() {
