Bound what is learned of pairs of images

Cause, found by reading: callers name images as they like, and a table of pairs grew with each, in leaders and in agents, which send it to each new leader. Before: TestTableIsBounded finds 24576 pairs. After: 4096 at most; a full table begins again.

--- a/internal/jobs/lead/balance.go
+++ b/internal/jobs/lead/balance.go
@@ -126,7 +126,7 @@
 	if w.serving == 0 || w.filling == 0 {
 		return
 	}
-	if w.pressed == nil {
+	if w.pressed == nil || len(w.pressed) >= press.MaxPairs {
 		w.pressed = make(map[press.Pair]float64)
 	}
 	for _, s := range w.runs {
--- a/internal/jobs/press/press_test.go
+++ b/internal/jobs/press/press_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 
 	"trefoilramp.org/trefoilramp/internal/jobs/press"
@@ -116,6 +117,25 @@
 	}
 }
 
+// Guards against a table that grows with each image that callers ever name.
+func TestTableIsBounded(t *testing.T) {
+	table := press.NewTable()
+	for i := range 3 * press.MaxPairs {
+		filling := strconv.Itoa(i)
+		table.Observe("s", 0.5, 0.4, press.SmoothDoubt, []press.Load{{Image: filling, Use: 0.1}})
+		table.Set(press.Pair{Serving: filling, Filling: "f"}, 1)
+		table.Busy(filling, 0.1)
+	}
+	if n := len(table.Known()); n > press.MaxPairs {
+		t.Errorf("%d pairs are known; at most %d may be", n, press.MaxPairs)
+	}
+	p := press.Pair{Serving: "s", Filling: "last"}
+	table.Set(p, 2)
+	if w := table.Weight(p); w != 2 {
+		t.Errorf("a full table takes a weight of 2 for %.2f", w)
+	}
+}
+
 // Guards against one weight for an image that disturbs some serving tasks and others not: it is held back where it does
 // no harm, and let loose where it does.
 func TestWeightsByPair(t *testing.T) {
--- a/internal/jobs/press/table.go
+++ b/internal/jobs/press/table.go
@@ -6,6 +6,8 @@
 )
 
 const (
+	// MaxPairs is the number of pairs of images that a table keeps; callers name images as they like.
+	MaxPairs    = 4096
 	figureError = 0.06 // standard deviation of the load that a figure tells
 	// SmoothDoubt is the standard deviation of a load that is only the smoothed one of the last figures.
 	SmoothDoubt = 0.15
@@ -90,8 +92,13 @@
 	return first
 }
 
-// Set replaces the weight of a pair.
+// Set replaces the weight of a pair. A full table begins again, since only pairs in use are learned anew.
 func (t *Table) Set(p Pair, w float64) {
+	if _, ok := t.weights[p]; !ok && len(t.weights) >= MaxPairs {
+		clear(t.weights)
+		clear(t.typical)
+		clear(t.beliefs)
+	}
 	s := t.typical[p.Filling]
 	if s == nil {
 		s = &sum{}
@@ -120,8 +127,8 @@
 		d := math.Log((s.weight + hintBlur) / (w + hintBlur))
 		b[i] = -trust * d * d
 	}
-	t.beliefs[p] = b
 	t.Set(p, mean(b))
+	t.beliefs[p] = b
 	return b
 }
 
@@ -151,6 +158,9 @@
 	}
 	if tail < floor {
 		floor = max(leastFloor, tail)
+		if len(t.floors) >= MaxPairs {
+			clear(t.floors)
+		}
 		t.floors[serving] = floor
 	}
 	return min(fullLoad, max(0, 1-floor/max(tail, leastFloor)))
