--- a/internal/jobs/lead/takeover_test.go
+++ b/internal/jobs/lead/takeover_test.go
@@ -386,3 +386,22 @@
 		}
 	})
 }
+
+// Guards against a leader that starts a job which was told to its successor, and which that one starts too.
+func TestJobOfLaterEpochIsLeft(t *testing.T) {
+	inWorld(t, func(w *world) {
+		old := w.term()
+		j := job(1, 1, 2)
+		j.Epoch = old.Epoch() + 1
+		packed, err := wire.Pack(j)
+		if err != nil {
+			t.Fatal(err)
+		}
+		e := &end{out: make(chan wire.Message, 1), closed: make(chan struct{}), once: &sync.Once{}}
+		old.Ask(e, &wire.JobAsk{Action: wire.JobAccepted, ID: string(j.ID), Packed: packed})
+		time.Sleep(2 * time.Second)
+		if list := runsOf(w, j.ID); len(list) > 0 {
+			t.Errorf("a leader of epoch %d started %d runs of a job that epoch %d was told", old.Epoch(), len(list), j.Epoch)
+		}
+	})
+}
