--- a/internal/jobs/lead/balance.go
+++ b/internal/jobs/lead/balance.go
@@ -16,10 +16,6 @@
 	ownSmooth  = 0.1  // weight of the newest sample in the mean load of a serving task
 	firstOwn   = 0.5  // load of a serving task before its first sample
 	unknownOwn = -1.0
-
-	forecastSteps = 3                      // looks ahead
-	forecastStep  = 800 * time.Millisecond // between them; together about the run of a task that fills
-	forecastEvery = 150 * time.Millisecond // for which a forecast is kept, since each choice of a place asks for all
 )
 
 // learn takes the figures of a complete report.
@@ -100,27 +96,6 @@
 	return f
 }
 
-// forecast returns the mean load that a serving task is expected to have while a task that fills would run beside it.
-func (t *Term) forecast(r *run, now time.Time) float64 {
-	if !r.served {
-		return firstOwn
-	}
-	if now.Sub(r.forecastAt) < forecastEvery {
-		return r.forecastLoad
-	}
-	r.forecastLoad, r.forecastAt = max(r.own, r.ownMean), now
-	f, sum := t.forecastOf(r), 0.0
-	for i := range forecastSteps {
-		v, ok := f.At(now.Add(forecastStep * time.Duration(2*i+1) / 2))
-		if !ok {
-			return r.forecastLoad
-		}
-		sum += v
-	}
-	r.forecastLoad = sum / forecastSteps
-	return r.forecastLoad
-}
-
 // tellPress tells an agent the weights of the pairs of images on its worker that have changed.
 func (t *Term) tellPress(w *worker) {
 	if w.serving == 0 || w.filling == 0 {
@@ -151,7 +126,7 @@
 }
 
 // fillSpeed estimates the share of its full speed that one more task that fills gets on a worker.
-func (t *Term) fillSpeed(w *worker, image string, processors int64, now time.Time) float64 {
+func (t *Term) fillSpeed(w *worker, image string, processors int64) float64 {
 	left, wanted := w.leftover()
 	speed := min(1, max(0, float64(left)/float64(max(1, wanted+processors))))
 	if w.serving == 0 {
@@ -162,7 +137,11 @@
 	for _, r := range w.runs {
 		switch {
 		case r.step.Target > 0:
-			serving = append(serving, press.Serving{Image: r.step.Image, Own: t.forecast(r, now)})
+			s := press.Serving{Image: r.step.Image, Own: firstOwn}
+			if r.served {
+				s.Own = max(r.own, r.ownMean)
+			}
+			serving = append(serving, s)
 		case r.step.Fills:
 			loads = append(loads, press.Load{Image: r.step.Image, Use: w.use(r.step.Size.Processors)})
 		}
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -190,30 +190,28 @@
 
 // run is a run that occupies a worker, from the order to start it until its end is listed.
 type run struct {
-	job          *job
-	ordinal      int
-	step         *spec.Step
-	key          wire.Run
-	worker       *worker
-	order        uint64 // number of the orders with the start
-	listed       bool   // a look has shown it
-	stopping     bool
-	counted      bool // its length was taken for the speed of its worker
-	resumed      bool // it began from a checkpoint
-	copied       bool // another run of the task was started beside it
-	closed       bool // a stop has made sure that the worker never starts it
-	orderAt      time.Time
-	percent      int
-	moved        time.Time // when the percent grew last
-	startPct     int       // percent at the first look
-	served       bool      // a serving task has shown a figure
-	own          float64   // load of a serving task without tasks that fill
-	ownMean      float64   // the same over several seconds
-	forecastLoad float64   // mean of the same over the next seconds
-	forecastAt   time.Time
-	share        float64   // of its processors that a task that fills used lately
-	work         float64   // seconds of full work that a task that fills has done here
-	workAt       time.Time // up to when work is known
-	workPct      int       // percent when work was zero
-	firstAt      time.Time // of the first look
+	job      *job
+	ordinal  int
+	step     *spec.Step
+	key      wire.Run
+	worker   *worker
+	order    uint64 // number of the orders with the start
+	listed   bool   // a look has shown it
+	stopping bool
+	counted  bool // its length was taken for the speed of its worker
+	resumed  bool // it began from a checkpoint
+	copied   bool // another run of the task was started beside it
+	closed   bool // a stop has made sure that the worker never starts it
+	orderAt  time.Time
+	percent  int
+	moved    time.Time // when the percent grew last
+	startPct int       // percent at the first look
+	served   bool      // a serving task has shown a figure
+	own      float64   // load of a serving task without tasks that fill
+	ownMean  float64   // the same over several seconds
+	share    float64   // of its processors that a task that fills used lately
+	work     float64   // seconds of full work that a task that fills has done here
+	workAt   time.Time // up to when work is known
+	workPct  int       // percent when work was zero
+	firstAt  time.Time // of the first look
 }
--- a/internal/jobs/lead/move.go
+++ b/internal/jobs/lead/move.go
@@ -79,7 +79,7 @@
 		return false
 	}
 	here, elsewhere := r.remaining()
-	speed := t.fillSpeed(to, r.step.Image, r.step.Size.Processors, now)
+	speed := t.fillSpeed(to, r.step.Image, r.step.Size.Processors)
 	gain := here/max(minRate, r.share) - elsewhere/max(minRate, speed) - moveCost
 	if gain < moveGain*float64(1+task.moves) {
 		return false
--- a/internal/jobs/lead/pick.go
+++ b/internal/jobs/lead/pick.go
@@ -101,7 +101,7 @@
 	if w.isStuck(c.now) || float64(left-wanted-s.Size.Processors) < -lateFillLack*float64(w.state.Capacity.Processors) {
 		return false
 	}
-	if t.fillSpeed(w, s.Image, s.Size.Processors, c.now) >= leastFillSpeed {
+	if t.fillSpeed(w, s.Image, s.Size.Processors) >= leastFillSpeed {
 		return true
 	}
 	return c.job.running == 0 && c.now.Sub(c.job.idleAt) > idleJobLimit
@@ -133,7 +133,7 @@
 	}
 	switch {
 	case s.Fills:
-		v += slowFillCost * (1 - t.fillSpeed(w, s.Image, s.Size.Processors, c.now))
+		v += slowFillCost * (1 - t.fillSpeed(w, s.Image, s.Size.Processors))
 		if w.serving == 0 {
 			v += lightCost / (1 + t.press.Typical(s.Image))
 		} else {
