Bound the cost of a start, and keep every session event of a full queue

Cause: each pass chose the worker of each task by the cost of all workers, and the cost of a best-effort task walked the runs of each worker twice. Blocked steps did so again with every event.

The pressure of a worker's runs is computed once per change of the worker. Leases, acknowledgements and commands are handled for the workers concerned instead of for all in each pass. Moves of slow best-effort runs take the most urgent jobs and the longest rests first, one a pass for every 12 workers (4 before).

TestFullQueue. - A commit in flight while a worker restarted acknowledged ends of the new incarnation before they were stored; a leader lost at that moment would have run the task again. TestAcknowledgedEndIsOfCurrentIncarnation.

--- a/internal/jobs/impact/table.go
+++ b/internal/jobs/impact/table.go
@@ -31,6 +31,9 @@
 	{0, 0.3}, {0.3, 0.12}, {0.7, 0.13}, {1.2, 0.18}, {2, 0.15}, {3.5, 0.09}, {7, 0.03},
 }
 
+// priorWeight is the expected weight of a pair without samples.
+var priorWeight = mean(&likelihood{})
+
 // Load is a best-effort task: its image, and the share of its worker's processors that it uses, from 0 to 1.
 type Load struct {
 	Image string
@@ -86,11 +89,10 @@
 // Typical returns the expected weight of a best-effort image averaged over serving images; the mean of the priors
 // counts as one of them.
 func (t *Table) Typical(bestEffort string) float64 {
-	prior := mean(&likelihood{})
 	if sum := t.totals[bestEffort]; sum != nil {
-		return (prior + sum.weight) / float64(1+sum.pairs)
+		return (priorWeight + sum.weight) / float64(1+sum.pairs)
 	}
-	return prior
+	return priorWeight
 }
 
 // Set replaces the weight of a pair. A full table is cleared first, so that only pairs still in use are learned again.
--- a/internal/jobs/lead/advice.go
+++ b/internal/jobs/lead/advice.go
@@ -15,6 +15,7 @@
 	adviceRetryDelay  = 150 * time.Millisecond // before a new request after a failed or empty reply
 	ticketMargin      = 250 * time.Millisecond // before a ticket expires, during which it is not used
 	maxAdviceWorkers  = 30                     // workers per request
+	adviceSample      = 8 * maxAdviceWorkers   // workers that are compared before the rest of the fleet
 	maxAdviceRequests = 24                     // in flight; the service refuses more than 32
 )
 
@@ -73,11 +74,17 @@
 // processors first.
 func (t *Term) candidates(j *job, s *spec.Step) []string {
 	var list []*worker
-	for _, w := range t.workers {
-		if w.acceptsRuns() && w.state.Service == j.spec.Service && (s.Label == "" || w.hasLabel(s.Label)) {
-			list = append(list, w)
+	add := func(workers []*worker) {
+		for _, w := range workers {
+			if w.acceptsRuns() && w.state.Service == j.spec.Service && (s.Label == "" || w.hasLabel(s.Label)) {
+				list = append(list, w)
+			}
 		}
 	}
+	add(t.fleet.sample(adviceSample))
+	if len(list) < maxAdviceWorkers {
+		add(t.fleet.others(adviceSample))
+	}
 	sortByLoad(list)
 	names := make([]string, 0, maxAdviceWorkers)
 	for _, w := range list {
--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -60,9 +60,13 @@
 		w.appliedEnd, w.durableEnd, w.ackedEnd, w.synced = 0, 0, 0, false
 		w.out = nil
 		w.reliability = reliability{}
+		delete(t.undurable, w)
+		t.fleet.rename(w, m.Incarnation.ID)
 	}
 	w.state = *m
 	w.stateAt = time.Now()
+	w.pressure = nil
+	t.fleet.touch(w)
 	if m.Phase == wire.WorkerGone {
 		t.releaseAll(w, "worker has exited")
 		w.synced = false
@@ -100,6 +104,7 @@
 	for _, e := range m.Ended {
 		if e.Number > w.appliedEnd {
 			w.appliedEnd = e.Number
+			t.undurable[w] = struct{}{}
 			t.applyEnd(w, e, firstReport, now)
 		}
 	}
@@ -113,9 +118,11 @@
 		}
 		w.synced = true
 		t.markReconciled(w)
+		t.fleet.touch(w)
 	}
 	if m.RequestLease && t.mayGrant(now) {
 		w.grantedAt = now
+		t.expireBy(t.leaseEnd(now))
 		if err := w.link.Send(&wire.LeaseGrant{Incarnation: m.Incarnation, Clock: m.Clock}); err != nil {
 			w.link.Close(err)
 		}
@@ -388,18 +395,28 @@
 	}
 }
 
+// expireBy makes expire check the leases by a given time.
+func (t *Term) expireBy(at time.Time) {
+	if at.Before(t.expireAt) {
+		t.expireAt = at
+	}
+}
+
 // expire releases the runs of workers whose lease has certainly expired, and forgets agents without a session for
-// forgetAfter.
+// forgetAfter. It checks all workers when the first lease may have expired, and at least every expireEvery.
 func (t *Term) expire(now time.Time) {
+	if now.Before(t.expireAt) {
+		t.wakeBy(t.expireAt)
+		return
+	}
+	t.expireAt = now.Add(expireEvery)
 	for name, w := range t.workers {
 		end := t.leaseEnd(w.grantedAt)
 		if !w.reconciled || w.grantedAt.IsZero() {
 			end = t.leaseEnd(t.prevGrantsEnd)
 		}
 		if now.Before(end) {
-			if len(w.runs) > 0 || !w.reconciled {
-				t.wakeBy(end)
-			}
+			t.expireBy(end)
 			continue
 		}
 		t.releaseAll(w, "lease of the unreachable worker has expired")
@@ -409,10 +426,12 @@
 			t.forget(name)
 		}
 	}
+	t.wakeBy(t.expireAt)
 }
 
 // forget removes an agent and its row; the agent registers again if it returns.
 func (t *Term) forget(name string) {
+	t.fleet.remove(t.workers[name])
 	delete(t.workers, name)
 	t.cfg.Network.Disconnect(name)
 	t.pendingDeletes = append(t.pendingDeletes, rows.AgentRef(t.cfg.Cell, name))
--- a/internal/jobs/lead/balance.go
+++ b/internal/jobs/lead/balance.go
@@ -32,6 +32,7 @@
 		loads = append(loads, impact.Load{Image: r.step.Image, Use: w.capacityShare(int64(s.Measurement))})
 	}
 	t.recordServing(w, m, loads, now)
+	w.pressure = nil
 	t.sendWeights(w)
 }
 
@@ -130,29 +131,47 @@
 	}
 }
 
+// pressure summarizes the runs on a worker for the choice of workers for best-effort tasks.
+type pressure struct {
+	left, wanted int64            // see sumLeftover
+	serving      []impact.Serving // of the serving runs; the own load includes the interference of the best-effort runs
+}
+
 // bestEffortSpeed estimates the share of full speed, from 0 to 1, at which one more best-effort task would run on a
 // worker.
 func (t *Term) bestEffortSpeed(w *worker, image string, processors int64) float64 {
-	left, wanted := w.leftover()
-	speed := min(1, max(0, float64(left)/float64(max(1, wanted+processors))))
-	if w.serving == 0 {
-		return speed
+	p := t.pressureOn(w)
+	speed := min(1, max(0, float64(p.left)/float64(max(1, p.wanted+processors))))
+	return min(speed, t.interference.Headroom(impact.Load{Image: image, Use: w.capacityShare(processors)}, p.serving, nil))
+}
+
+// pressureOn returns the pressure on a worker, as of its last change.
+func (t *Term) pressureOn(w *worker) *pressure {
+	if w.pressure != nil {
+		return w.pressure
 	}
-	var serving []impact.Serving
-	var loads []impact.Load
+	p := &pressure{serving: make([]impact.Serving, 0, w.serving)}
+	p.left, p.wanted = w.sumLeftover()
+	loads := make([]impact.Load, 0, w.bestEffort)
 	for _, r := range w.runs {
-		switch {
-		case r.step.Target > 0:
-			s := impact.Serving{Image: r.step.Image, Own: defaultOwnLoad}
-			if r.measured {
-				s.Own = max(r.ownLoad, r.meanOwnLoad)
-			}
-			serving = append(serving, s)
-		case r.step.BestEffort:
+		if r.step.BestEffort {
 			loads = append(loads, impact.Load{Image: r.step.Image, Use: w.capacityShare(r.step.Size.Processors)})
 		}
 	}
-	return min(speed, t.interference.Headroom(impact.Load{Image: image, Use: w.capacityShare(processors)}, serving, loads))
+	for _, r := range w.runs {
+		if r.step.Target == 0 {
+			continue
+		}
+		own := defaultOwnLoad
+		if r.measured {
+			own = max(r.ownLoad, r.meanOwnLoad)
+		}
+		p.serving = append(p.serving, impact.Serving{
+			Image: r.step.Image, Own: own + t.interference.Interference(r.step.Image, loads),
+		})
+	}
+	w.pressure = p
+	return p
 }
 
 // capacityShare returns a number of processors as a share of the worker's capacity.
@@ -160,9 +179,9 @@
 	return float64(processors) / float64(max(1, w.state.Capacity.Processors))
 }
 
-// leftover returns the processors that other tasks leave to best-effort tasks, and the total that the best-effort tasks
-// request, both in thousandths.
-func (w *worker) leftover() (left, wanted int64) {
+// sumLeftover returns the processors that other tasks leave to best-effort tasks, and the total that the best-effort
+// tasks request, both in thousandths.
+func (w *worker) sumLeftover() (left, wanted int64) {
 	left = w.state.Capacity.Processors
 	for _, r := range w.runs {
 		switch {
--- a/internal/jobs/lead/commit.go
+++ b/internal/jobs/lead/commit.go
@@ -35,17 +35,17 @@
 
 // markEndsDurable marks all applied ends as durable; no progress may be waiting for a commit.
 func (t *Term) markEndsDurable() {
-	for _, w := range t.workers {
-		if w.durableEnd < w.appliedEnd {
-			w.durableEnd = w.appliedEnd
-			t.wakeBy(time.Now())
-		}
+	for w := range t.undurable {
+		w.durableEnd = w.appliedEnd
+		w.queue()
+		t.wakeBy(time.Now())
 	}
+	clear(t.undurable)
 }
 
 // startCommit writes the progress of up to maxBatch jobs in the background; the result arrives as a committed event.
 func (t *Term) startCommit(ctx context.Context, now time.Time) {
-	c := &commit{ends: make(map[*worker]uint64)}
+	c := &commit{}
 	var puts []rows.Row
 	for j := range t.dirty {
 		if len(puts) == maxBatch {
@@ -62,8 +62,8 @@
 		delete(t.dirty, j)
 	}
 	if len(t.dirty) == 0 {
-		for _, w := range t.workers {
-			c.ends[w] = w.appliedEnd
+		for w := range t.undurable {
+			c.ends = append(c.ends, appliedEnds{worker: w, incarnation: w.state.Incarnation, number: w.appliedEnd})
 		}
 		t.commitNow = false
 	}
@@ -89,14 +89,25 @@
 	for i, j := range c.jobs {
 		j.stored = c.states[i]
 	}
-	for w, end := range c.ends {
-		if end <= w.appliedEnd {
-			w.durableEnd = max(w.durableEnd, end)
-		}
+	for _, e := range c.ends {
+		t.markDurable(e)
 	}
 	return nil
 }
 
+// markDurable marks ends as durable unless the worker has been restarted since.
+func (t *Term) markDurable(e appliedEnds) {
+	w := e.worker
+	if w.state.Incarnation != e.incarnation {
+		return
+	}
+	w.durableEnd = max(w.durableEnd, e.number)
+	w.queue()
+	if w.durableEnd >= w.appliedEnd {
+		delete(t.undurable, w)
+	}
+}
+
 // removeFinished removes jobs in a final state from the active list.
 func (t *Term) removeFinished() {
 	active := t.active[:0]
--- a/internal/jobs/lead/pick.go
+++ b/internal/jobs/lead/cost.go
@@ -35,6 +35,7 @@
 	round   int
 	step    int
 	tickets map[string]string // by worker ID; nil if any worker may run the step
+	rack    string            // to which the choice is restricted; empty for all racks
 	now     time.Time
 }
 
@@ -42,80 +43,56 @@
 
 func (c *stepContext) spec() *spec.Step { return &c.job.spec.Steps[c.step] }
 
-// pick returns the worker with the lowest cost for a task, or nil if none may run it now.
-func (t *Term) pick(c stepContext, task *task) *worker { return t.pickOnRack(c, task, "") }
-
-// pickOnRack returns the worker with the lowest cost on a rack, or on all racks if rack is empty.
-func (t *Term) pickOnRack(c stepContext, task *task, rack string) *worker {
-	var best *worker
-	var cost float64
-	for _, w := range t.workers {
-		if rack != "" && w.state.Rack != rack || !t.mayRun(c, w, task) {
-			continue
-		}
-		if v := t.cost(c, w, task); best == nil || v < cost || v == cost && w.agent.Name < best.agent.Name {
-			best, cost = w, v
-		}
-	}
-	return best
-}
-
-// mayRun reports whether a worker may run a task of the step in addition to its current runs.
-func (t *Term) mayRun(c stepContext, w *worker, task *task) bool {
+// mayRun reports whether a worker may run a task of the step in addition to its current runs, and the share of full speed
+// at which a best-effort task would run there. Unreliable workers are not left out.
+func (t *Term) mayRun(c stepContext, w *worker) (speed float64, ok bool) {
 	s := c.spec()
 	if !w.acceptsRuns() || w.state.Service != c.job.spec.Service {
-		return false
+		return 0, false
 	}
-	if s.Label != "" && !w.hasLabel(s.Label) {
-		return false
+	if c.rack != "" && w.state.Rack != c.rack || s.Label != "" && !w.hasLabel(s.Label) {
+		return 0, false
 	}
 	if c.tickets != nil {
 		if _, ok := c.tickets[w.state.Incarnation.ID]; !ok {
-			return false
+			return 0, false
 		}
 	}
 	if !s.Reserved().Fits(w.free()) {
-		return false
-	}
-	if s.BestEffort && !t.fitsBestEffort(c, w) {
-		return false
+		return 0, false
 	}
 	if s.PerWorker > 0 && w.countRuns(c.job, c.round, c.step) >= s.PerWorker {
-		return false
-	}
-	for _, r := range task.runs {
-		if r.worker == w {
-			return false
-		}
+		return 0, false
 	}
-	if w.reliability.isUnreliable(c.now) {
-		return t.mayProbe(w, task, c.now)
+	if !s.BestEffort {
+		return 1, true
 	}
-	return true
+	return t.fitsBestEffort(c, w)
 }
 
-// fitsBestEffort reports whether a best-effort task would run fast enough on a worker. The speed does not matter once
+// fitsBestEffort returns the speed of a best-effort task on a worker, and whether that is fast enough. Any speed is once
 // the job has been without runs for maxJobIdle.
-func (t *Term) fitsBestEffort(c stepContext, w *worker) bool {
+func (t *Term) fitsBestEffort(c stepContext, w *worker) (speed float64, ok bool) {
 	s := c.spec()
-	left, wanted := w.leftover()
-	if w.isStalled(c.now) || float64(left-wanted-s.Size.Processors) < -maxOvercommit*float64(w.state.Capacity.Processors) {
-		return false
+	p := t.pressureOn(w)
+	if w.isStalled(c.now) || float64(p.left-p.wanted-s.Size.Processors) < -maxOvercommit*float64(w.state.Capacity.Processors) {
+		return 0, false
 	}
-	if t.bestEffortSpeed(w, s.Image, s.Size.Processors) >= minStartSpeed {
-		return true
-	}
-	return c.job.running == 0 && c.now.Sub(c.job.idleSince) > maxJobIdle
+	speed = t.bestEffortSpeed(w, s.Image, s.Size.Processors)
+	return speed, speed >= minStartSpeed || c.job.isIdle(c.now)
 }
 
-// mayProbe reports whether an unreliable worker may run a task as a probe: the worker is idle and the task has not
-// failed.
-func (t *Term) mayProbe(w *worker, task *task, now time.Time) bool {
-	return len(task.failed) == 0 && len(w.runs) == 0 && now.After(w.reliability.probeAt)
+// isIdle reports whether the job has been without runs for maxJobIdle.
+func (j *job) isIdle(now time.Time) bool { return j.running == 0 && now.Sub(j.idleSince) > maxJobIdle }
+
+// mayProbe reports whether an unreliable worker may run a task as a probe.
+func (w *worker) mayProbe(now time.Time) bool {
+	return len(w.runs) == 0 && now.After(w.reliability.probeAt)
 }
 
-// cost returns the cost of placing a task on a worker; 1 corresponds to a full load.
-func (t *Term) cost(c stepContext, w *worker, task *task) float64 {
+// cost returns the cost of placing a task of the step on a worker, where it would run at a share of full speed; 1
+// corresponds to a full load.
+func (t *Term) cost(c stepContext, w *worker, speed float64) float64 {
 	s := c.spec()
 	capacity := max(1, w.state.Capacity.Processors)
 	v := float64(w.used.Processors+s.Size.Processors) / float64(capacity)
@@ -130,12 +107,9 @@
 	if s.DataRack != "" && w.state.Rack != s.DataRack {
 		v += remoteCost
 	}
-	if task.avoid == w {
-		v += avoidCost
-	}
 	switch {
 	case s.BestEffort:
-		v += slowBestEffortCost * (1 - t.bestEffortSpeed(w, s.Image, s.Size.Processors))
+		v += slowBestEffortCost * (1 - speed)
 		if w.serving == 0 {
 			v += isolationCost / (1 + t.interference.Typical(s.Image))
 		} else {
@@ -203,9 +177,11 @@
 			r.worker.remove(r)
 		}
 	}()
+	c.rack = rack
+	p := t.newPlacement(c, len(ready))
 	chosen := make([]*worker, 0, len(ready))
 	for _, i := range ready {
-		w := t.pickOnRack(c, &c.job.tasks[i], rack)
+		w := p.pick(&c.job.tasks[i])
 		if w == nil {
 			return nil
 		}
@@ -213,6 +189,7 @@
 		r.key.Task, r.key.Number = c.job.taskID(i).String(), -1
 		w.add(r)
 		placed = append(placed, r)
+		p.update(w)
 		chosen = append(chosen, w)
 	}
 	return chosen
--- a/internal/jobs/lead/intake.go
+++ b/internal/jobs/lead/intake.go
@@ -196,6 +196,7 @@
 		w.reconciled = true // registered under this leader, so it has no runs of earlier ones
 		w.lostAt = time.Now()
 		t.workers[r.Key] = w
+		t.fleet.add(w)
 	case w.rowVersion >= r.Version || w.agent == a:
 		return
 	default:
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"slices"
 	"time"
 
 	"trefoilramp.org/trefoilramp/internal/jobs/impact"
@@ -24,6 +25,11 @@
 	avoid      *worker   // where the last run failed, stalled or was too slow
 }
 
+// runsOn reports whether a worker has a run of the task.
+func (t *task) runsOn(w *worker) bool {
+	return slices.ContainsFunc(t.runs, func(r *run) bool { return r.worker == w })
+}
+
 // job holds the scheduling state of a job.
 type job struct {
 	spec          *spec.Job
@@ -44,6 +50,8 @@
 	addedAt       time.Time // when this leader added the job
 	deadline      time.Time // soft deadline for the end of the job
 	urgency       urgency
+	remaining     time.Duration            // see remainingTime; negative if unknown
+	blocks        map[int]block            // by round and step
 	forecasts     map[int]*impact.Forecast // load forecasts of serving tasks, by step
 }
 
@@ -57,6 +65,7 @@
 	j.done = make([]int, len(s.Steps)*s.Rounds())
 	j.left = len(j.tasks)
 	j.idleSince = now
+	j.remaining = -1
 	j.waiting = j.left
 	accepted := now
 	if age := time.Since(time.UnixMilli(s.AcceptedAt)); age > 0 && age < time.Minute {
@@ -148,6 +157,7 @@
 	t.done = true
 	round, step := j.locate(ordinal)
 	j.done[round*len(j.offsets)+step]++
+	j.remaining = -1
 	j.left--
 }
 
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -139,7 +139,8 @@
 func (l *Leader) takeOver(ctx context.Context, head rows.Head, version uint64) (*Term, error) {
 	t := &Term{
 		cfg: l.cfg, events: queue.NewRing[any](ringSize), jobs: make(map[spec.ID]*job),
-		workers: make(map[string]*worker), dirty: make(map[*job]struct{}), advice: make(map[stepKey]*advice),
+		workers: make(map[string]*worker), undurable: make(map[*worker]struct{}),
+		dirty: make(map[*job]struct{}), advice: make(map[stepKey]*advice),
 		interference: impact.NewTable(), loadPeriod: impact.NewPeriodEstimate(time.Now()),
 		runTimeRatios:  make(map[string]*runTimeRatio),
 		cancelledEarly: make(map[spec.ID]bool), unmatchedEnds: make(map[spec.ID][]unmatchedEnd),
@@ -150,6 +151,7 @@
 	if err != nil {
 		return nil, err
 	}
+	t.fleet = newFleet(next.Epoch)
 	t.token, t.epoch, t.confirmedAt, t.takeoverAt = t.writer.version, next.Epoch, began, time.Now()
 	t.prevGrantsEnd = t.takeoverAt.Add(leadershipLease)
 	if l.leaderEnded(head) {
@@ -211,6 +213,7 @@
 		w := newWorker(a, r.Version)
 		w.lostAt = t.takeoverAt
 		t.workers[r.Key] = w
+		t.fleet.add(w)
 		t.unreconciled++
 	}
 	done := make(map[string]rows.JobProgress, len(progress.Rows))
--- a/internal/jobs/lead/move.go
+++ b/internal/jobs/lead/move.go
@@ -1,6 +1,8 @@
 package lead
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,7 +17,9 @@
 	moveCost        = 0.7                    // seconds for a stop and a new start
 	minMoveGain     = 0.8                    // seconds that the first move of a task must save; rises with each move
 	minSpeed        = 0.03                   // share of full speed that bounds estimated run times
-	maxMovesPerPass = 4                      // each move changes the free capacity that the next one is based on
+	minMovesPerPass = 4
+	workersPerMove  = 12 // a pass may move one run per this number of workers
+	triesPerMove    = 4  // runs considered per move
 )
 
 // recordShare records the recent share of full speed of a run, and adds the work done since the last call.
@@ -42,19 +46,40 @@
 	return here, total
 }
 
-// moveSlow moves slow best-effort runs whose tasks would finish sooner on another worker.
+// moveSlow moves slow best-effort runs whose tasks would finish sooner on another worker, those of the most urgent jobs
+// and with the longest remaining time first.
 func (t *Term) moveSlow(now time.Time) {
-	moves := 0
+	type slowRun struct {
+		run  *run
+		rest float64 // seconds
+	}
+	var slow []slowRun
 	for _, w := range t.workers {
 		if !w.acceptsRuns() || w.bestEffort == 0 {
 			continue
 		}
 		for _, r := range w.runs {
-			if moves < maxMovesPerPass && t.isSlow(r, now) && t.moveRun(r, now) {
-				moves++
+			if t.isSlow(r, now) {
+				here, _ := r.remainingWork()
+				slow = append(slow, slowRun{r, here / max(minSpeed, r.share)})
 			}
 		}
 	}
+	slices.SortFunc(slow, func(a, b slowRun) int {
+		return cmp.Or(compareUrgency(a.run.job, b.run.job), cmp.Compare(b.rest, a.rest),
+			cmp.Compare(a.run.key.Task, b.run.key.Task))
+	})
+	limit := max(minMovesPerPass, len(t.workers)/workersPerMove)
+	tries := triesPerMove * limit
+	for _, s := range slow {
+		if limit == 0 || tries == 0 {
+			break
+		}
+		tries--
+		if t.moveRun(s.run, now) {
+			limit--
+		}
+	}
 }
 
 // isSlow reports whether a best-effort run is slow enough to be moved.
@@ -75,7 +100,7 @@
 		c.tickets = a.tickets
 	}
 	task := &r.job.tasks[r.ordinal]
-	to := t.pick(c, task)
+	to := t.newPlacement(c, 1).pickKnown(task)
 	if to == nil || to == r.worker {
 		return false
 	}
--- /dev/null
+++ b/internal/jobs/lead/queue_test.go
@@ -0,0 +1,208 @@
+package lead_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/conf/queues"
+	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/jobs/lead"
+	"trefoilramp.org/trefoilramp/internal/jobs/rows"
+	"trefoilramp.org/trefoilramp/internal/jobs/spec"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/stand/memory"
+)
+
+const moreThanQueue = 5000 // events
+
+// startLeader starts the only entry of a cell and waits until it leads; stop waits for its end after ctx has ended.
+func startLeader(ctx context.Context, tb testing.TB, s *memory.Store, n lead.Network) (t *lead.Term, stop func()) {
+	tb.Helper()
+	l := lead.NewLeader(lead.Config{
+		Cell: cell, Name: "entry", Address: "entry:1", Store: s.Client("entry"), Lease: time.Hour,
+		HedgeDelay: func() time.Duration { return time.Second }, Retention: time.Minute, Queues: &queues.Holder{},
+		Network: n, Meter: noMeter{}, Log: zap.NewNop(),
+	}, func() time.Duration { return 0 })
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.Run(ctx)
+	}()
+	for l.Term() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	return l.Term(), func() { <-done }
+}
+
+// accept notifies a leader of an accepted job.
+func accept(tb testing.TB, t *lead.Term, j *spec.Job) {
+	tb.Helper()
+	j.Epoch = t.Epoch()
+	packed, err := wire.Pack(j)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	t.Request(nil, &wire.JobAsk{Action: wire.JobAccepted, ID: string(j.ID), Packed: packed})
+}
+
+// gate is a network whose first Connect waits until it is opened; it implements lead.Network.
+type gate struct {
+	open chan struct{}
+}
+
+func (g gate) Connect(*lead.Term, rows.Agent) { <-g.open }
+
+func (g gate) Disconnect(string) {}
+
+// sent records the messages that a leader sends on a session; it implements lead.Link.
+type sent struct {
+	mu       sync.Mutex
+	messages []wire.Message
+	closed   bool
+}
+
+func (l *sent) Send(m wire.Message) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.messages = append(l.messages, m)
+	return nil
+}
+
+func (l *sent) Close(error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+}
+
+// orders returns the commands sent so far.
+func (l *sent) orders() []*wire.TaskOrders {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []*wire.TaskOrders
+	for _, m := range l.messages {
+		if o, ok := m.(*wire.TaskOrders); ok {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// starts returns the tasks started so far.
+func (l *sent) starts() []wire.Run {
+	var list []wire.Run
+	for _, o := range l.orders() {
+		for _, s := range o.Starts {
+			list = append(list, s.Run)
+		}
+	}
+	return list
+}
+
+// withAgentRow returns a store with the row of one agent.
+func withAgentRow(t *testing.T, name string) *memory.Store {
+	t.Helper()
+	s := memory.New()
+	value, err := rows.Encode(&rows.Agent{Name: name, Address: name})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Client(name).Change(t.Context(), rows.Change{Puts: []rows.Row{{Ref: rows.AgentRef(cell, name), Value: value}}}); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// announce reports a worker without runs.
+func announce(t *lead.Term, agent string, l lead.Link, incarnation wire.WorkerIncarnation) {
+	t.Message(agent, l, &wire.WorkerState{
+		Incarnation: incarnation, Service: "packing", Phase: wire.WorkerReady, Healthy: true,
+		Capacity: sizes.Resources{Processors: 4000, Memory: 1 << 40},
+	})
+	t.Message(agent, l, &wire.RunReport{Incarnation: incarnation, Complete: true, RequestLease: true, Clock: 1})
+}
+
+// Guards against sessions that open or close unnoticed, and against a request that waits for its timeout, while a leader
+// that was paused has more events to handle than its queue holds: hundreds of agents that come back at once.
+func TestFullQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		g := gate{make(chan struct{})}
+		term, stop := startLeader(ctx, t, withAgentRow(t, "host"), g)
+		l, entry := &sent{}, &sent{}
+		go func() {
+			for range moreThanQueue {
+				term.Message("unknown", l, &wire.RunReport{})
+			}
+			term.Opened("host", l)
+			announce(term, "host", l, wire.WorkerIncarnation{ID: "host-1", StartedAt: 1})
+		}()
+		time.Sleep(time.Second)
+		term.Request(entry, &wire.JobAsk{Number: 7, Action: wire.QueueLength})
+		close(g.open)
+		time.Sleep(time.Second)
+		accept(t, term, job(1, 1, 1))
+		time.Sleep(time.Second)
+		if n := len(l.starts()); n != 1 || l.closed {
+			t.Errorf("%d starts on the agent whose session opened while the queue was full, closed: %t; want 1 start", n, l.closed)
+		}
+		if len(entry.messages) != 1 || entry.messages[0].(*wire.JobTell).Verdict != wire.VerdictNotDone {
+			t.Errorf("reply to a request while the queue was full: %+v; want VerdictNotDone", entry.messages)
+		}
+		cancel()
+		stop()
+	})
+}
+
+// Guards against an end that is acknowledged before its effect is stored, because a commit that was in flight while the
+// worker restarted covers the same end number of the earlier incarnation.
+func TestAcknowledgedEndIsOfCurrentIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := withAgentRow(t, "host")
+		open := make(chan struct{})
+		close(open)
+		var slow atomic.Bool
+		s.NextFault = func(string) memory.Fault {
+			if slow.Load() {
+				return memory.Fault{Slow: 300 * time.Millisecond}
+			}
+			return memory.Fault{}
+		}
+		term, stop := startLeader(ctx, t, s, gate{open})
+		l := &sent{}
+		end := func(i wire.WorkerIncarnation, n uint64, r wire.Run) {
+			term.Message("host", l, &wire.RunReport{Incarnation: i, Ended: []wire.RunEnd{{Number: n, Run: r, Cause: wire.EndDone}}, LastOrders: 1})
+		}
+		first, second := wire.WorkerIncarnation{ID: "host-1", StartedAt: 1}, wire.WorkerIncarnation{ID: "host-2", StartedAt: 2}
+		term.Opened("host", l)
+		announce(term, "host", l, first)
+		accept(t, term, job(1, 1, 1))
+		time.Sleep(time.Second)
+		slow.Store(true)
+		end(first, 1, l.starts()[0])
+		time.Sleep(100 * time.Millisecond) // the commit is in flight
+		announce(term, "host", l, second)
+		accept(t, term, job(2, 1, 1))
+		time.Sleep(20 * time.Millisecond)
+		end(second, 1, l.starts()[1])
+		time.Sleep(220 * time.Millisecond) // the first commit is done, the second one is in flight
+		for _, o := range l.orders() {
+			if o.Incarnation == second && o.DurableEnds > 0 {
+				t.Errorf("end %d of the new incarnation is acknowledged before it is stored", o.DurableEnds)
+			}
+		}
+		time.Sleep(time.Second)
+		orders := l.orders()
+		if last := orders[len(orders)-1]; last.Incarnation != second || last.DurableEnds != 1 {
+			t.Errorf("last commands acknowledge end %d of %v; want 1 of %v", last.DurableEnds, last.Incarnation, second)
+		}
+		cancel()
+		stop()
+	})
+}
--- a/internal/jobs/lead/schedule.go
+++ b/internal/jobs/lead/schedule.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"trefoilramp.org/trefoilramp/internal/core/event"
-	"trefoilramp.org/trefoilramp/internal/core/sizes"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
@@ -26,14 +25,17 @@
 	if !t.mayGrant(now) {
 		return // a later leader may assume that this one has stopped starting runs
 	}
+	t.waiting = t.waiting[:0]
 	for _, j := range t.active {
-		j.updateUrgency(now)
+		if j.waiting > 0 {
+			j.updateUrgency(now)
+			t.waiting = append(t.waiting, j)
+		}
 	}
-	slices.SortStableFunc(t.active, compareUrgency)
-	var blocked []sizes.Resources // sizes for which no worker has free capacity in this pass
-	for _, j := range t.active {
-		if j.waiting > 0 && !j.state.IsFinal() {
-			blocked = t.scheduleJob(ctx, j, now, blocked)
+	slices.SortStableFunc(t.waiting, compareUrgency)
+	for _, j := range t.waiting {
+		if !j.state.IsFinal() {
+			t.scheduleJob(ctx, j, now)
 		}
 	}
 	t.watchRuns(now)
@@ -59,6 +61,9 @@
 	if j.spec.Rounds() > 1 {
 		return 0
 	}
+	if j.remaining >= 0 {
+		return j.remaining
+	}
 	ends := make([]int64, len(j.spec.Steps))
 	var longest int64
 	for i := range j.spec.Steps {
@@ -71,7 +76,8 @@
 		}
 		longest = max(longest, ends[i])
 	}
-	return time.Duration(longest) * time.Millisecond
+	j.remaining = time.Duration(longest) * time.Millisecond
+	return j.remaining
 }
 
 // compareUrgency returns a negative number if a is more urgent than b.
@@ -89,8 +95,8 @@
 	return x.deadline.Compare(y.deadline)
 }
 
-// scheduleJob starts the waiting tasks of a job, and returns blocked extended by the sizes that found no free capacity.
-func (t *Term) scheduleJob(ctx context.Context, j *job, now time.Time, blocked []sizes.Resources) []sizes.Resources {
+// scheduleJob starts the waiting tasks of a job.
+func (t *Term) scheduleJob(ctx context.Context, j *job, now time.Time) {
 	wall := time.Now()
 	for round := range j.spec.Rounds() {
 		if due, ok := j.spec.Due(round); ok && wall.Before(due.Add(dueMargin)) {
@@ -98,28 +104,70 @@
 			break
 		}
 		for step := range j.spec.Steps {
-			if j.done[round*len(j.offsets)+step] == j.spec.Steps[step].Count || !j.mayStart(round, step, wall) {
-				continue
-			}
-			if slices.ContainsFunc(blocked, func(r sizes.Resources) bool { return r == j.spec.Steps[step].Size }) {
-				continue
-			}
-			if !t.scheduleStep(ctx, j, round, step, now) {
-				blocked = append(blocked, j.spec.Steps[step].Size)
+			if j.done[round*len(j.offsets)+step] < j.spec.Steps[step].Count && j.mayStart(round, step, wall) {
+				t.scheduleStep(ctx, j, round, step, now)
 			}
 		}
 	}
-	return blocked
 }
 
-// scheduleStep starts the waiting tasks of a step and reports false if no worker had free capacity for one of them.
-func (t *Term) scheduleStep(ctx context.Context, j *job, round, step int, now time.Time) bool {
+// block records that no worker could run a task of a step.
+type block struct {
+	change uint64 // last change in the fleet that was considered
+	isIdle bool   // the job had been without runs for maxJobIdle
+}
+
+// scheduleStep starts the waiting tasks of a step. If no worker could run one of them before, only workers that have
+// changed since are considered.
+func (t *Term) scheduleStep(ctx context.Context, j *job, round, step int, now time.Time) {
 	s := &j.spec.Steps[step]
 	if j.inherited && t.unreconciled > 0 && !s.Speculative {
-		return true // a run that this leader does not know yet may exist
+		return // a run that this leader does not know yet may exist
+	}
+	key := round*len(j.offsets) + step
+	last, isBlocked := j.blocks[key]
+	isBlocked = isBlocked && last.isIdle == j.isIdle(now)
+	if isBlocked && last.change == t.fleet.changes {
+		return
+	}
+	ready := t.readyTasks(j, round, step, now)
+	if len(ready) == 0 {
+		delete(j.blocks, key)
+		return
+	}
+	c := stepContext{job: j, round: round, step: step, now: now}
+	if t.isAdvised(j) {
+		var ok bool
+		if c.tickets, ok = t.tickets(ctx, j, round, step, now); !ok {
+			return
+		}
 	}
+	change := t.fleet.changes
+	var ok bool
+	switch {
+	case s.Gang:
+		ok = t.startGang(c, ready, s.Count)
+	case isBlocked && c.tickets == nil:
+		p := &placement{term: t, step: c}
+		p.consider(t.fleet.changedSince(last.change))
+		ok = t.startTasks(p, ready)
+	default:
+		ok = t.startTasks(t.newPlacement(c, len(ready)), ready)
+	}
+	if ok {
+		delete(j.blocks, key)
+		return
+	}
+	if j.blocks == nil {
+		j.blocks = make(map[int]block)
+	}
+	j.blocks[key] = block{change: change, isIdle: j.isIdle(now)}
+}
+
+// readyTasks returns the ordinals of the tasks of a step that may start now, valid until the next call.
+func (t *Term) readyTasks(j *job, round, step int, now time.Time) []int {
 	first, end := j.span(round, step)
-	var ready []int
+	t.ready = t.ready[:0]
 	for i := first; i < end; i++ {
 		task := &j.tasks[i]
 		if task.done || len(task.runs) > 0 {
@@ -129,28 +177,21 @@
 			t.wakeBy(task.retryAt)
 			continue
 		}
-		ready = append(ready, i)
-	}
-	if len(ready) == 0 {
-		return true
-	}
-	var tickets map[string]string
-	if t.isAdvised(j) {
-		var ok bool
-		if tickets, ok = t.tickets(ctx, j, round, step, now); !ok {
-			return true
-		}
-	}
-	c := stepContext{job: j, round: round, step: step, tickets: tickets, now: now}
-	if s.Gang {
-		return t.startGang(c, ready, end-first)
+		t.ready = append(t.ready, i)
 	}
+	return t.ready
+}
+
+// startTasks starts tasks on the workers of a placement, and reports false if no worker may run one of them.
+func (t *Term) startTasks(p *placement, ready []int) bool {
+	c := &p.step
 	for _, i := range ready {
-		w := t.pick(c, &j.tasks[i])
+		w := p.pick(&c.job.tasks[i])
 		if w == nil {
 			return false
 		}
-		t.start(j, i, w, c.ticket(w), now)
+		t.start(c.job, i, w, c.ticket(w), c.now)
+		p.update(w)
 	}
 	return true
 }
--- a/internal/jobs/lead/speed.go
+++ b/internal/jobs/lead/speed.go
@@ -90,11 +90,11 @@
 
 // recordLate lowers the speed of the worker, once per run, when a run takes much longer than its reference run time.
 func (t *Term) recordLate(r *run, now time.Time) {
-	want, ok := t.referenceSeconds(r, now)
-	if !ok || !measuresSpeed(r) || r.speedRecorded {
+	if !measuresSpeed(r) || r.speedRecorded {
 		return
 	}
-	if took := now.Sub(r.startedAt).Seconds(); took < lateRatio*want {
+	want, ok := t.referenceSeconds(r, now)
+	if took := now.Sub(r.startedAt).Seconds(); !ok || took < lateRatio*want {
 		return
 	}
 	r.speedRecorded = true
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -111,14 +111,19 @@
 	prevGrantsEnd time.Time
 
 	jobs           map[spec.ID]*job
-	active         []*job             // not in a final state
-	workers        map[string]*worker // by agent name
-	unreconciled   int                // workers that may still have unknown runs of earlier leaders
-	dirty          map[*job]struct{}  // progress waits for a commit
-	commitNow      bool               // a final state waits for a commit
-	commit         *commit            // in flight, or nil
-	confirmedAt    time.Time          // start of the last confirmed write
-	commitAt       time.Time          // start of the last commit
+	active         []*job               // not in a final state
+	waiting        []*job               // of active, those with tasks to start, by urgency; of the last pass
+	ready          []int                // of the last call of readyTasks
+	workers        map[string]*worker   // by agent name
+	fleet          *fleet               // of workers
+	expireAt       time.Time            // next check for expired leases
+	undurable      map[*worker]struct{} // workers with applied ends that are not durable
+	unreconciled   int                  // workers that may still have unknown runs of earlier leaders
+	dirty          map[*job]struct{}    // progress waits for a commit
+	commitNow      bool                 // a final state waits for a commit
+	commit         *commit              // in flight, or nil
+	confirmedAt    time.Time            // start of the last confirmed write
+	commitAt       time.Time            // start of the last commit
 	interference   *impact.Table
 	loadPeriod     *impact.PeriodEstimate   // period of the loads of serving tasks
 	runTimeRatios  map[string]*runTimeRatio // by queue
@@ -140,8 +145,15 @@
 // commit is a write of progress that is in flight.
 type commit struct {
 	jobs   []*job
-	states []rows.State       // states written, in the order of jobs
-	ends   map[*worker]uint64 // last ends that become durable with the write
+	states []rows.State  // states written, in the order of jobs
+	ends   []appliedEnds // become durable with the write
+}
+
+// appliedEnds are the ends up to a number on an incarnation of a worker.
+type appliedEnds struct {
+	worker      *worker
+	incarnation wire.WorkerIncarnation
+	number      uint64
 }
 
 // errResigned ends a term when the entry shuts down.
@@ -159,25 +171,27 @@
 // Message delivers a message from an agent.
 func (t *Term) Message(agent string, l Link, m wire.Message) { t.put(message{agent, l, m}) }
 
-// Request delivers a request from an entry; the reply is sent on l.
-func (t *Term) Request(l Link, m *wire.JobAsk) { t.put(requested{l, m}) }
-
-// put queues an event. If the queue is full, it closes the session of a message's sender, so that no message is lost
-// silently.
-func (t *Term) put(ev any) {
-	if t.events.TryPut(ev) {
+// Request delivers a request from an entry; the reply is sent on l. If the queue is full, the reply is that nothing was
+// done; notifications are dropped, since the leader reads the rows of jobs and cancellations too.
+func (t *Term) Request(l Link, m *wire.JobAsk) {
+	if t.events.TryPut(requested{l, m}) || m.Number == 0 {
 		return
 	}
-	if m, ok := ev.(message); ok {
-		m.link.Close(errors.New("ring of the leader is full"))
+	if err := l.Send(&wire.JobTell{Number: m.Number, Verdict: wire.VerdictNotDone}); err != nil {
+		l.Close(err)
 	}
 }
 
+// put queues an event of a session and waits while the queue is full, so that the sender is slowed down. After the end
+// of the term, it drops the event.
+func (t *Term) put(ev any) { t.events.Put(context.Background(), ev) }
+
 // run processes events until ctx ends and then returns errResigned, or until a commit fails, for example because
 // another entry has taken over.
 func (t *Term) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer t.wg.Wait()
+	defer t.events.Close()
 	defer cancel()
 	for _, w := range t.workers {
 		t.cfg.Network.Connect(t, w.agent)
@@ -263,13 +277,17 @@
 
 // flush sends the queued commands and acknowledgements to the agents.
 func (t *Term) flush() {
-	for _, w := range t.workers {
+	for _, w := range t.fleet.outbox {
+		w.isQueued = false
 		if w.link == nil || !w.synced {
 			w.out = nil
 			continue
 		}
 		if w.durableEnd > w.ackedEnd {
-			w.outgoing().DurableEnds = w.durableEnd
+			if w.out == nil {
+				w.out = &wire.TaskOrders{Incarnation: w.state.Incarnation}
+			}
+			w.out.DurableEnds = w.durableEnd
 			w.ackedEnd = w.durableEnd
 		}
 		if w.out == nil {
@@ -284,4 +302,5 @@
 			w.link.Close(err)
 		}
 	}
+	t.fleet.outbox = t.fleet.outbox[:0]
 }
--- a/internal/jobs/lead/timing.go
+++ b/internal/jobs/lead/timing.go
@@ -19,6 +19,8 @@
 	headPollEvery = 500 * time.Millisecond
 	// pollEvery is the interval at which the leader reads the rows that entries and agents have changed.
 	pollEvery = 700 * time.Millisecond
+	// expireEvery is the longest interval between checks for expired leases.
+	expireEvery = 800 * time.Millisecond
 	// clockDriftFactor allows for a worker's clock that is slow by up to 2%, with a margin.
 	clockDriftFactor = 1.025
 	// leaseGrace is added to a lease for a last command that is delivered late.
--- a/internal/jobs/lead/watch.go
+++ b/internal/jobs/lead/watch.go
@@ -67,8 +67,11 @@
 // isStraggler reports whether a run takes much longer than its reference run time and a new run on another worker would
 // finish sooner.
 func (t *Term) isStraggler(r *run, now time.Time) bool {
+	if !measuresSpeed(r) || r.stopping || r.copied || !r.listed || r.job.state.IsFinal() {
+		return false
+	}
 	want, ok := t.referenceSeconds(r, now)
-	if !ok || !measuresSpeed(r) || r.stopping || r.copied || !r.listed || r.job.state.IsFinal() {
+	if !ok {
 		return false
 	}
 	took := now.Sub(r.startedAt).Seconds()
@@ -95,7 +98,7 @@
 		return
 	}
 	task.avoid = r.worker
-	to := t.pick(c, task)
+	to := t.newPlacement(c, 1).pickKnown(task)
 	if to == nil || to == r.worker || to.reliability.relativeSpeed(now) < maxSlowShare {
 		return
 	}
--- a/internal/jobs/lead/worker.go
+++ b/internal/jobs/lead/worker.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"container/list"
 	"time"
 
 	"trefoilramp.org/trefoilramp/internal/core/sizes"
@@ -43,6 +44,12 @@
 	reliability  reliability
 	stalledSince time.Time               // since when the serving tasks are stalled; zero if they are not
 	sentWeights  map[impact.Pair]float64 // interference weights last sent to the agent
+	fleet        *fleet
+	index        int           // in fleet.shuffled
+	element      *list.Element // in fleet.recent
+	change       uint64        // number of the last change in the fleet
+	isQueued     bool          // in fleet.outbox
+	pressure     *pressure     // nil after a change
 }
 
 func newWorker(a rows.Agent, version uint64) *worker {
@@ -66,6 +73,7 @@
 // add adds a run and reserves its capacity.
 func (w *worker) add(r *run) {
 	w.runs[r.key] = r
+	w.pressure = nil
 	w.used = w.used.Plus(r.step.Reserved())
 	w.demand += r.step.Size.Processors
 	if r.step.Target > 0 {
@@ -82,6 +90,8 @@
 		return
 	}
 	delete(w.runs, r.key)
+	w.pressure = nil
+	w.fleet.touch(w)
 	w.used = w.used.Minus(r.step.Reserved())
 	w.demand -= r.step.Size.Processors
 	if r.step.Target > 0 {
@@ -112,9 +122,18 @@
 	if w.out == nil {
 		w.out = &wire.TaskOrders{Incarnation: w.state.Incarnation}
 	}
+	w.queue()
 	return w.out
 }
 
+// queue includes the worker in the next flush.
+func (w *worker) queue() {
+	if !w.isQueued {
+		w.isQueued = true
+		w.fleet.outbox = append(w.fleet.outbox, w)
+	}
+}
+
 // profileOf returns the properties of a run that an agent needs to limit interference.
 func profileOf(r *run) wire.RunProfile {
 	return wire.RunProfile{
