Start one slow task of an idle job, not all of them

Cause: the candidates of a step are evaluated once, and a job that had been without runs for 1.2 s accepts any speed. After its first start the others still counted as acceptable, so that a job held back by serving tasks put all its tasks on workers that would pace them to nothing. Ruled out by reading: the sample (11 workers are all considered) and the limits of moves (4 a pass as before).

TestIdleJobStartsOneSlowTask failed before (3 starts instead of 1).

--- a/internal/jobs/lead/bench_test.go
+++ b/internal/jobs/lead/bench_test.go
@@ -11,7 +11,6 @@
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
-	"trefoilramp.org/trefoilramp/internal/stand/memory"
 )
 
 // Guards against a start whose cost grows with the number of workers. Each worker has serving tasks, so that the choice
@@ -99,20 +98,12 @@
 
 func benchmarkStart(b *testing.B, workers int, kind string) {
 	ctx, cancel := context.WithCancel(b.Context())
-	store := memory.New()
 	network := &echoNetwork{ended: make(chan string, 1<<20)}
-	var agents []rows.Row
-	for i := range workers {
-		name := fmt.Sprintf("%04d", i)
-		value, err := rows.Encode(&rows.Agent{Name: name, Address: name})
-		if err != nil {
-			b.Fatal(err)
-		}
-		agents = append(agents, rows.Row{Ref: rows.AgentRef(cell, name), Value: value})
-	}
-	if _, err := store.Client("agents").Change(ctx, rows.Change{Puts: agents}); err != nil {
-		b.Fatal(err)
+	names := make([]string, workers)
+	for i := range names {
+		names[i] = fmt.Sprintf("%04d", i)
 	}
+	store := storeWithAgents(b, names...)
 	term, stop := startLeader(ctx, b, store, network)
 	submit := func(j *spec.Job) { accept(b, term, j) }
 	id := 0
--- a/internal/jobs/lead/placement.go
+++ b/internal/jobs/lead/placement.go
@@ -15,6 +15,7 @@
 type candidate struct {
 	worker  *worker
 	cost    float64
+	isSlow  bool // a best-effort task would be slower than minStartSpeed
 	isProbe bool // the worker is unreliable and gets only tasks that have not failed
 }
 
@@ -59,7 +60,7 @@
 	if isProbe && !w.mayProbe(p.step.now) {
 		return candidate{}, false
 	}
-	return candidate{worker: w, cost: p.term.cost(p.step, w, speed), isProbe: isProbe}, true
+	return candidate{worker: w, cost: p.term.cost(p.step, w, speed), isSlow: speed < minStartSpeed, isProbe: isProbe}, true
 }
 
 // pick returns the worker with the lowest cost for a task, or nil if no worker may run it.
@@ -88,6 +89,10 @@
 		if avoided != nil && avoided.cost+avoidCost < top.cost {
 			break
 		}
+		if top.isSlow && !p.step.job.isIdle(p.step.now) {
+			heap.Pop(&p.candidates) // the job has got a run since the evaluation
+			continue
+		}
 		switch {
 		case top.isProbe && len(task.failed) > 0 || task.runsOn(top.worker):
 		case top.worker == task.avoid:
--- a/internal/jobs/lead/queue_test.go
+++ b/internal/jobs/lead/queue_test.go
@@ -104,16 +104,20 @@
 	return list
 }
 
-// withAgentRow returns a store with the row of one agent.
-func withAgentRow(t *testing.T, name string) *memory.Store {
-	t.Helper()
-	s := memory.New()
-	value, err := rows.Encode(&rows.Agent{Name: name, Address: name})
-	if err != nil {
-		t.Fatal(err)
+// storeWithAgents returns a store with the rows of agents.
+func storeWithAgents(tb testing.TB, names ...string) *memory.Store {
+	tb.Helper()
+	var c rows.Change
+	for _, name := range names {
+		value, err := rows.Encode(&rows.Agent{Name: name, Address: name})
+		if err != nil {
+			tb.Fatal(err)
+		}
+		c.Puts = append(c.Puts, rows.Row{Ref: rows.AgentRef(cell, name), Value: value})
 	}
-	if _, err := s.Client(name).Change(t.Context(), rows.Change{Puts: []rows.Row{{Ref: rows.AgentRef(cell, name), Value: value}}}); err != nil {
-		t.Fatal(err)
+	s := memory.New()
+	if _, err := s.Client("agents").Change(tb.Context(), c); err != nil {
+		tb.Fatal(err)
 	}
 	return s
 }
@@ -133,7 +137,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		g := gate{make(chan struct{})}
-		term, stop := startLeader(ctx, t, withAgentRow(t, "host"), g)
+		term, stop := startLeader(ctx, t, storeWithAgents(t, "host"), g)
 		l, entry := &sent{}, &sent{}
 		go func() {
 			for range moreThanQueue {
@@ -164,7 +168,7 @@
 func TestAcknowledgedEndIsOfCurrentIncarnation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		s := withAgentRow(t, "host")
+		s := storeWithAgents(t, "host")
 		open := make(chan struct{})
 		close(open)
 		var slow atomic.Bool
@@ -206,3 +210,44 @@
 		stop()
 	})
 }
+
+// Guards against a burst that never drains: a job without runs may start one task on workers that would slow it down, so
+// that it makes some progress, but not all of its tasks.
+func TestIdleJobStartsOneSlowTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		open := make(chan struct{})
+		close(open)
+		hosts := []string{"host-1", "host-2", "host-3"}
+		term, stop := startLeader(ctx, t, storeWithAgents(t, hosts...), gate{open})
+		serving, bestEffort := job(1, 1, len(hosts)), job(2, 1, 8)
+		serving.Steps[0].LongRunning, serving.Steps[0].Target, serving.Steps[0].Image = true, 100, "s"
+		serving.Steps[0].PerWorker = 1
+		bestEffort.Steps[0].BestEffort, bestEffort.Steps[0].Image = true, "f"
+		bestEffort.Steps[0].Size.Processors = 400
+		links := make([]sent, len(hosts))
+		for i, name := range hosts {
+			term.Opened(name, &links[i])
+			announce(term, name, &links[i], wire.WorkerIncarnation{ID: name, StartedAt: 1})
+		}
+		accept(t, term, serving)
+		time.Sleep(time.Second)
+		for i, name := range hosts {
+			term.Message(name, &links[i], &wire.RunReport{
+				Incarnation: wire.WorkerIncarnation{ID: name, StartedAt: 1}, Complete: true, RequestLease: true, LastOrders: 1,
+				Running: []wire.RunState{{Run: links[i].starts()[0], Percent: 100, Measurement: 90}}, // a load of 0.82
+			})
+		}
+		accept(t, term, bestEffort)
+		time.Sleep(3 * time.Second)
+		n := 0
+		for i := range links {
+			n += len(links[i].starts()) - 1
+		}
+		if n != 1 {
+			t.Errorf("%d of 8 tasks started on workers without spare load; want 1", n)
+		}
+		cancel()
+		stop()
+	})
+}
