Write log lines in batches that a pipe takes whole

Cause: batches of up to 32 KiB every 100 ms. Whether the loss is in the pipe or in its reader was not looked into; a batch of 4 KiB (PIPE_BUF) is taken whole by any. Ruled out: the ring of 8,192 lines (the leader logs about 500 lines a second). TestWritesFitPipe failed before (33,040 bytes).

--- a/internal/ops/logs/logs_test.go
+++ b/internal/ops/logs/logs_test.go
@@ -48,3 +48,34 @@
 		t.Errorf("%d lines written, %d dropped of %d", written, w.Dropped(), lines)
 	}
 }
+
+// sizes records the size of each write.
+type sizes struct {
+	mu      sync.Mutex
+	largest int
+}
+
+func (s *sizes) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.largest = max(s.largest, len(p))
+	return len(p), nil
+}
+
+// Guards against lines that are lost in part at a pipe whose reader takes 4 KiB at a time, while a leader logs thousands
+// of starts a second.
+func TestWritesFitPipe(t *testing.T) {
+	o := &sizes{}
+	w := logs.NewWriter(o)
+	line := bytes.Repeat([]byte("x"), 280)
+	for range 2000 {
+		if _, err := w.Write(line); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w.Flush()
+	const pipeBuffer = 4096 // bytes
+	if o.largest > pipeBuffer || w.Dropped() > 0 {
+		t.Errorf("largest write %d bytes, %d lines dropped; want at most %d bytes and none", o.largest, w.Dropped(), pipeBuffer)
+	}
+}
--- a/internal/ops/logs/writer.go
+++ b/internal/ops/logs/writer.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	ringLines  = 8192                   // capacity of the queue
-	batchBytes = 32 << 10               // size at which a batch is written
-	batchDelay = 100 * time.Millisecond // delay between the first line of a batch and its write
+	ringLines  = 8192                  // capacity of the queue
+	batchBytes = 4 << 10               // limit of a batch: what a pipe takes whole (PIPE_BUF)
+	batchDelay = 20 * time.Millisecond // delay between the first line of a batch and its write
 )
 
 // Writer is a zapcore.WriteSyncer that writes lines in the background.
@@ -69,14 +69,11 @@
 	}
 }
 
-// flush writes batch and all queued lines.
+// flush writes batch and all queued lines, at most batchBytes at a time unless one line is longer.
 func (w *Writer) flush(batch *bytes.Buffer) {
 	for {
 		line, ok := w.lines.TryTake()
-		if ok {
-			batch.Write(line)
-		}
-		if batch.Len() > 0 && (!ok || batch.Len() >= batchBytes) {
+		if batch.Len() > 0 && (!ok || batch.Len()+len(line) > batchBytes) {
 			if _, err := w.out.Write(batch.Bytes()); err != nil {
 				w.dropped.Add(uint64(bytes.Count(batch.Bytes(), []byte{'\n'})))
 			}
@@ -85,5 +82,6 @@
 		if !ok {
 			return
 		}
+		batch.Write(line)
 	}
 }
