End a term when an agent has a newer leader, and dial refusing agents with a delay

Now an agent sends the token of its leader to each leader that it refuses or leaves, with a message that older builds ignore; a leader that sees a higher token than its own ends its term. Sessions that end within 2 s are dialed again after 0.1 to 1 s. Ruled out: two leaders acting on one worker (the agents refused the old one each time).

TestLeaderEndsWhenAgentHasNewerLeader, TestRefusedLeaderDialsWithDelay (2,371 sessions in 2 s before, limit 8) and TestLowerTokenIsRefused with its new check failed before.

--- a/internal/host/driver/agent.go
+++ b/internal/host/driver/agent.go
@@ -156,10 +156,12 @@
 	defer a.mu.Unlock()
 	if m.Token < a.token {
 		event.Log(a.cfg.Log, event.LeaderRefused, zap.Uint64("Token", m.Token), zap.Uint64("Highest", a.token))
+		a.sendSuperseded(l, m.Cell, a.token)
 		return false
 	}
 	event.Log(a.cfg.Log, event.LeaderAdopted, zap.Uint64("Token", m.Token), zap.Uint64("Before", a.token))
 	if a.leader != nil && a.leader != l {
+		a.sendSuperseded(a.leader, m.Cell, m.Token)
 		a.leader.Close(ErrSuperseded)
 	}
 	a.token, a.leader, a.synced, a.reported, a.commandNumber = m.Token, l, false, a.acked, 0
@@ -173,6 +175,14 @@
 	return true
 }
 
+// sendSuperseded tells a leader the token of the leader that has adopted the agent, so that a deposed leader stops even
+// while it cannot reach the store. The session is closed next, so an error does not matter.
+func (a *Agent) sendSuperseded(l Leader, cell string, token uint64) {
+	if err := l.Send(&wire.LeadAdopt{Cell: cell, Token: token}); err != nil {
+		event.Log(a.cfg.Log, event.LeaderUnreachable, zap.Stringer("Message", wire.KindLeadAdopt), zap.Error(err))
+	}
+}
+
 // LeaderDisconnected records that the session l has ended.
 func (a *Agent) LeaderDisconnected(l Leader) {
 	a.mu.Lock()
--- a/internal/host/driver/driver_test.go
+++ b/internal/host/driver/driver_test.go
@@ -227,6 +227,9 @@
 		if a.Adopt(old, &wire.LeadAdopt{Token: 4}) {
 			t.Error("a leader with a lower token was adopted")
 		}
+		if m, ok := old.messages[0].(*wire.LeadAdopt); !ok || m.Token != 5 {
+			t.Errorf("message to a leader with token 4: %+v; want the token 5 of the leader", old.messages[0])
+		}
 		a.Execute(ctx, old, commands(1, w, run1))
 		time.Sleep(time.Second)
 		if n := len(w.Records()); n != 0 {
--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -39,10 +39,14 @@
 	event.Log(t.cfg.Log, event.AgentClosed, zap.String("Agent", w.agent.Name), zap.Int("Runs", len(w.runs)))
 }
 
-func (t *Term) agentMessage(ev message) {
+// agentMessage handles a message of an agent. It returns errDeposed if a later leader has adopted the agent.
+func (t *Term) agentMessage(ev message) error {
+	if m, ok := ev.m.(*wire.LeadAdopt); ok && m.Cell == t.cfg.Cell && m.Token > t.token {
+		return errDeposed
+	}
 	w := t.workers[ev.agent]
 	if w == nil || w.link != ev.link {
-		return
+		return nil
 	}
 	switch m := ev.m.(type) {
 	case *wire.WorkerState:
@@ -50,6 +54,7 @@
 	case *wire.RunReport:
 		t.applyReport(w, m)
 	}
+	return nil
 }
 
 // applyWorkerState records the reported state of a worker. When the worker has restarted or exited, all runs of the
--- a/internal/jobs/lead/queue_test.go
+++ b/internal/jobs/lead/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -80,12 +81,17 @@
 	l.closed = true
 }
 
-// orders returns the commands sent so far.
-func (l *sent) orders() []*wire.TaskOrders {
+// all returns the messages sent so far.
+func (l *sent) all() []wire.Message {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return slices.Clone(l.messages)
+}
+
+// orders returns the commands sent so far.
+func (l *sent) orders() []*wire.TaskOrders {
 	var list []*wire.TaskOrders
-	for _, m := range l.messages {
+	for _, m := range l.all() {
 		if o, ok := m.(*wire.TaskOrders); ok {
 			list = append(list, o)
 		}
@@ -155,8 +161,8 @@
 		if n := len(l.starts()); n != 1 || l.closed {
 			t.Errorf("%d starts on the agent whose session opened while the queue was full, closed: %t; want 1 start", n, l.closed)
 		}
-		if len(entry.messages) != 1 || entry.messages[0].(*wire.JobTell).Verdict != wire.VerdictNotDone {
-			t.Errorf("reply to a request while the queue was full: %+v; want VerdictNotDone", entry.messages)
+		if m := entry.all(); len(m) != 1 || m[0].(*wire.JobTell).Verdict != wire.VerdictNotDone {
+			t.Errorf("reply to a request while the queue was full: %+v; want VerdictNotDone", m)
 		}
 		cancel()
 		stop()
@@ -251,3 +257,39 @@
 		stop()
 	})
 }
+
+// Guards against a leader that has been deposed while it cannot reach the store, and keeps acting on the agents and
+// answering entries until its lease runs out, although an agent knows its successor.
+func TestLeaderEndsWhenAgentHasNewerLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := storeWithAgents(t, "host")
+		var down atomic.Bool
+		s.NextFault = func(string) memory.Fault { return memory.Fault{Refuse: down.Load()} }
+		open := make(chan struct{})
+		close(open)
+		term, stop := startLeader(ctx, t, s, gate{open})
+		l, entry := &sent{}, &sent{}
+		term.Opened("host", l)
+		announce(term, "host", l, wire.WorkerIncarnation{ID: "host-1", StartedAt: 1})
+		time.Sleep(time.Second)
+		down.Store(true)
+		token := l.all()[0].(*wire.LeadAdopt).Token
+		term.Message("host", l, &wire.LeadAdopt{Cell: cell, Token: token})
+		time.Sleep(50 * time.Millisecond)
+		term.Request(entry, &wire.JobAsk{Number: 1, Action: wire.QueueLength})
+		time.Sleep(50 * time.Millisecond)
+		if n := len(entry.all()); n != 1 {
+			t.Errorf("%d replies after its own token came back; want 1", n)
+		}
+		term.Message("host", l, &wire.LeadAdopt{Cell: cell, Token: token + 1})
+		time.Sleep(50 * time.Millisecond)
+		accept(t, term, job(1, 1, 1))
+		time.Sleep(50 * time.Millisecond)
+		if n := len(l.starts()); n != 0 {
+			t.Errorf("%d starts by a leader whose agent has adopted a newer one; want none", n)
+		}
+		cancel()
+		stop()
+	})
+}
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -251,7 +251,7 @@
 	case closed:
 		t.agentClosed(ev)
 	case message:
-		t.agentMessage(ev)
+		return t.agentMessage(ev)
 	case requested:
 		t.handleRequest(ev)
 	case committed:
--- a/internal/link/wire/task.go
+++ b/internal/link/wire/task.go
@@ -55,7 +55,8 @@
 	Number int
 }
 
-// LeadAdopt puts an agent under a new leader; Token is its fencing token, higher than that of every earlier leader.
+// LeadAdopt puts an agent under a new leader; Token is its fencing token, higher than that of every earlier leader. An
+// agent sends it to a leader that it refuses or leaves, with the token of the leader that has adopted it.
 type LeadAdopt struct {
 	Cell  string
 	Token uint64
--- a/internal/role/jobs/agents.go
+++ b/internal/role/jobs/agents.go
@@ -18,6 +18,7 @@
 	dialTimeout    = 1200 * time.Millisecond // for a connection with its handshake, or a request of another entry
 	minRedialDelay = 100 * time.Millisecond
 	maxRedialDelay = time.Second
+	stableAfter    = 2 * time.Second // duration of a session after which the next one is dialed without delay
 )
 
 // agentNetwork maintains the leader's sessions to the agents of a cell; it implements lead.Network.
@@ -65,6 +66,7 @@
 func (n *agentNetwork) maintain(ctx context.Context, t *lead.Term, a rows.Agent) {
 	delay := minRedialDelay
 	for ctx.Err() == nil {
+		dialedAt := time.Now()
 		h := &agentHandler{term: t, name: a.Name, ready: make(chan struct{})}
 		limited, cancel := context.WithTimeout(ctx, dialTimeout)
 		s, err := sess.Dial(limited, a.Address, n.cfg, h)
@@ -74,7 +76,6 @@
 			delay = min(2*delay, maxRedialDelay)
 			continue
 		}
-		delay = minRedialDelay
 		l := &link{session: s}
 		h.link = l
 		t.Opened(a.Name, l)
@@ -86,6 +87,12 @@
 		}
 		s.Wait()
 		t.Closed(a.Name, l)
+		if time.Since(dialedAt) >= stableAfter {
+			delay = minRedialDelay
+			continue
+		}
+		pause.For(ctx, delay) // the agent closes sessions at once, for example because it follows another leader
+		delay = min(2*delay, maxRedialDelay)
 	}
 }
 
@@ -109,6 +116,7 @@
 }
 
 // HandleMessage implements sess.Handler.
+// HandleMessage waits while the queue of the term is full, which slows the agent down.
 func (h *agentHandler) HandleMessage(_ *sess.Session, m wire.Message) {
 	<-h.ready
 	h.term.Message(h.name, h.link, m)
--- a/internal/role/jobs/jobs_test.go
+++ b/internal/role/jobs/jobs_test.go
@@ -5,16 +5,20 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 
 	"trefoilramp.org/trefoilramp/internal/conf/queues"
+	"trefoilramp.org/trefoilramp/internal/core/ident"
 	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/host/driver"
 	"trefoilramp.org/trefoilramp/internal/jobs/intake"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
+	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/ops/metric"
 	"trefoilramp.org/trefoilramp/internal/role/jobs"
@@ -155,3 +159,55 @@
 	await(t, "job accepted before a handover", isDone(second, c))
 	await(t, "job accepted after a handover", isDone(second, submit(second, 4)))
 }
+
+// refusingAgent closes each session of a leader at once, as an agent does that has adopted a newer leader.
+type refusingAgent struct {
+	sessions atomic.Int64
+}
+
+func (r *refusingAgent) HandleMessage(s *sess.Session, _ wire.Message) {
+	r.sessions.Add(1)
+	s.Close(driver.ErrSuperseded)
+}
+
+func (r *refusingAgent) HandleStream(_ *sess.Session, st *sess.Stream) {
+	st.Reset("no streams are served")
+}
+
+func (r *refusingAgent) HandleClosed(*sess.Session, error) {}
+
+// Guards against a storm of sessions: a leader that agents refuse dialed each of them again without a pause.
+func TestRefusedLeaderDialsWithDelay(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	s := memory.New()
+	putConfig(t, s, 3)
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, err := rows.Encode(&rows.Agent{Name: "worker-1", Address: ln.Addr().String()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Client("worker-1").Change(ctx, rows.Change{Puts: []rows.Row{{Ref: rows.AgentRef("main", "worker-1"), Value: value}}}); err != nil {
+		t.Fatal(err)
+	}
+	agent := &refusingAgent{}
+	self := wire.Hello{Role: wire.RoleAgent, Name: "worker-1", Incarnation: ident.NewIncarnation(), Zone: "agadir"}
+	wg.Go(func() {
+		if err := sess.Serve(ctx, ln, sess.Config{Self: self, Key: key, Log: zap.NewNop()}, agent); err != nil {
+			t.Error(err)
+		}
+	})
+	startEntry(ctx, t, s, "entry-1", &wg)
+	await(t, "first session", func() bool { return agent.sessions.Load() > 0 })
+	time.Sleep(2 * time.Second)
+	const limit = 8 // after 0.1, 0.2, 0.4, 0.8 and then every 1 s, with a margin
+	if n := agent.sessions.Load(); n > limit {
+		t.Errorf("%d sessions in 2 s with an agent that refuses them; want at most %d", n, limit)
+	}
+}
