--- a/internal/role/jobs/agents.go
+++ b/internal/role/jobs/agents.go
@@ -115,8 +115,7 @@
 	ready chan struct{} // closed when link is set
 }
 
-// HandleMessage implements sess.Handler.
-// HandleMessage waits while the queue of the term is full, which slows the agent down.
+// HandleMessage implements sess.Handler. It waits while the queue of the term is full, which slows the agent down.
 func (h *agentHandler) HandleMessage(_ *sess.Session, m wire.Message) {
 	<-h.ready
 	h.term.Message(h.name, h.link, m)
