Choose workers for best-effort tasks by the load forecast for the next 3 s

Its worker was chosen by the newest and the mean load of the serving tasks; these swing by a quarter of a load within seconds, so that a worker with spare load at the start has none two seconds later, while one past its peak was left out for its mean.

--- a/internal/jobs/lead/balance.go
+++ b/internal/jobs/lead/balance.go
@@ -16,6 +16,10 @@
 	ownLoadSmoothing  = 0.1  // weight of the newest sample in the mean own load
 	defaultOwnLoad    = 0.5  // own load of a serving task before its first sample
 	unknownOwnLoad    = -1.0 // own load of a serving task that has no sample yet
+	forecastPoints    = 3    // at which a forecast is evaluated
+
+	// forecastHorizon is the time ahead for which a best-effort task must find spare load, about a typical run time.
+	forecastHorizon = 3 * time.Second
 )
 
 // recordMeasurements records the processor use and tail latencies of a complete report, and sends the agent the
@@ -150,6 +154,7 @@
 	if w.pressure != nil {
 		return w.pressure
 	}
+	now := time.Now()
 	p := &pressure{serving: make([]impact.Serving, 0, w.serving)}
 	p.left, p.wanted = w.sumLeftover()
 	loads := make([]impact.Load, 0, w.bestEffort)
@@ -164,7 +169,7 @@
 		}
 		own := defaultOwnLoad
 		if r.measured {
-			own = max(r.ownLoad, r.meanOwnLoad)
+			own = t.expectedOwnLoad(r, now)
 		}
 		p.serving = append(p.serving, impact.Serving{
 			Image: r.step.Image, Own: own + t.interference.Interference(r.step.Image, loads),
@@ -174,6 +179,21 @@
 	return p
 }
 
+// expectedOwnLoad returns the highest load without interference that a serving run is expected to have until the end of
+// forecastHorizon: its newest load or a forecast, and its mean load while there is no forecast.
+func (t *Term) expectedOwnLoad(r *run, now time.Time) float64 {
+	f := t.forecastOf(r)
+	own := r.ownLoad
+	for i := range forecastPoints {
+		v, ok := f.At(now.Add(forecastHorizon * time.Duration(i) / (forecastPoints - 1)))
+		if !ok {
+			return max(own, r.meanOwnLoad)
+		}
+		own = max(own, v)
+	}
+	return own
+}
+
 // capacityShare returns a number of processors as a share of the worker's capacity.
 func (w *worker) capacityShare(processors int64) float64 {
 	return float64(processors) / float64(max(1, w.state.Capacity.Processors))
