Survive malformed messages and panics of handlers

Looked for by reading each decoder and by fuzz targets; found: a notification of a job was not checked (negative count: panic of the leader), a row of progress with a negative task ended each entry that took over, an entry stored unchecked jobs for another one, and a panic in a message handler or in the leader's loop ended the process. Now all are checked; a panic ends one session (E211) or one term (E941), which begins again from the rows.

--- a/internal/core/event/jobs.go
+++ b/internal/core/event/jobs.go
@@ -41,6 +41,7 @@
 	WorkerUnreliable   Number = 935
 	SettingsChecked    Number = 939
 	RunMoved           Number = 940
+	LeaderPanicked     Number = 941
 )
 
 var jobEvents = []Entry{
@@ -81,4 +82,5 @@
 	{WorkerUnreliable, zapcore.InfoLevel, "worker considered unreliable", "Runs fail or stall on the worker; it is assigned only probes for some time.", "Check the worker."},
 	{SettingsChecked, zapcore.InfoLevel, "settings file reloaded", "The settings file was read again; settings that require a restart are unchanged.", "None."},
 	{RunMoved, zapcore.InfoLevel, "run moved or copied", "A run is stopped, or a copy of it is started, because its task would end sooner on another worker.", "None."},
+	{LeaderPanicked, zapcore.ErrorLevel, "leader panicked", "An event caused a programming error; the term ends, and a new one begins from the rows of the store.", "Report the stack."},
 }
--- a/internal/core/event/session.go
+++ b/internal/core/event/session.go
@@ -14,6 +14,7 @@
 	EntryReplaced
 	MembershipStale
 	DialFailed
+	HandlerPanicked
 )
 
 var sessionEvents = []Entry{
@@ -27,4 +28,5 @@
 	{EntryReplaced, zapcore.ErrorLevel, "entry replaced", "Another process with the name of this entry has started.", "Give each entry its own name, unless this is an old process that stalled."},
 	{MembershipStale, zapcore.WarnLevel, "membership not updated", "This entry could not write its own row or read those of the others; it declares no entry dead meanwhile.", "Check the store."},
 	{DialFailed, zapcore.WarnLevel, "entry not reachable", "A session could not be opened; the dial is retried with backoff.", "Check the address, the entry and the network if this persists."},
+	{HandlerPanicked, zapcore.ErrorLevel, "message handler panicked", "A message caused a programming error; its session is closed and the process goes on.", "Report the stack, with the version of both sides."},
 }
--- a/internal/jobs/intake/intake.go
+++ b/internal/jobs/intake/intake.go
@@ -262,7 +262,11 @@
 	switch m.Action {
 	case wire.JobStore:
 		var j spec.Job
-		if err := wire.Unpack(m.Packed, &j); err != nil {
+		err := wire.Unpack(m.Packed, &j)
+		if err == nil {
+			err = j.Check()
+		}
+		if err != nil {
 			event.Log(in.cfg.Log, event.InputRefused, zap.String("Job", m.ID), zap.Error(err))
 			v = NotDone
 			break
--- a/internal/jobs/intake/intake_test.go
+++ b/internal/jobs/intake/intake_test.go
@@ -183,3 +183,23 @@
 		}
 	})
 }
+
+// Guards against a malformed job of another entry that is stored, and that each leader would read.
+func TestMalformedJobIsNotStored(t *testing.T) {
+	withIntake(t, func(t *testing.T, in *intake.Intake, s *memory.Store, _ *leader, _ *time.Time) {
+		j := newJob()
+		j.Steps[0].Count = -1
+		packed, err := wire.Pack(j)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := in.Serve(t.Context(), &wire.JobAsk{Number: 1, Action: wire.JobStore, ID: string(j.ID), Packed: packed})
+		if r.Verdict != wire.VerdictNotDone {
+			t.Errorf("verdict %v; want VerdictNotDone", r.Verdict)
+		}
+		p, err := s.Client("test").Read(t.Context(), rows.JobRef("main", j.ID).One())
+		if err != nil || len(p.Rows) != 0 {
+			t.Errorf("%d rows stored, %v; want none", len(p.Rows), err)
+		}
+	})
+}
--- a/internal/jobs/lead/bench_test.go
+++ b/internal/jobs/lead/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"trefoilramp.org/trefoilramp/internal/core/sizes"
@@ -30,11 +31,12 @@
 
 // echoNetwork connects a leader to agents that report each start as done at once; it implements lead.Network.
 type echoNetwork struct {
-	ended chan string // tasks
+	ended    chan string  // tasks
+	panicked *atomic.Bool // if not nil, the first commands panic
 }
 
 func (n *echoNetwork) Connect(t *lead.Term, a rows.Agent) {
-	l := &echoLink{term: t, name: a.Name, ended: n.ended}
+	l := &echoLink{term: t, name: a.Name, ended: n.ended, panicked: n.panicked}
 	t.Opened(a.Name, l)
 }
 
@@ -46,9 +48,10 @@
 	name  string
 	ended chan string
 
-	mu      sync.Mutex
-	running []wire.RunState
-	lastEnd uint64
+	panicked *atomic.Bool
+	mu       sync.Mutex
+	running  []wire.RunState
+	lastEnd  uint64
 }
 
 func (l *echoLink) incarnation() wire.WorkerIncarnation {
@@ -70,6 +73,9 @@
 			l.term.Message(l.name, l, &wire.RunReport{Incarnation: l.incarnation(), Complete: true, RequestLease: true, Clock: 1})
 		}()
 	case *wire.TaskOrders:
+		if l.panicked != nil && !l.panicked.Swap(true) {
+			panic("commands that cannot be sent")
+		}
 		r := &wire.RunReport{Incarnation: l.incarnation(), LastOrders: m.Number}
 		for _, s := range m.Starts {
 			if s.Target > 0 {
--- a/internal/jobs/lead/intake.go
+++ b/internal/jobs/lead/intake.go
@@ -57,7 +57,11 @@
 	switch ev.m.Action {
 	case wire.JobAccepted:
 		var s spec.Job
-		if err := wire.Unpack(ev.m.Packed, &s); err != nil {
+		err := wire.Unpack(ev.m.Packed, &s)
+		if err == nil {
+			err = s.Check()
+		}
+		if err != nil {
 			event.Log(t.cfg.Log, event.InputRefused, zap.String("Job", ev.m.ID), zap.Error(err))
 			return
 		}
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -88,7 +88,7 @@
 		}
 	}
 	for _, n := range a.Tasks {
-		if n.Task < len(j.tasks) {
+		if n.Task >= 0 && n.Task < len(j.tasks) {
 			j.tasks[n.Task].failed, j.tasks[n.Task].checkpoint = n.Failed, n.Checkpoint
 		}
 	}
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -251,6 +251,9 @@
 	for name := range t.workers {
 		l.cfg.Network.Disconnect(name)
 	}
+	if errors.Is(err, errPanicked) {
+		pause.For(ctx, panicPause) // another entry may be able to lead
+	}
 	if !errors.Is(err, errResigned) {
 		event.Log(l.cfg.Log, event.LeaderDeposed, zap.Uint64("Epoch", t.epoch), zap.Error(err))
 		return
@@ -272,4 +275,7 @@
 	event.Log(l.cfg.Log, event.LeaderResigned, zap.Uint64("Epoch", t.epoch), zap.Error(err))
 }
 
-const resignTimeout = 1500 * time.Millisecond
+const (
+	resignTimeout = 1500 * time.Millisecond
+	panicPause    = 500 * time.Millisecond // before an entry whose term panicked may lead again
+)
--- a/internal/jobs/lead/queue_test.go
+++ b/internal/jobs/lead/queue_test.go
@@ -293,3 +293,70 @@
 		stop()
 	})
 }
+
+// Guards against a malformed job that ends the process of the leader: in a notification, and in a row of progress, where
+// it would end the process of each entry that takes over.
+func TestMalformedJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := storeWithAgents(t, "host")
+		known := job(1, 1, 1)
+		value, err := rows.Encode(known)
+		if err != nil {
+			t.Fatal(err)
+		}
+		progress, err := rows.Encode(rows.JobProgress{Tasks: []rows.TaskProgress{{Task: -1}, {Task: 7}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.Client("entry").Change(ctx, rows.Change{Puts: []rows.Row{
+			{Ref: rows.JobRef(cell, known.ID), Value: value}, {Ref: rows.ProgressRef(cell, known.ID), Value: progress},
+		}}); err != nil {
+			t.Fatal(err)
+		}
+		open := make(chan struct{})
+		close(open)
+		term, stop := startLeader(ctx, t, s, gate{open})
+		l := &sent{}
+		term.Opened("host", l)
+		announce(term, "host", l, wire.WorkerIncarnation{ID: "host-1", StartedAt: 1})
+		negative, endless, empty := job(2, 1, -5), job(3, 1, 1), job(4, 0, 1)
+		endless.Occurrences = 1 << 40
+		for _, j := range []*spec.Job{negative, endless, empty} {
+			accept(t, term, j)
+		}
+		term.Request(nil, &wire.JobAsk{Action: wire.JobAccepted, ID: "x", Packed: []byte{0xdd, 0xff, 0xff, 0xff, 0xff}})
+		accept(t, term, job(5, 1, 1))
+		time.Sleep(time.Second)
+		if n := len(l.starts()); n != 2 {
+			t.Errorf("%d starts beside malformed jobs; want those of the two valid jobs", n)
+		}
+		cancel()
+		stop()
+	})
+}
+
+// Guards against an unexpected error in the leader that ends its process, or its lead for good.
+func TestPanicEndsTermOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := storeWithAgents(t, "host")
+		j := job(1, 1, 1)
+		value, err := rows.Encode(j)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.Client("entry").Change(ctx, rows.Change{Puts: []rows.Row{{Ref: rows.JobRef(cell, j.ID), Value: value}}}); err != nil {
+			t.Fatal(err)
+		}
+		var panicked atomic.Bool
+		n := &echoNetwork{ended: make(chan string, 8), panicked: &panicked}
+		_, stop := startLeader(ctx, t, s, n)
+		time.Sleep(5 * time.Second)
+		if !panicked.Load() || len(n.ended) == 0 {
+			t.Errorf("panicked: %t, ends: %d; want a run by the next term", panicked.Load(), len(n.ended))
+		}
+		cancel()
+		stop()
+	})
+}
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -159,6 +159,9 @@
 // errResigned ends a term when the entry shuts down.
 var errResigned = errors.New("the entry hands the cell over")
 
+// errPanicked ends a term whose state may be inconsistent.
+var errPanicked = errors.New("an event of the leader panicked")
+
 // Epoch returns the epoch of the term.
 func (t *Term) Epoch() uint64 { return t.epoch }
 
@@ -187,12 +190,18 @@
 func (t *Term) put(ev any) { t.events.Put(context.Background(), ev) }
 
 // run processes events until ctx ends and then returns errResigned, or until a commit fails, for example because
-// another entry has taken over.
-func (t *Term) run(ctx context.Context) error {
+// another entry has taken over. A panic ends the term with errPanicked.
+func (t *Term) run(ctx context.Context) (err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer t.wg.Wait()
 	defer t.events.Close()
 	defer cancel()
+	defer func() {
+		if p := recover(); p != nil {
+			event.Log(t.cfg.Log, event.LeaderPanicked, zap.Any("Panic", p), zap.Stack("Stack"))
+			err = errPanicked
+		}
+	}()
 	for _, w := range t.workers {
 		t.cfg.Network.Connect(t, w.agent)
 	}
--- a/internal/link/sess/reader.go
+++ b/internal/link/sess/reader.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
+	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/link/frame"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
@@ -63,6 +65,18 @@
 	if err != nil {
 		return err
 	}
+	return s.deliver(m)
+}
+
+// deliver passes a message to the handler. A panic of the handler ends this session only, since the message that caused
+// it is lost with the session.
+func (s *Session) deliver(m wire.Message) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			event.Log(s.log, event.HandlerPanicked, zap.Stringer("Message", m.Kind()), zap.Any("Panic", p), zap.Stack("Stack"))
+			err = errors.Newf("handler of %v panicked", m.Kind())
+		}
+	}()
 	s.handler.HandleMessage(s, m)
 	return nil
 }
--- a/internal/link/sess/session_test.go
+++ b/internal/link/sess/session_test.go
@@ -32,12 +32,16 @@
 	messages []wire.Message
 	closed   []error
 	stream   func(st *sess.Stream)
+	panics   bool
 }
 
 func (r *recorder) HandleMessage(_ *sess.Session, m wire.Message) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.messages = append(r.messages, m)
+	if r.panics {
+		panic("message that the handler cannot handle")
+	}
 }
 
 func (r *recorder) HandleStream(_ *sess.Session, st *sess.Stream) {
@@ -115,6 +119,22 @@
 	})
 }
 
+// Guards against one message that ends the whole process.
+func TestPanicEndsOneSession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		left, right := recorder{}, recorder{panics: true}
+		d, a := pair(t, &left, &right)
+		if err := d.Send(&wire.ConfigChanged{Version: 1}); err != nil {
+			t.Fatal(err)
+		}
+		d.Wait()
+		a.Wait()
+		if _, closed := right.seen(); len(closed) != 1 || closed[0] == nil {
+			t.Errorf("session closed with %v; want one error", closed)
+		}
+	})
+}
+
 // Guards against a body that is changed, truncated or delivered without its end, for bodies larger than the window in
 // both directions.
 func TestStreamCarriesBodies(t *testing.T) {
