Keep the leader's writes within the limits of the store when many agents or jobs go

The store takes 100 entries a change: with 100 agents lost for 20 s the leader could write nothing any more (400, retried for ever). A commit now deletes at most 16 rows. - Ended jobs were deleted at 16 a second, two rows a change; the large site ends 26 a second, so that rows and memory grew for ever. Now those of a part are deleted together, up to 400 jobs a pass. - Each agent wrote its row at each start and each 5 s without a leader, in the part of the head row (200 changes a second): 240 of them delay a takeover by a second just when it is needed. An agent whose row has its address reads it only.

TestManyAgentsForgotten (the stand-in store now has the limit of 100), TestEndedJobsAreRetiredInTime (1,056 of 1,200 rows left) and TestReturningAgentWritesNothing failed before. TestStartAfterLapsedLeaseIsRefused and TestRestartedAgentWaitsForAnnouncement passed at once: those cases can't happen here.

--- a/internal/host/driver/driver_test.go
+++ b/internal/host/driver/driver_test.go
@@ -349,3 +349,53 @@
 		}
 	})
 }
+
+// refusals returns the refusals reported so far.
+func (l *leader) refusals() []wire.RunRefused {
+	var list []wire.RunRefused
+	for _, r := range l.reports() {
+		list = append(list, r.Refused...)
+	}
+	return list
+}
+
+// Guards against an agent that was paused, or whose leader was, and starts a run under a lease that has run out
+// meanwhile; the next leader may have started the task elsewhere.
+func TestStartAfterLapsedLeaseIsRefused(t *testing.T) {
+	withAgent(t, func(ctx context.Context, a *driver.Agent, w *countingWorker, _ *leader) {
+		next := &leader{} // grants no lease
+		a.Adopt(next, &wire.LeadAdopt{Token: 6})
+		time.Sleep(2 * lease)
+		a.Execute(ctx, next, commands(1, w, run1))
+		time.Sleep(time.Second)
+		if n := len(w.Records()); n != 0 {
+			t.Errorf("%d runs started after the lease had lapsed", n)
+		}
+		if r := next.refusals(); len(r) != 1 || r[0].Reason != wire.RefusedLate {
+			t.Errorf("refusals %+v; want one RefusedLate", r)
+		}
+	})
+}
+
+// Guards against an agent that uses a worker after its own restart although it does not know whether the worker has left
+// meanwhile.
+func TestRestartedAgentWaitsForAnnouncement(t *testing.T) {
+	withAgent(t, func(ctx context.Context, _ *driver.Agent, w *countingWorker, _ *leader) {
+		restarted := driver.New(driver.Config{Worker: w, Lease: lease, Log: zap.NewNop()})
+		l := &leader{}
+		restarted.Adopt(l, &wire.LeadAdopt{Token: 6})
+		restarted.Execute(ctx, l, commands(1, w, run1))
+		time.Sleep(time.Second)
+		if n := len(w.Records()); n != 0 {
+			t.Errorf("%d runs started before the worker announced itself", n)
+		}
+		if r := l.refusals(); len(r) != 1 || r[0].Reason != wire.RefusedLife {
+			t.Errorf("refusals %+v; want one RefusedLife", r)
+		}
+		for _, m := range l.messages {
+			if s, ok := m.(*wire.WorkerState); ok {
+				t.Errorf("reported a worker before its announcement: %+v", s)
+			}
+		}
+	})
+}
--- a/internal/jobs/lead/commit.go
+++ b/internal/jobs/lead/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -43,7 +44,7 @@
 	clear(t.undurable)
 }
 
-// startCommit writes the progress of up to maxBatch jobs in the background; the result arrives as a committed event.
+// startCommit writes the progress of up to maxBatch jobs and deletes up to maxDeletes rows in the background; the result arrives as a committed event.
 func (t *Term) startCommit(ctx context.Context, now time.Time) {
 	c := &commit{}
 	var puts []rows.Row
@@ -67,8 +68,9 @@
 		}
 		t.commitNow = false
 	}
-	deletes := t.pendingDeletes
-	t.pendingDeletes = nil
+	n := min(len(t.pendingDeletes), maxDeletes)
+	deletes := slices.Clone(t.pendingDeletes[:n])
+	t.pendingDeletes = slices.Delete(t.pendingDeletes, 0, n)
 	t.commit, t.commitAt = c, now
 	t.wg.Go(func() {
 		began, err := t.writer.write(ctx, puts, deletes)
--- a/internal/jobs/lead/queue_test.go
+++ b/internal/jobs/lead/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -26,7 +27,7 @@
 func startLeader(ctx context.Context, tb testing.TB, s *memory.Store, n lead.Network) (t *lead.Term, stop func()) {
 	tb.Helper()
 	l := lead.NewLeader(lead.Config{
-		Cell: cell, Name: "entry", Address: "entry:1", Store: s.Client("entry"), Lease: time.Hour,
+		Cell: cell, Name: "entry", Address: "entry:1", Store: s.Client("entry"), Lease: time.Minute,
 		HedgeDelay: func() time.Duration { return time.Second }, Retention: time.Minute, Queues: &queues.Holder{},
 		Network: n, Meter: noMeter{}, Log: zap.NewNop(),
 	}, func() time.Duration { return 0 })
@@ -113,17 +114,19 @@
 // storeWithAgents returns a store with the rows of agents.
 func storeWithAgents(tb testing.TB, names ...string) *memory.Store {
 	tb.Helper()
-	var c rows.Change
-	for _, name := range names {
-		value, err := rows.Encode(&rows.Agent{Name: name, Address: name})
-		if err != nil {
+	s := memory.New()
+	for batch := range slices.Chunk(names, 100) {
+		var c rows.Change
+		for _, name := range batch {
+			value, err := rows.Encode(&rows.Agent{Name: name, Address: name})
+			if err != nil {
+				tb.Fatal(err)
+			}
+			c.Puts = append(c.Puts, rows.Row{Ref: rows.AgentRef(cell, name), Value: value})
+		}
+		if _, err := s.Client("agents").Change(tb.Context(), c); err != nil {
 			tb.Fatal(err)
 		}
-		c.Puts = append(c.Puts, rows.Row{Ref: rows.AgentRef(cell, name), Value: value})
-	}
-	s := memory.New()
-	if _, err := s.Client("agents").Change(tb.Context(), c); err != nil {
-		tb.Fatal(err)
 	}
 	return s
 }
@@ -360,3 +363,61 @@
 		stop()
 	})
 }
+
+// Guards against a leader that can write nothing any more, since one change exceeds the limit of the store: the agents of
+// a lost zone are forgotten at once.
+func TestManyAgentsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		names := make([]string, 240)
+		for i := range names {
+			names[i] = fmt.Sprintf("host-%d", i)
+		}
+		s := storeWithAgents(t, names...)
+		open := make(chan struct{})
+		close(open)
+		_, stop := startLeader(ctx, t, s, gate{open})
+		time.Sleep(2 * time.Minute) // the lease of the workers lasts one minute
+		p, err := s.Client("test").Read(ctx, rows.Span{Table: rows.Agents, Part: cell})
+		if err != nil || len(p.Rows) != 0 {
+			t.Errorf("%d rows of lost agents are left after two minutes, %v; want none", len(p.Rows), err)
+		}
+		cancel()
+		stop()
+	})
+}
+
+// Guards against rows of ended jobs that accumulate when more jobs end than one pass deletes.
+func TestEndedJobsAreRetiredInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := storeWithAgents(t)
+		const jobs = 1200
+		for n := range jobs {
+			value, err := rows.Encode(job(n, 1, 1))
+			if err != nil {
+				t.Fatal(err)
+			}
+			progress, err := rows.Encode(rows.JobProgress{State: rows.Done})
+			if err != nil {
+				t.Fatal(err)
+			}
+			id := job(n, 1, 1).ID
+			if _, err := s.Client("test").Change(ctx, rows.Change{Puts: []rows.Row{
+				{Ref: rows.JobRef(cell, id), Value: value}, {Ref: rows.ProgressRef(cell, id), Value: progress},
+			}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		open := make(chan struct{})
+		close(open)
+		_, stop := startLeader(ctx, t, s, gate{open})
+		time.Sleep(2*time.Minute + 15*time.Second) // retention of one minute, and a margin of one
+		p, err := s.Client("test").Read(ctx, rows.Span{Table: rows.Progress, Part: cell})
+		if err != nil || len(p.Rows) != 0 {
+			t.Errorf("%d rows of ended jobs are left, %v; want none", len(p.Rows), err)
+		}
+		cancel()
+		stop()
+	})
+}
--- a/internal/jobs/lead/retire.go
+++ b/internal/jobs/lead/retire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
@@ -10,7 +11,8 @@
 
 const (
 	retireEvery = time.Second
-	retireBatch = 16 // jobs deleted per pass
+	retireBatch = 400 // jobs deleted per pass
+	partBatch   = 48  // jobs deleted per change, with two rows each; the store takes 100 entries in one change
 )
 
 // retired lists the jobs whose job and cancellation rows are deleted; their progress rows may be deleted next.
@@ -38,20 +40,33 @@
 		return
 	}
 	t.retiring = true
-	t.wg.Go(func() {
-		var deleted []spec.ID
-		for _, id := range list {
+	t.wg.Go(func() { t.events.Put(ctx, retired{t.deleteRows(ctx, list)}) })
+}
+
+// deleteRows deletes the job and cancellation rows of jobs, those of a part together, and returns the jobs whose rows
+// are deleted.
+func (t *Term) deleteRows(ctx context.Context, list []spec.ID) []spec.ID {
+	parts := make(map[string][]spec.ID)
+	for _, id := range list {
+		part := rows.JobRef(t.cfg.Cell, id).Part
+		parts[part] = append(parts[part], id)
+	}
+	var deleted []spec.ID
+	for _, ids := range parts {
+		for batch := range slices.Chunk(ids, partBatch) {
+			var c rows.Change
+			for _, id := range batch {
+				c.Deletes = append(c.Deletes, rows.JobRef(t.cfg.Cell, id), rows.CancelRef(t.cfg.Cell, id))
+			}
 			limited, cancel := context.WithTimeout(ctx, readTimeout)
-			_, err := t.cfg.Store.Change(limited, rows.Change{
-				Deletes: []rows.Ref{rows.JobRef(t.cfg.Cell, id), rows.CancelRef(t.cfg.Cell, id)},
-			})
+			_, err := t.cfg.Store.Change(limited, c)
 			cancel()
 			if err == nil {
-				deleted = append(deleted, id)
+				deleted = append(deleted, batch...)
 			}
 		}
-		t.events.Put(ctx, retired{deleted})
-	})
+	}
+	return deleted
 }
 
 // applyRetired removes deleted jobs and schedules the deletion of their progress rows.
--- a/internal/jobs/lead/timing.go
+++ b/internal/jobs/lead/timing.go
@@ -29,6 +29,8 @@
 	retentionMargin = time.Minute
 	// maxBatch is the largest number of jobs whose progress one commit writes.
 	maxBatch = 80
+	// maxDeletes is the largest number of rows that one commit deletes; the store takes 100 entries in one change.
+	maxDeletes = 16
 	// runsPerEpoch is the size of the range of run numbers that an epoch uses for a task.
 	runsPerEpoch = 1000
 )
--- a/internal/role/jobs/agent.go
+++ b/internal/role/jobs/agent.go
@@ -114,6 +114,9 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
+	if registered, err := a.isRegistered(limited); err != nil || registered {
+		return err
+	}
 	_, err = a.cfg.Store.Change(limited, rows.Change{
 		Puts: []rows.Row{{Ref: rows.AgentRef(a.cfg.Cell, a.cfg.Name), Value: value}},
 	})
@@ -124,6 +127,18 @@
 }
 
 // linkFor returns the link of a session and the context for commands that arrive on it.
+// isRegistered reports whether the agent's row has its current address. Agents that come back together then read the
+// rows instead of writing all of them at once to the part of the store in which entries take the cell over.
+func (a *Agent) isRegistered(ctx context.Context) (bool, error) {
+	p, err := a.cfg.Store.Read(ctx, rows.AgentRef(a.cfg.Cell, a.cfg.Name).One())
+	if err != nil {
+		return false, fmt.Errorf("read address: %w", err)
+	}
+	var stored rows.Agent
+	return len(p.Rows) == 1 && rows.Decode(p.Rows[0], &stored) == nil &&
+		stored.Address == a.cfg.Address && stored.Zone == a.cfg.Zone, nil
+}
+
 func (a *Agent) linkFor(s *sess.Session) (*link, context.Context) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/role/jobs/jobs_test.go
+++ b/internal/role/jobs/jobs_test.go
@@ -70,6 +70,12 @@
 }
 
 func startAgent(ctx context.Context, t *testing.T, s *memory.Store, name string, wg *sync.WaitGroup) {
+	t.Helper()
+	startAgentAt(ctx, t, s, name, freeAddress(t), wg)
+}
+
+// startAgentAt starts an agent that accepts sessions at address.
+func startAgentAt(ctx context.Context, t *testing.T, s *memory.Store, name, address string, wg *sync.WaitGroup) {
 	t.Helper()
 	w := &runs.Worker{
 		Name: name, Capacity: sizes.Resources{Processors: 4000, Memory: 1 << 40}, StopTime: 50 * time.Millisecond, MaxLease: lease,
@@ -79,7 +85,7 @@
 	}
 	w.Restart(wire.WorkerIncarnation{ID: name, StartedAt: 1})
 	a, err := jobs.NewAgent(ctx, jobs.AgentConfig{
-		Cell: "main", Name: name, Zone: "agadir", Address: freeAddress(t), Key: key, Lease: lease, Worker: w,
+		Cell: "main", Name: name, Zone: "agadir", Address: address, Key: key, Lease: lease, Worker: w,
 		Store: s.Client(name), Log: zap.NewNop(),
 	})
 	if err != nil {
@@ -211,3 +217,33 @@
 		t.Errorf("%d sessions in 2 s with an agent that refuses them; want at most %d", n, limit)
 	}
 }
+
+// Guards against a storm of writes when hundreds of agents come back at once, which delays the takeover of the cell in
+// the same part of the store.
+func TestReturningAgentWritesNothing(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	s := memory.New()
+	address := freeAddress(t)
+	first, stop := context.WithCancel(ctx)
+	var firstDone sync.WaitGroup
+	startAgentAt(first, t, s, "worker-1", address, &firstDone)
+	version := func() uint64 {
+		p, err := s.Client("test").Read(ctx, rows.AgentRef("main", "worker-1").One())
+		if err != nil || len(p.Rows) != 1 {
+			return 0
+		}
+		return p.Rows[0].Version
+	}
+	await(t, "agent registered", func() bool { return version() > 0 })
+	before := version()
+	stop()
+	firstDone.Wait()
+	startAgentAt(ctx, t, s, "worker-1", address, &wg)
+	time.Sleep(500 * time.Millisecond)
+	if after := version(); after != before {
+		t.Errorf("the row of the returning agent changed from version %d to %d", before, after)
+	}
+}
--- a/internal/stand/memory/store.go
+++ b/internal/stand/memory/store.go
@@ -63,12 +63,18 @@
 	}
 }
 
-// Change implements rows.Store. When the response is lost, it blocks until ctx ends and returns rows.ErrUnknown.
+// maxEntries is the largest number of conditions, puts and deletes of a change.
+const maxEntries = 100
+
+// Change implements rows.Store. It refuses changes of more than maxEntries entries. When the response is lost, it blocks until ctx ends and returns rows.ErrUnknown.
 func (v view) Change(ctx context.Context, c rows.Change) (rows.Outcome, error) {
 	f, err := v.nextFault(ctx)
 	if err != nil {
 		return rows.Outcome{}, err
 	}
+	if len(c.Conditions)+len(c.Puts)+len(c.Deletes) > maxEntries {
+		return rows.Outcome{}, rows.ErrNotDone
+	}
 	if f.LoseLate > 0 {
 		time.AfterFunc(f.LoseLate, func() { v.store.apply(c) })
 	} else if out := v.store.apply(c); !f.LoseAfter {
