Wait between the probes of an unreliable worker

Cause: the time of the next probe was read but never set, so that a worker that fails all it starts got the next task as soon as it was idle, at the cost of an attempt of each (two attempts make a job fail). Found by reading the decisions about failing workers for the wide steps.

TestFailingWorkerGetsFewProbes failed before: 25 runs in 10 s instead of at most 9, and a job that could be done was shown as failed.

--- a/internal/jobs/lead/place_test.go
+++ b/internal/jobs/lead/place_test.go
@@ -80,3 +80,26 @@
 		t.Error("the long-running task has no run 4 s after its worker restarted")
 	})
 }
+
+// Guards against a worker that fails all its runs and gets another task as soon as it is idle, at the cost of an attempt
+// of each.
+func TestFailingWorkerGetsFewProbes(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		failing := c.hosts["host-1"]
+		failing.worker.Plan = func(wire.Run) runs.Plan {
+			return runs.Plan{Size: sizes.Resources{Processors: 1000}, RunTime: 50 * time.Millisecond, Fails: true}
+		}
+		const jobs = 12
+		for n := range jobs {
+			c.submit(job(n+1, 1, 4))
+		}
+		time.Sleep(10 * time.Second)
+		const limit = 4 + 5 // the first four together, then one every 2 s
+		if n := len(failing.worker.Records()); n > limit {
+			t.Errorf("%d runs on a worker that fails all, in 10 s; want at most %d", n, limit)
+		}
+		for n := range jobs {
+			c.awaitState(job(n+1, 1, 4).ID, rows.Done, 20*time.Second)
+		}
+	})
+}
--- a/internal/jobs/lead/schedule.go
+++ b/internal/jobs/lead/schedule.go
@@ -231,6 +231,9 @@
 		job: j, ordinal: ordinal, step: &j.spec.Steps[step], worker: w, commandSeq: w.commandSeq + 1,
 		startedAt: now, progressedAt: now, key: wire.Run{Task: j.taskID(ordinal).String(), Number: number},
 	}
+	if w.reliability.isUnreliable(now) {
+		w.reliability.probeAt = now.Add(probeEvery)
+	}
 	w.add(r)
 	j.addRun(ordinal, r)
 	t.cfg.Meter.RunStarted(now.Sub(j.addedAt), !j.begun)
