--- a/internal/jobs/lead/advice.go
+++ b/internal/jobs/lead/advice.go
@@ -1,7 +1,9 @@
 package lead
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -118,3 +120,10 @@
 	event.Log(t.cfg.Log, event.AdviceGiven, zap.String("Step", name), zap.Int("Workers", len(ev.tickets)),
 		zap.Duration("Valid", ev.valid))
 }
+
+// sortByLoad sorts workers by free processors, the most first.
+func sortByLoad(list []*worker) {
+	slices.SortFunc(list, func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(b.free().Processors, a.free().Processors), cmp.Compare(a.agent.Name, b.agent.Name))
+	})
+}
