Make the last attempt of a task on another worker than the one that failed it

And the code was wrong: the retry took the failing worker again when the others were full, and two attempts make a job fail; and the first probe began as soon as the worker was idle.

--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -329,7 +329,7 @@
 		return // already counted, by this or an earlier leader, but not yet acknowledged to the agent
 	}
 	task.failed = append(task.failed, r.key.Number)
-	task.avoid = r.worker
+	task.avoid, task.avoidUntil = r.worker, now.Add(lastAttemptDelay)
 	t.markDirty(j)
 	if r.worker.reliability.record(failWeight, now) {
 		event.Log(t.cfg.Log, event.WorkerUnreliable, zap.String("Worker", r.worker.state.Incarnation.ID),
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -23,6 +23,7 @@
 	downSince  time.Time // when a long-running task last lost a run
 	moves      int       // moves of a best-effort task to another worker
 	avoid      *worker   // where the last run failed, stalled or was too slow
+	avoidUntil time.Time // until then, the last attempt is not made on avoid
 }
 
 // runsOn reports whether a worker has a run of the task.
--- a/internal/jobs/lead/reliability.go
+++ b/internal/jobs/lead/reliability.go
@@ -39,7 +39,11 @@
 	before := r.currentScore(now)
 	r.score = min(maxScore, max(0, before+weight))
 	r.at = now
-	return before < unreliableScore && r.score >= unreliableScore
+	if before >= unreliableScore || r.score < unreliableScore {
+		return false
+	}
+	r.probeAt = now.Add(probeEvery)
+	return true
 }
 
 // isUnreliable reports whether the worker gets only probe runs.
--- a/internal/jobs/lead/schedule.go
+++ b/internal/jobs/lead/schedule.go
@@ -15,8 +15,10 @@
 
 const (
 	refusalPause = 150 * time.Millisecond // before a refused start is retried
-	forgetAfter  = 20 * time.Second       // time without a session after which an agent's row is deleted
-	dueMargin    = 5 * time.Millisecond   // added to the due time of a round, so that no run starts early
+	// lastAttemptDelay is how long the last attempt of a task waits for another worker than the one on which it failed.
+	lastAttemptDelay = 3 * time.Second
+	forgetAfter      = 20 * time.Second     // time without a session after which an agent's row is deleted
+	dueMargin        = 5 * time.Millisecond // added to the due time of a round, so that no run starts early
 )
 
 // schedule starts the tasks that may start, those of the most urgent jobs first.
