Fail the cluster tests on errors that leaders log, and set comments right

A panic of a leader now ends its term only, so that a test would no longer see it by its process; the tests of the cluster therefore fail on any error that a leader or agent logs. A comment of linkFor had moved to another function. No behavior changes.

--- a/internal/jobs/lead/cluster_test.go
+++ b/internal/jobs/lead/cluster_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"trefoilramp.org/trefoilramp/internal/conf/queues"
 	"trefoilramp.org/trefoilramp/internal/core/sizes"
@@ -40,6 +41,7 @@
 	store  *memory.Store
 	plan   func(wire.Run) runs.Plan
 	log    *zap.Logger
+	errors *observer.ObservedLogs // errors that the leaders have logged
 	ctx    context.Context
 	random *rand.Rand // guarded by randomMu
 
@@ -74,8 +76,9 @@
 }
 
 func newCluster(ctx context.Context, t testing.TB, seed uint64) *cluster {
+	core, logged := observer.New(zap.ErrorLevel)
 	c := &cluster{
-		t: t, store: memory.New(), ctx: ctx, random: rand.New(rand.NewPCG(seed, 1)), log: zap.NewNop(),
+		t: t, store: memory.New(), ctx: ctx, random: rand.New(rand.NewPCG(seed, 1)), log: zap.New(core), errors: logged,
 		entries: make(map[string]*entry), hosts: make(map[string]*host), isolated: make(map[string]bool),
 		storeDown: make(map[string]bool), partitioned: make(map[string]bool),
 	}
@@ -373,10 +376,13 @@
 	return all
 }
 
-// checkRuns reports overlapping runs of a task, starts of a task after its success was acknowledged, and starts that
-// exceed the capacity of a worker.
+// checkRuns reports overlapping runs of a task, starts of a task after its success was acknowledged, starts that exceed
+// the capacity of a worker, and panics of leaders.
 func (c *cluster) checkRuns() {
 	c.t.Helper()
+	for _, e := range c.errors.All() {
+		c.t.Errorf("error in a log: %s %v", e.Message, e.ContextMap())
+	}
 	for task, list := range c.records() {
 		for i, a := range list {
 			for _, b := range list[i+1:] {
--- a/internal/jobs/lead/commit.go
+++ b/internal/jobs/lead/commit.go
@@ -44,7 +44,8 @@
 	clear(t.undurable)
 }
 
-// startCommit writes the progress of up to maxBatch jobs and deletes up to maxDeletes rows in the background; the result arrives as a committed event.
+// startCommit writes the progress of up to maxBatch jobs and deletes up to maxDeletes rows in the background; the result
+// arrives as a committed event.
 func (t *Term) startCommit(ctx context.Context, now time.Time) {
 	c := &commit{}
 	var puts []rows.Row
--- a/internal/role/jobs/agent.go
+++ b/internal/role/jobs/agent.go
@@ -126,7 +126,6 @@
 	return nil
 }
 
-// linkFor returns the link of a session and the context for commands that arrive on it.
 // isRegistered reports whether the agent's row has its current address. Agents that come back together then read the
 // rows instead of writing all of them at once to the part of the store in which entries take the cell over.
 func (a *Agent) isRegistered(ctx context.Context) (bool, error) {
@@ -139,6 +138,7 @@
 		stored.Address == a.cfg.Address && stored.Zone == a.cfg.Zone, nil
 }
 
+// linkFor returns the link of a session and the context for commands that arrive on it.
 func (a *Agent) linkFor(s *sess.Session) (*link, context.Context) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
