Log and count the reads of the configuration of queues

Callers saw requests handled by old configurations. RowSource.Watch dropped its errors, so that the log could not tell a response that was cut off from changes withheld, outdated documents and slow decoding. No logic is changed.

--- a/cmd/trefoilramp/cell.go
+++ b/cmd/trefoilramp/cell.go
@@ -71,7 +71,7 @@
 		Cell: s.Process.Cell, Name: s.Process.Name, Zone: s.Process.AvailabilityZone, Address: s.Process.PeerAddress(),
 		Listen: s.Process.Sessions, Key: s.Process.Key.Bytes(),
 		Lease: workerLease(s.Process), Retention: time.Duration(s.Retention), TakeoverDelay: takeoverDelay(s), Store: store,
-		Source:  &jobs.RowSource{Store: store, Ref: platform.ConfigRef, Decode: platform.DecodeConfig, Log: log},
+		Source:  &jobs.RowSource{Store: store, Ref: platform.ConfigRef, Decode: platform.DecodeConfig, Metrics: set, Log: log},
 		Metrics: set, Log: log,
 	}
 	if s.Policies != "" {
--- a/internal/core/event/jobs.go
+++ b/internal/core/event/jobs.go
@@ -42,6 +42,9 @@
 	SettingsChecked    Number = 939
 	RunMoved           Number = 940
 	LeaderPanicked     Number = 941
+	QueuesRead         Number = 942
+	QueuesReadFailed   Number = 943
+	QueuesOutdated     Number = 944
 )
 
 var jobEvents = []Entry{
@@ -83,4 +86,7 @@
 	{SettingsChecked, zapcore.InfoLevel, "settings file reloaded", "The settings file was read again; settings that require a restart are unchanged.", "None."},
 	{RunMoved, zapcore.InfoLevel, "run moved or copied", "A run is stopped, or a copy of it is started, because its task would end sooner on another worker.", "None."},
 	{LeaderPanicked, zapcore.ErrorLevel, "leader panicked", "An event caused a programming error; the term ends, and a new one begins from the rows of the store.", "Report the stack."},
+	{QueuesRead, zapcore.InfoLevel, "configuration of queues read", "A response of the store included a version of the configuration that this process has not read before.", "None."},
+	{QueuesReadFailed, zapcore.InfoLevel, "configuration of queues not read", "The store did not return the configuration or its changes; the request is repeated and the current version stays in force.", "Check the store and the link to it if this persists."},
+	{QueuesOutdated, zapcore.InfoLevel, "outdated configuration of queues ignored", "The store returned an older configuration than the one in force.", "Check the store if this persists."},
 }
--- a/internal/ops/metric/catalogue.go
+++ b/internal/ops/metric/catalogue.go
@@ -43,6 +43,7 @@
 	Quarantined    Name = "batch_quarantined_workers"
 	StoreCalls     Name = "store_calls"
 	StoreSeconds   Name = "store_call_seconds"
+	ConfigReads    Name = "config_reads"
 	ConfigVersion  Name = "config_version"
 	ConfigLowest   Name = "config_lowest_version"
 	ConfigChanges  Name = "config_changes"
@@ -74,6 +75,7 @@
 	{Quarantined, Gauge, []string{"zone"}, "Workers in quarantine."},
 	{StoreCalls, Counter, []string{"call", "outcome"}, "Requests to the store."},
 	{StoreSeconds, Histogram, []string{"call"}, "Time of a request to the store, in seconds."},
+	{ConfigReads, Counter, []string{"call", "outcome"}, "Requests to the store for the configuration of queues."},
 	{ConfigVersion, Gauge, nil, "Version of the configuration in force in this process."},
 	{ConfigLowest, Gauge, []string{"zone"}, "Lowest configuration version that a known process of the zone applies."},
 	{ConfigChanges, Counter, []string{"outcome"}, "Submitted configurations, by HTTP status of the response."},
--- a/internal/role/jobs/entry.go
+++ b/internal/role/jobs/entry.go
@@ -117,13 +117,18 @@
 
 // apply puts a configuration in force if it is valid and newer than the current one.
 func (e *Entry) apply(d queues.Document) {
+	began := time.Now()
 	t, err := queues.NewTable(d)
 	if err != nil {
 		event.Log(e.cfg.Log, event.QueuesRefused, zap.Uint64("Version", d.Version), zap.Error(err))
 		return
 	}
 	if e.queues.Put(t) {
-		event.Log(e.cfg.Log, event.QueuesApplied, zap.Uint64("Version", d.Version), zap.Int("Queues", len(d.Queues)))
+		e.cfg.Metrics.Gauge(metric.ConfigVersion).Update(float64(d.Version))
+		event.Log(e.cfg.Log, event.QueuesApplied, zap.Uint64("Version", d.Version), zap.Int("Queues", len(d.Queues)),
+			zap.Duration("Indexing", time.Since(began)))
+	} else if current := e.queues.Table().Document.Version; d.Version < current {
+		event.Log(e.cfg.Log, event.QueuesOutdated, zap.Uint64("Version", d.Version), zap.Uint64("InForce", current))
 	}
 }
 
--- a/internal/role/jobs/jobs_test.go
+++ b/internal/role/jobs/jobs_test.go
@@ -55,7 +55,7 @@
 		Cell: "main", Name: name, Zone: "agadir", Address: freeAddress(t), Key: key, Lease: lease, Retention: time.Minute,
 		TakeoverDelay: func() time.Duration { return 0 }, Store: store, Log: zap.NewNop(),
 		Metrics: metric.New(nil),
-		Source:  &jobs.RowSource{Store: store, Ref: config, Decode: decode, Log: zap.NewNop()},
+		Source:  &jobs.RowSource{Store: store, Ref: config, Decode: decode, Metrics: metric.New(nil), Log: zap.NewNop()},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/role/jobs/source.go
+++ b/internal/role/jobs/source.go
@@ -11,6 +11,7 @@
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
+	"trefoilramp.org/trefoilramp/internal/ops/metric"
 )
 
 const (
@@ -22,10 +23,13 @@
 
 // RowSource watches the row that holds the operator's configuration of queues; it implements Source.
 type RowSource struct {
-	Store  rows.Store
-	Ref    rows.Ref
-	Decode func([]byte) (queues.Document, error)
-	Log    *zap.Logger
+	Store   rows.Store
+	Ref     rows.Ref
+	Decode  func([]byte) (queues.Document, error)
+	Metrics *metric.Set
+	Log     *zap.Logger
+
+	newest uint64 // version of the newest row read
 }
 
 // Watch implements Source. In addition to the feed of changes it reads the row itself at intervals, since the store may
@@ -34,11 +38,17 @@
 	var after uint64
 	for n := 0; ctx.Err() == nil; n++ {
 		var err error
+		began, call := time.Now(), "changes"
 		if after == 0 || n%requestsPerRead == 0 {
+			call = "read"
 			after, err = s.read(ctx, apply)
 		} else {
 			after, err = s.changes(ctx, after, apply)
 		}
+		if ctx.Err() != nil {
+			return
+		}
+		s.record(call, began, err)
 		if err != nil {
 			after = 0
 			pause.For(ctx, watchRetry)
@@ -46,6 +56,16 @@
 	}
 }
 
+// record counts a request and logs a failed one.
+func (s *RowSource) record(call string, began time.Time, err error) {
+	outcome := "done"
+	if err != nil {
+		outcome = "failed"
+		event.Log(s.Log, event.QueuesReadFailed, zap.String("Call", call), zap.Duration("Took", time.Since(began)), zap.Error(err))
+	}
+	s.Metrics.Counter(metric.ConfigReads, call, outcome).Inc(1)
+}
+
 func (s *RowSource) read(ctx context.Context, apply func(queues.Document)) (uint64, error) {
 	limited, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -77,11 +97,17 @@
 		if r.Ref != s.Ref || r.Removed {
 			continue
 		}
+		began := time.Now()
 		d, err := s.Decode(r.Value)
 		if err != nil {
 			event.Log(s.Log, event.QueuesRefused, zap.Uint64("RowVersion", r.Version), zap.Error(err))
 			continue
 		}
+		if r.Version > s.newest {
+			s.newest = r.Version
+			event.Log(s.Log, event.QueuesRead, zap.Uint64("Version", d.Version), zap.Uint64("RowVersion", r.Version),
+				zap.Int("Bytes", len(r.Value)), zap.Duration("Decoding", time.Since(began)))
+		}
 		apply(d)
 	}
 }
