Limit the time without progress of a read of the configuration, not the whole read

Cause: storeTimeout, 600 ms, covered the whole response. A configuration of 4,247 queues is 1.07 MB encoded and takes 0.85 s on a link of 10 Mbit/s. When the limit passed, all that had arrived was discarded and the read began anew, without end. An entry that started beside such a configuration never got one.

Fix: internal/core/stall provides contexts that end after a time without progress; the store client reports each transfer of data. The limit of 600 ms stays, before the first byte and between two, so a silent store is noticed as soon as before, and it no longer depends on the number of queues. The monitor tells such an end from a cancellation by its cause.

TestLargeConfigurationOverSlowLink failed before (version 1 is not in force after 3s) and passes now.

--- a/internal/jobs/rows/monitor.go
+++ b/internal/jobs/rows/monitor.go
@@ -88,7 +88,7 @@
 	if errors.Is(err, ErrHistoryTruncated) {
 		err = nil
 	}
-	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+	if err != nil && errors.Is(context.Cause(ctx), context.Canceled) {
 		return // cancelled by the caller; says nothing about the store
 	}
 	m.mu.Lock()
--- a/internal/jobs/rows/rows.go
+++ b/internal/jobs/rows/rows.go
@@ -69,7 +69,7 @@
 	Version uint64
 }
 
-// Store is a linearizable store of rows.
+// Store is a linearizable store of rows. Its methods call stall.Progress while a request or a response is transferred.
 type Store interface {
 	// Change applies c. The error is or wraps ErrNotDone or ErrUnknown.
 	Change(ctx context.Context, c Change) (Outcome, error)
--- a/internal/link/netsim/relay.go
+++ b/internal/link/netsim/relay.go
@@ -32,6 +32,7 @@
 
 // impairment is the network condition applied to one direction of all connections.
 type impairment struct {
+	rate    int // bytes per second of all connections together; 0 for no limit
 	delay   time.Duration
 	jitter  time.Duration
 	paused  bool
@@ -46,6 +47,7 @@
 	mu          sync.Mutex
 	address     string
 	impairments [2]impairment // forward, backward
+	sentAt      [2]time.Time  // when the link has sent all bytes so far, with a limited rate
 	changed     chan struct{}
 	reject      bool
 	closed      bool
@@ -104,6 +106,11 @@
 	r.update(dir, func(imp *impairment) { imp.delay, imp.jitter = d, jitter })
 }
 
+// SetRate limits all connections together to a number of bytes per second; 0 removes the limit.
+func (r *Relay) SetRate(dir Direction, rate int) {
+	r.update(dir, func(imp *impairment) { imp.rate = rate })
+}
+
 // Pause stops delivery in a direction; the sender blocks once the buffers of the relay and the connections are full.
 func (r *Relay) Pause(dir Direction) { r.update(dir, func(imp *impairment) { imp.paused = true }) }
 
@@ -277,12 +284,26 @@
 		if imp.dropped {
 			continue
 		}
+		if imp.rate > 0 && !wait(p, time.Until(r.transmit(dir, len(c.data), imp.rate))) {
+			return
+		}
 		if _, err := to.Write(c.data); err != nil {
 			return
 		}
 	}
 }
 
+// transmit returns when the link has sent n more bytes at a limited rate.
+func (r *Relay) transmit(dir, n, rate int) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now := time.Now(); r.sentAt[dir].Before(now) {
+		r.sentAt[dir] = now
+	}
+	r.sentAt[dir] = r.sentAt[dir].Add(time.Duration(n) * time.Second / time.Duration(rate))
+	return r.sentAt[dir]
+}
+
 // wait sleeps for d and reports false if the pair is closed first.
 func wait(p *pair, d time.Duration) bool {
 	if d <= 0 {
--- a/internal/role/jobs/source.go
+++ b/internal/role/jobs/source.go
@@ -10,13 +10,14 @@
 	"trefoilramp.org/trefoilramp/internal/conf/queues"
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/pause"
+	"trefoilramp.org/trefoilramp/internal/core/stall"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/ops/metric"
 )
 
 const (
 	changesWait     = time.Second            // long poll of a request for changes
-	storeTimeout    = 600 * time.Millisecond // for a response, in addition to the long poll
+	storeTimeout    = 600 * time.Millisecond // without a byte of a response, in addition to the long poll before the first
 	watchRetry      = 120 * time.Millisecond // delay after a failure
 	requestsPerRead = 5                      // requests per read of the row; the other requests read its changes
 )
@@ -67,7 +68,7 @@
 }
 
 func (s *RowSource) read(ctx context.Context, apply func(queues.Document)) (uint64, error) {
-	limited, cancel := context.WithTimeout(ctx, storeTimeout)
+	limited, cancel := stall.WithTimeout(ctx, storeTimeout, storeTimeout)
 	defer cancel()
 	p, err := s.Store.Read(limited, s.Ref.One())
 	if err != nil {
@@ -78,7 +79,7 @@
 }
 
 func (s *RowSource) changes(ctx context.Context, after uint64, apply func(queues.Document)) (uint64, error) {
-	limited, cancel := context.WithTimeout(ctx, changesWait+storeTimeout)
+	limited, cancel := stall.WithTimeout(ctx, changesWait+storeTimeout, storeTimeout)
 	defer cancel()
 	p, err := s.Store.Changes(limited, s.Ref.Table, after, changesWait)
 	if errors.Is(err, rows.ErrHistoryTruncated) {
