Keep the cell during a long takeover, and limit its reads by progress

What callers would see: no job starts, and no query is answered, since no entry leads the cell.

Cause: a takeover reads all agents, jobs, progress and cancellations. leadershipLease, 4 s, covered all of these reads; with more rows than a link transfers in that time each takeover failed and began anew. Meanwhile the head row was not renewed, so that after 2.3 s another entry took the cell over and read everything again.

Fix: the reads end after 1.5 s without progress, and the head row is renewed until they are done. The poll of the leader for changes, which had the same limit of 1.5 s for the whole of a table after lost history, ends after 1.5 s without progress too.

--- a/internal/jobs/lead/cluster_test.go
+++ b/internal/jobs/lead/cluster_test.go
@@ -174,6 +174,16 @@
 	return best
 }
 
+// awaitTerm waits until an entry leads.
+func (c *cluster) awaitTerm(limit time.Duration) {
+	c.t.Helper()
+	for end := time.Now().Add(limit); c.term() == nil; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			c.t.Fatalf("no entry leads after %v", limit)
+		}
+	}
+}
+
 // addHost starts a worker with its agent.
 func (c *cluster) addHost(name string, processors int64) *host {
 	h := &host{name: name, worker: &runs.Worker{
--- a/internal/jobs/lead/head.go
+++ b/internal/jobs/lead/head.go
@@ -16,7 +16,7 @@
 
 const (
 	retryPause  = 50 * time.Millisecond   // between attempts of a write
-	readTimeout = 1500 * time.Millisecond // of a read of the head row or of changes, and of a deletion of job rows
+	readTimeout = 1500 * time.Millisecond // of a read of the head row and a deletion of job rows; without progress, of other reads
 )
 
 // ReadHead returns the head row of a cell and its version, which is 0 if there is no row. It returns an error if the
--- a/internal/jobs/lead/intake.go
+++ b/internal/jobs/lead/intake.go
@@ -9,6 +9,7 @@
 
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/pause"
+	"trefoilramp.org/trefoilramp/internal/core/stall"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -126,7 +127,7 @@
 
 // readChanges reads the changes of a table after a version, or the whole table if the store no longer has that history.
 func (t *Term) readChanges(ctx context.Context, table string, after *uint64, page *rows.Page) {
-	limited, cancel := context.WithTimeout(ctx, readTimeout)
+	limited, cancel := stall.WithTimeout(ctx, readTimeout, readTimeout)
 	defer cancel()
 	p, err := t.cfg.Store.Changes(limited, table, *after, 0)
 	if errors.Is(err, rows.ErrHistoryTruncated) {
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -12,6 +12,7 @@
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/core/queue"
+	"trefoilramp.org/trefoilramp/internal/core/stall"
 	"trefoilramp.org/trefoilramp/internal/jobs/impact"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
@@ -159,7 +160,7 @@
 	}
 	current := t.writer.head
 	l.head.Store(&current)
-	if err := t.readRows(ctx); err != nil {
+	if err := t.loadRows(ctx); err != nil {
 		return nil, err
 	}
 	l.cfg.Meter.Takeover()
@@ -169,9 +170,39 @@
 	return t, nil
 }
 
-// readRows loads the agents, jobs, progress and cancellations of the cell.
+// loadRows loads the rows of the cell. Meanwhile it renews the head row, so that no other entry takes the cell over
+// however long the transfer takes.
+func (t *Term) loadRows(ctx context.Context) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	renewing, stop := context.WithCancel(ctx)
+	renewed := make(chan struct{})
+	go func() {
+		defer close(renewed)
+		for pause.For(renewing, renewEvery) {
+			began, err := t.writer.write(ctx, nil, nil)
+			if err != nil {
+				cancel(err)
+				return
+			}
+			t.confirmedAt = began
+		}
+	}()
+	err := t.readRows(ctx)
+	if err != nil {
+		cancel(err)
+	}
+	stop() // a write in flight ends first, since its outcome decides the version of the head row
+	<-renewed
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return nil
+}
+
+// readRows reads the agents, jobs, progress and cancellations of the cell and builds the state of the term.
 func (t *Term) readRows(ctx context.Context) error {
-	limited, cancel := context.WithTimeout(ctx, leadershipLease)
+	limited, cancel := stall.WithTimeout(ctx, readTimeout, readTimeout)
 	defer cancel()
 	readTable := func(table string) (rows.Page, error) {
 		p, err := rows.ReadAll(limited, t.cfg.Store, rows.Span{Table: table, Part: t.cfg.Cell})
--- a/internal/jobs/lead/takeover_test.go
+++ b/internal/jobs/lead/takeover_test.go
@@ -410,3 +410,32 @@
 		}
 	})
 }
+
+// Guards against a cell without a leader: the reads of a takeover had to end within the leadership lease, began anew when
+// they did not, and another entry took the cell over in the meantime.
+func TestTakeoverOverSlowLink(t *testing.T) {
+	const (
+		jobs    = 100
+		payload = 4000             // bytes
+		rate    = 50_000           // bytes per second, so that the rows of the jobs take 8 s
+		target  = 12 * time.Second // from the end of the leader until the cell is led again
+	)
+	withCluster(t, func(c *cluster) {
+		c.addEntry("entry-3")
+		var list []*spec.Job
+		for n := range jobs {
+			j := job(n+1, 1, 1)
+			j.Payload = strings.Repeat("x", payload)
+			c.submit(j)
+			list = append(list, j)
+		}
+		c.store.SetRate(rate)
+		c.kill("entry-1")
+		killedAt := time.Now()
+		c.awaitTerm(target)
+		t.Logf("led again after %v, epoch %d", time.Since(killedAt), c.term().Epoch())
+		for _, j := range list {
+			c.awaitState(j.ID, rows.Done, 30*time.Second)
+		}
+	})
+}
--- a/internal/stand/memory/store.go
+++ b/internal/stand/memory/store.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"trefoilramp.org/trefoilramp/internal/core/pause"
+	"trefoilramp.org/trefoilramp/internal/core/stall"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 )
 
@@ -28,10 +30,21 @@
 	rows    map[rows.Ref]rows.Row
 	version uint64
 	log     []rows.Row
+	rate    int                  // of SetRate
+	sentAt  map[string]time.Time // when the link to a caller has sent all responses so far, with a limited rate
 }
 
 // New returns an empty store.
-func New() *Store { return &Store{rows: make(map[rows.Ref]rows.Row)} }
+func New() *Store {
+	return &Store{rows: make(map[rows.Ref]rows.Row), sentAt: make(map[string]time.Time)}
+}
+
+// SetRate limits the transfer of rows to each caller to a number of bytes per second; 0 removes the limit.
+func (s *Store) SetRate(rate int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rate = rate
+}
 
 // Client returns a view of the store whose requests are made by caller.
 func (s *Store) Client(caller string) rows.Store { return view{s, caller} }
@@ -119,16 +132,59 @@
 	if _, err := v.nextFault(ctx); err != nil {
 		return rows.Page{}, err
 	}
-	v.store.mu.Lock()
-	defer v.store.mu.Unlock()
-	p := rows.Page{Version: v.store.version}
-	for ref, r := range v.store.rows {
+	p := v.store.page(span)
+	return p, v.transfer(ctx, p)
+}
+
+func (s *Store) page(span rows.Span) rows.Page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := rows.Page{Version: s.version}
+	for ref, r := range s.rows {
 		if ref.Table == span.Table && ref.Part == span.Part && ref.Key >= span.From && (span.To == "" || ref.Key < span.To) {
 			p.Rows = append(p.Rows, r)
 		}
 	}
 	sort.Slice(p.Rows, func(i, j int) bool { return p.Rows[i].Key < p.Rows[j].Key })
-	return p, nil
+	return p
+}
+
+// segment is the number of bytes of a transfer between two reports of progress.
+const segment = 1 << 10
+
+// transfer takes the time in which the link to the caller sends the rows of a page. It returns rows.ErrUnknown if ctx
+// ends first.
+func (v view) transfer(ctx context.Context, p rows.Page) error {
+	size := 0
+	for _, r := range p.Rows {
+		size += len(r.Value)
+	}
+	for ; size > 0; size -= segment {
+		sentAt, limited := v.store.transmit(v.caller, min(size, segment))
+		if !limited {
+			return nil
+		}
+		if !pause.For(ctx, time.Until(sentAt)) {
+			return rows.ErrUnknown
+		}
+		stall.Progress(ctx)
+	}
+	return nil
+}
+
+// transmit returns when the link to a caller has sent n more bytes, and whether its rate is limited.
+func (s *Store) transmit(caller string, n int) (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rate == 0 {
+		return time.Time{}, false
+	}
+	at := s.sentAt[caller]
+	if now := time.Now(); at.Before(now) {
+		at = now
+	}
+	s.sentAt[caller] = at.Add(time.Duration(n) * time.Second / time.Duration(s.rate))
+	return s.sentAt[caller], true
 }
 
 // Changes implements rows.Store.
@@ -143,7 +199,7 @@
 			return rows.Page{}, rows.ErrHistoryTruncated
 		}
 		if p := v.store.changesAfter(table, after); len(p.Rows) > 0 || !time.Now().Before(deadline) {
-			return p, nil
+			return p, v.transfer(ctx, p)
 		}
 		select {
 		case <-time.After(latency):
