Transfer the configuration only when it has changed

Operators of large configurations would see their slow links busy: on a link of 10 Mbit/s a configuration of 4,247 queues takes 0.85 s of every 5 s, and a change that comes during such a read waits for its end.

Cause: since the store may withhold changes, every fifth request read the whole row, and so did each request after a failure.

Fix: the position in the feed of changes trails the store's version by 10 s, except for changes received. A change that was withheld is then in a later response, without a second transfer of what has not changed. A failed request is repeated from the same position. The row itself is read after lost history and once in 60 to 90 s, which finds what was withheld for longer.

Weighed and tried: a change without writes, which returns the row only if its version differs.

--- a/internal/role/jobs/source.go
+++ b/internal/role/jobs/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,10 +17,12 @@
 )
 
 const (
-	changesWait     = time.Second            // long poll of a request for changes
-	storeTimeout    = 600 * time.Millisecond // without a byte of a response, in addition to the long poll before the first
-	watchRetry      = 120 * time.Millisecond // delay after a failure
-	requestsPerRead = 5                      // requests per read of the row; the other requests read its changes
+	changesWait  = time.Second            // long poll of a request for changes
+	storeTimeout = 600 * time.Millisecond // without a byte of a response, in addition to the long poll before the first
+	watchRetry   = 120 * time.Millisecond // delay after a failure
+	changesLag   = 10 * time.Second       // for which each request asks for changes again that were not received
+	rereadAfter  = time.Minute            // between reads of the row itself, plus up to half of it
+	rereadRetry  = 5 * time.Second        // delay after such a read failed
 )
 
 // RowSource watches the row that holds the operator's configuration of queues; it implements Source.
@@ -30,28 +33,34 @@
 	Metrics *metric.Set
 	Log     *zap.Logger
 
-	newest uint64 // version of the newest row read
+	readDue  time.Time // next read of the row itself
+	newest   uint64    // version of the newest document received
+	received uint64    // version of the newest change received
+	trail    []mark    // responses of the last changesLag and the last one before; empty if the position is not known
 }
 
-// Watch implements Source. In addition to the feed of changes it reads the row itself at intervals, since the store may
-// withhold changes.
+// mark is the version of the store at the time of a response.
+type mark struct {
+	version uint64
+	at      time.Time
+}
+
+// Watch implements Source. The store may withhold changes for some time, so each request asks again for the changes of
+// the last changesLag that were not received, and the row itself is read at long intervals. A failed request is repeated
+// from the same position, so that a large document is transferred only when it has changed.
 func (s *RowSource) Watch(ctx context.Context, apply func(queues.Document)) {
-	var after uint64
-	for n := 0; ctx.Err() == nil; n++ {
-		var err error
-		began, call := time.Now(), "changes"
-		if after == 0 || n%requestsPerRead == 0 {
-			call = "read"
-			after, err = s.read(ctx, apply)
-		} else {
-			after, err = s.changes(ctx, after, apply)
+	for ctx.Err() == nil {
+		began := time.Now()
+		call, request := "changes", s.changes
+		if len(s.trail) == 0 || began.After(s.readDue) {
+			call, request = "read", s.read
 		}
+		err := request(ctx, apply)
 		if ctx.Err() != nil {
 			return
 		}
 		s.record(call, began, err)
 		if err != nil {
-			after = 0
 			pause.For(ctx, watchRetry)
 		}
 	}
@@ -67,29 +76,43 @@
 	s.Metrics.Counter(metric.ConfigReads, call, outcome).Inc(1)
 }
 
-func (s *RowSource) read(ctx context.Context, apply func(queues.Document)) (uint64, error) {
+func (s *RowSource) read(ctx context.Context, apply func(queues.Document)) error {
 	limited, cancel := stall.WithTimeout(ctx, storeTimeout, storeTimeout)
 	defer cancel()
+	began := time.Now()
+	s.readDue = began.Add(rereadRetry)
 	p, err := s.Store.Read(limited, s.Ref.One())
 	if err != nil {
-		return 0, err
+		return err
 	}
 	s.applyRows(p.Rows, apply)
-	return p.Version, nil
+	s.readDue = began.Add(rereadAfter + rand.N(rereadAfter/2))
+	s.trail = []mark{{p.Version, began}}
+	return nil
 }
 
-func (s *RowSource) changes(ctx context.Context, after uint64, apply func(queues.Document)) (uint64, error) {
+// changes reads the changes since the position, which is not known any more if the store no longer retains them.
+func (s *RowSource) changes(ctx context.Context, apply func(queues.Document)) error {
 	limited, cancel := stall.WithTimeout(ctx, changesWait+storeTimeout, storeTimeout)
 	defer cancel()
-	p, err := s.Store.Changes(limited, s.Ref.Table, after, changesWait)
+	p, err := s.Store.Changes(limited, s.Ref.Table, max(s.received, s.trail[0].version), changesWait)
 	if errors.Is(err, rows.ErrHistoryTruncated) {
-		return 0, nil
+		s.trail = nil
+		return nil
 	}
 	if err != nil {
-		return 0, err
+		return err
 	}
 	s.applyRows(p.Rows, apply)
-	return max(after, p.Version), nil
+	for _, r := range p.Rows {
+		s.received = max(s.received, r.Version)
+	}
+	now := time.Now()
+	s.trail = append(s.trail, mark{p.Version, now})
+	for len(s.trail) > 1 && now.Sub(s.trail[1].at) >= changesLag {
+		s.trail = s.trail[1:]
+	}
+	return nil
 }
 
 // applyRows calls apply with the configuration in the watched row, and skips one that cannot be decoded.
