Send the commands to a worker in messages that fit into a frame

What callers would see: a job with many tasks and a long payload that starts late.

Cause: a leader sent all commands for a worker in one message, whose size grows with the number of tasks. Beyond 64 KiB, 17 starts with the longest payload, sending failed, the session was closed, and the next one began with most of the same commands.

Fix: splitOrders. Only the last message of a batch has the batch's number, since a report with that number must be later than all commands of the batch.

TestManyStartsOnOneWorker failed before (job is Running after 3s, five sessions were closed) and passes now; the sessions of the cluster tests now refuse messages over the limit of a frame.

--- a/internal/jobs/lead/link_test.go
+++ b/internal/jobs/lead/link_test.go
@@ -8,6 +8,7 @@
 	"trefoilramp.org/trefoilramp/internal/host/driver"
 	"trefoilramp.org/trefoilramp/internal/jobs/lead"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
+	"trefoilramp.org/trefoilramp/internal/link/frame"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
 
@@ -72,6 +73,9 @@
 	if err != nil {
 		return err
 	}
+	if len(b) > frame.MaxPayload {
+		return frame.ErrTooLarge
+	}
 	copied, err := wire.Decode(m.Kind(), b)
 	if err != nil {
 		return err
--- a/internal/jobs/lead/takeover_test.go
+++ b/internal/jobs/lead/takeover_test.go
@@ -439,3 +439,15 @@
 		}
 	})
 }
+
+// Guards against a session that closes again and again because the commands to one worker exceed a frame.
+func TestManyStartsOnOneWorker(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		c.addHost("host-3", 64_000)
+		time.Sleep(3 * time.Second)
+		j := job(1, 1, 60)
+		j.Payload = strings.Repeat("x", spec.MaxPayload)
+		c.submit(j)
+		c.awaitState(j.ID, rows.Done, 3*time.Second) // twice its run time and its objective
+	})
+}
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -304,11 +304,14 @@
 		}
 		w.commandSeq++
 		w.out.Number = w.commandSeq
-		m := w.out
+		parts := splitOrders(w.out)
 		w.out = nil
-		if err := w.link.Send(m); err != nil {
-			event.Log(t.cfg.Log, event.AgentClosed, zap.String("Agent", w.agent.Name), zap.Error(err))
-			w.link.Close(err)
+		for _, m := range parts {
+			if err := w.link.Send(m); err != nil {
+				event.Log(t.cfg.Log, event.AgentClosed, zap.String("Agent", w.agent.Name), zap.Error(err))
+				w.link.Close(err)
+				break
+			}
 		}
 	}
 	t.fleet.outbox = t.fleet.outbox[:0]
