Limit the bytes of a commit of the leader

What callers would see: no job ends and none starts, since the leader loses the cell, and each next one too.

Cause: a commit held the progress of up to 80 jobs, whatever its size. The store refuses more than 1 MB, and the leader repeated the same change without end; below that, a slow link transferred a change for longer than the delay after which it is sent again.

Fix: a commit holds up to 128 KiB of progress, 0.14 s on a link of 10 Mbit/s; the other jobs wait for the next one, 40 ms later. The stand-in of the store refuses changes and rows over the limits of the store.

TestProgressOfManyJobsIsStored failed before (no done task is stored after 10s) and passes now.

--- a/internal/jobs/lead/cluster_test.go
+++ b/internal/jobs/lead/cluster_test.go
@@ -361,6 +361,50 @@
 	return s
 }
 
+// encodeCheckpoints returns the progress of a job with a checkpoint for each task.
+func encodeCheckpoints(tb testing.TB, tasks int) []byte {
+	tb.Helper()
+	p := rows.JobProgress{State: rows.Running, Done: make([]byte, (tasks+7)/8)}
+	for i := range tasks {
+		p.Tasks = append(p.Tasks, rows.TaskProgress{Task: i, Checkpoint: fmt.Sprintf("%016d", i)})
+	}
+	value, err := rows.Encode(p)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return value
+}
+
+// putProgress stores a checkpoint for each task of a job, as an earlier leader did.
+func (c *cluster) putProgress(j *spec.Job) {
+	c.t.Helper()
+	change := rows.Change{Puts: []rows.Row{{
+		Ref: rows.ProgressRef(cell, j.ID), Value: encodeCheckpoints(c.t, j.TaskCount()),
+	}}}
+	if _, err := c.store.Client("caller").Change(c.ctx, change); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// awaitProgress waits until the store has a task of the job as done.
+func (c *cluster) awaitProgress(id spec.ID, limit time.Duration) {
+	c.t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		page, err := c.store.Client("caller").Read(c.ctx, rows.ProgressRef(cell, id).One())
+		if err != nil || len(page.Rows) == 0 {
+			continue
+		}
+		var p rows.JobProgress
+		if err := rows.Decode(page.Rows[0], &p); err != nil {
+			c.t.Fatal(err)
+		}
+		if slices.ContainsFunc(p.Done, func(b byte) bool { return b != 0 }) {
+			return
+		}
+	}
+	c.t.Errorf("job %s: no done task is stored after %v", id, limit)
+}
+
 // awaitState waits until a job has a state as seen by callers, and reports an error after limit.
 func (c *cluster) awaitState(id spec.ID, want rows.State, limit time.Duration) {
 	c.t.Helper()
--- a/internal/jobs/lead/commit.go
+++ b/internal/jobs/lead/commit.go
@@ -44,11 +44,12 @@
 	clear(t.undurable)
 }
 
-// startCommit writes the progress of up to maxBatch jobs and deletes up to maxDeletes rows in the background; the result
-// arrives as a committed event.
+// startCommit writes the progress of up to maxBatch jobs and maxBatchBytes, and deletes up to maxDeletes rows, in the
+// background; the result arrives as a committed event.
 func (t *Term) startCommit(ctx context.Context, now time.Time) {
 	c := &commit{}
 	var puts []rows.Row
+	size := 0
 	for j := range t.dirty {
 		if len(puts) == maxBatch {
 			break
@@ -58,6 +59,9 @@
 			event.Log(t.cfg.Log, event.CommitFailed, zap.String("Job", string(j.spec.ID)), zap.Error(err))
 			continue
 		}
+		if size += len(value); size > maxBatchBytes && len(puts) > 0 {
+			break
+		}
 		puts = append(puts, rows.Row{Ref: rows.ProgressRef(t.cfg.Cell, j.spec.ID), Value: value})
 		c.jobs, c.states = append(c.jobs, j), append(c.states, j.state)
 		j.dirty = false
--- a/internal/jobs/lead/takeover_test.go
+++ b/internal/jobs/lead/takeover_test.go
@@ -451,3 +451,37 @@
 		c.awaitState(j.ID, rows.Done, 3*time.Second) // twice its run time and its objective
 	})
 }
+
+// Guards against a leader that repeats a change that the store never accepts: the progress of many jobs together exceeded
+// the largest change.
+func TestProgressOfManyJobsIsStored(t *testing.T) {
+	const (
+		jobs   = 80
+		tasks  = 1500             // of each job, with a checkpoint each: 36 KB of progress
+		target = 10 * time.Second // for tasks of 1 s
+	)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newCluster(ctx, t, 1)
+		for n := range jobs {
+			j := job(n+1, 1, tasks)
+			j.Steps[0].Checkpoints, j.Steps[0].PerWorker = true, 1 // so that a task of each job runs at the same time
+			c.submit(j)
+			c.putProgress(j)
+		}
+		c.addEntry("entry-1")
+		c.addHost("host-1", jobs*1000)
+		for n := range jobs {
+			c.awaitProgress(job(n+1, 1, 1).ID, target)
+		}
+		if t := c.term(); t == nil || t.Epoch() != 1 {
+			c.t.Error("the leader has lost the cell")
+		}
+		cancel()
+		for _, e := range c.entries {
+			<-e.done
+		}
+		c.wg.Wait()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/jobs/lead/timing.go
+++ b/internal/jobs/lead/timing.go
@@ -29,6 +29,8 @@
 	retentionMargin = time.Minute
 	// maxBatch is the largest number of jobs whose progress one commit writes.
 	maxBatch = 80
+	// maxBatchBytes limits the values of a commit, so that a slow link transfers it before it is sent again.
+	maxBatchBytes = 128 << 10
 	// maxDeletes is the largest number of rows that one commit deletes; the store takes 100 entries in one change.
 	maxDeletes = 16
 	// runsPerEpoch is the size of the range of run numbers that an epoch uses for a task.
--- a/internal/stand/memory/store.go
+++ b/internal/stand/memory/store.go
@@ -76,16 +76,30 @@
 	}
 }
 
-// maxEntries is the largest number of conditions, puts and deletes of a change.
-const maxEntries = 100
+// MaxRowBytes is the largest value of a row.
+const MaxRowBytes = 64 << 10
 
-// Change implements rows.Store. It refuses changes of more than maxEntries entries. When the response is lost, it blocks until ctx ends and returns rows.ErrUnknown.
+const (
+	maxEntries     = 100             // conditions, puts and deletes of a change
+	maxChangeBytes = 1 << 20 * 3 / 4 // of all values of a change; their encoding in base64 is a third larger
+)
+
+func isTooLarge(c rows.Change) bool {
+	size, largest := 0, 0
+	for _, r := range c.Puts {
+		size, largest = size+len(r.Value), max(largest, len(r.Value))
+	}
+	return len(c.Conditions)+len(c.Puts)+len(c.Deletes) > maxEntries || largest > MaxRowBytes || size > maxChangeBytes
+}
+
+// Change implements rows.Store. It refuses changes that are too large. When the response is lost, it blocks until ctx
+// ends and returns rows.ErrUnknown.
 func (v view) Change(ctx context.Context, c rows.Change) (rows.Outcome, error) {
 	f, err := v.nextFault(ctx)
 	if err != nil {
 		return rows.Outcome{}, err
 	}
-	if len(c.Conditions)+len(c.Puts)+len(c.Deletes) > maxEntries {
+	if isTooLarge(c) {
 		return rows.Outcome{}, rows.ErrNotDone
 	}
 	if f.LoseLate > 0 {
