Omit the checkpoints of a job whose progress exceeds a row

What callers would see: no job ends and none starts, as the leader repeats a change that the store refuses.

Cause: the progress of a job is one row, which grows with its tasks; about 2,700 checkpoints exceed the 64 KiB of a row.

Fix: the row is then stored without checkpoints. After a takeover such tasks start from the beginning; they keep their checkpoints otherwise, since the leader holds them in memory. A job with more than about 6,000 tasks with failed runs still exceeds a row.

TestProgressOfLargeJobIsStored failed before (no done task is stored after 10s) and passes now.

--- a/internal/jobs/lead/commit.go
+++ b/internal/jobs/lead/commit.go
@@ -54,7 +54,7 @@
 		if len(puts) == maxBatch {
 			break
 		}
-		value, err := rows.Encode(j.durableProgress())
+		value, err := encodeProgress(j)
 		if err != nil {
 			event.Log(t.cfg.Log, event.CommitFailed, zap.String("Job", string(j.spec.ID)), zap.Error(err))
 			continue
@@ -85,6 +85,21 @@
 	})
 }
 
+// encodeProgress returns the progress of a job as a row's value. It omits the checkpoints if the store would not accept
+// the row with them; a task without a checkpoint starts from the beginning after a takeover.
+func encodeProgress(j *job) ([]byte, error) {
+	p := j.durableProgress()
+	value, err := rows.Encode(p)
+	if err != nil || len(value) <= maxRowBytes {
+		return value, err
+	}
+	for i := range p.Tasks {
+		p.Tasks[i].Checkpoint = ""
+	}
+	p.Tasks = slices.DeleteFunc(p.Tasks, func(a rows.TaskProgress) bool { return len(a.Failed) == 0 })
+	return rows.Encode(p)
+}
+
 // applyCommit records what the finished commit made durable; it returns the error of a failed commit.
 func (t *Term) applyCommit(ev committed) error {
 	c := t.commit
--- a/internal/jobs/lead/takeover_test.go
+++ b/internal/jobs/lead/takeover_test.go
@@ -13,6 +13,7 @@
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/stand/memory"
 	"trefoilramp.org/trefoilramp/internal/stand/runs"
 )
 
@@ -485,3 +486,39 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against a leader that repeats a change that the store never accepts: the progress of one job exceeded the largest
+// row.
+func TestProgressOfLargeJobIsStored(t *testing.T) {
+	const target = 10 * time.Second // for tasks of 1 s
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newCluster(ctx, t, 1)
+		ran := make(map[string]bool)
+		c.plan = func(r wire.Run) runs.Plan {
+			isFirst := !ran[r.Task]
+			ran[r.Task] = true
+			return runs.Plan{Size: sizes.Resources{Processors: 1000}, RunTime: time.Second, Fails: isFirst}
+		}
+		tasks := 1
+		for len(encodeCheckpoints(t, tasks+1)) <= memory.MaxRowBytes {
+			tasks++
+		}
+		j := job(1, 1, tasks) // failed runs make its progress larger than a row
+		j.Steps[0].Checkpoints = true
+		c.submit(j)
+		c.putProgress(j)
+		c.addEntry("entry-1")
+		c.addHost("host-1", 100_000)
+		c.awaitProgress(j.ID, target)
+		if t := c.term(); t == nil || t.Epoch() != 1 {
+			c.t.Error("the leader has lost the cell")
+		}
+		cancel()
+		for _, e := range c.entries {
+			<-e.done
+		}
+		c.wg.Wait()
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/jobs/lead/timing.go
+++ b/internal/jobs/lead/timing.go
@@ -31,6 +31,8 @@
 	maxBatch = 80
 	// maxBatchBytes limits the values of a commit, so that a slow link transfers it before it is sent again.
 	maxBatchBytes = 128 << 10
+	// maxRowBytes is the largest value of a row that the store accepts.
+	maxRowBytes = 64 << 10
 	// maxDeletes is the largest number of rows that one commit deletes; the store takes 100 entries in one change.
 	maxDeletes = 16
 	// runsPerEpoch is the size of the range of run numbers that an epoch uses for a task.
