Limit the reads of the older configuration and of the store client by progress

A check of the configuration had 2 s for the head row and the document, each request of the store client 3 s, and the transfer from another entry 2 s, whatever the size.

Fix: the limits count from the last progress. They are as long as before, so a silent store is noticed as soon.

--- a/internal/conf/head/watch.go
+++ b/internal/conf/head/watch.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"trefoilramp.org/trefoilramp/internal/core/event"
+	"trefoilramp.org/trefoilramp/internal/core/stall"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/plat/table"
 )
@@ -17,11 +18,13 @@
 // notification was lost, within the goal of 5 s.
 const DefaultPoll = time.Second
 
-const pollTimeout = 2 * time.Second // a slow store must not delay reactions to newer versions
+// pollTimeout is the longest time without progress of a read; a silent store must not delay reactions to newer versions.
+const pollTimeout = 2 * time.Second
 
 // Peers fetches the configuration from other entries.
 type Peers interface {
-	// FetchConfig returns a version of at least atLeast, and its document as JSON, from any entry that has one.
+	// FetchConfig returns a version of at least atLeast, and its document as JSON, from any entry that has one. It calls
+	// stall.Progress during the transfer.
 	FetchConfig(ctx context.Context, atLeast uint64) (wire.ConfigDoc, []byte, error)
 }
 
@@ -56,7 +59,7 @@
 // Check reads the head row once and puts a newer version into force. If the store fails, it fetches the highest known
 // version from the peers, and any version if neither store nor peer has answered yet.
 func (h *Holder) Check(ctx context.Context) error {
-	readCtx, cancel := context.WithTimeout(ctx, pollTimeout)
+	readCtx, cancel := stall.WithTimeout(ctx, pollTimeout, pollTimeout)
 	defer cancel()
 	err := h.checkStore(readCtx)
 	if err != nil && (h.isBehind() || !h.confirmed.Load()) {
@@ -101,7 +104,7 @@
 	if h.peers == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	ctx, cancel := stall.WithTimeout(ctx, pollTimeout, pollTimeout)
 	defer cancel()
 	d, body, err := h.peers.FetchConfig(ctx, max(h.highestKnown.Load(), 1))
 	if err != nil {
--- a/internal/plat/remote/remote.go
+++ b/internal/plat/remote/remote.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"trefoilramp.org/trefoilramp/internal/core/stall"
 )
 
 // Errors of requests that did not get a complete response.
@@ -26,7 +28,7 @@
 
 // Limits of a client.
 const (
-	DefaultTimeout = 3 * time.Second // of one request
+	DefaultTimeout = 3 * time.Second // without progress of a request
 	maxIdleConns   = 32              // idle connections to one service
 	maxResponse    = 256 << 20       // bytes of a response body; a partition snapshot is far smaller
 )
@@ -35,7 +37,7 @@
 type Options struct {
 	URL     string        // http://host:port
 	Name    string        // sent as ClientHeader
-	Timeout time.Duration // of one request; 0 for DefaultTimeout
+	Timeout time.Duration // without progress of a request; 0 for DefaultTimeout
 }
 
 // Client sends requests to one service; it is safe for concurrent use.
@@ -63,9 +65,10 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Do sends one request and reads the whole response; its errors wrap ErrNotSent, ErrNoResponse or ErrInvalid.
+// Do sends one request and reads the whole response; its errors wrap ErrNotSent, ErrNoResponse or ErrInvalid. It reports
+// the transfer of the bodies to stall.Progress.
 func (c *Client) Do(ctx context.Context, method, path string, body []byte) (Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.o.Timeout)
+	ctx, cancel := stall.WithTimeout(ctx, c.o.Timeout, c.o.Timeout)
 	defer cancel()
 	var connected atomic.Bool // while false, no byte of the request has been written
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
@@ -74,6 +77,12 @@
 	if err != nil {
 		return Response{}, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
+	if len(body) > 0 {
+		req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(stall.NewReader(ctx, bytes.NewReader(body))), nil }
+		if req.Body, err = req.GetBody(); err != nil {
+			return Response{}, fmt.Errorf("%w: %w", ErrInvalid, err)
+		}
+	}
 	req.Header.Set("Content-Type", "application/json")
 	if c.o.Name != "" {
 		req.Header.Set(ClientHeader, c.o.Name)
@@ -86,7 +95,8 @@
 		return Response{}, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
 	defer res.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(res.Body, maxResponse))
+	stall.Progress(ctx)
+	b, err := io.ReadAll(stall.NewReader(ctx, io.LimitReader(res.Body, maxResponse)))
 	if err != nil {
 		return Response{}, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
--- a/internal/plat/table/client.go
+++ b/internal/plat/table/client.go
@@ -20,7 +20,7 @@
 type Options struct {
 	URL     string        // http://host:port
 	Name    string        // sent as remote.ClientHeader
-	Timeout time.Duration // of one request; 0 for remote.DefaultTimeout
+	Timeout time.Duration // without progress of a request; 0 for remote.DefaultTimeout
 	Log     *zap.Logger   // nil for no logging
 }
 
--- a/internal/role/entry/peers.go
+++ b/internal/role/entry/peers.go
@@ -9,6 +9,7 @@
 
 	"trefoilramp.org/trefoilramp/internal/conf/model"
 	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/stall"
 	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
@@ -68,7 +69,8 @@
 	if !ok {
 		return wire.ConfigDoc{}, nil, errors.Newf("unexpected reply %v", m.Kind())
 	}
-	body, err := io.ReadAll(io.LimitReader(st, model.MaxDocument+1))
+	stall.Progress(ctx)
+	body, err := io.ReadAll(stall.NewReader(ctx, io.LimitReader(st, model.MaxDocument+1)))
 	if err != nil {
 		return wire.ConfigDoc{}, nil, fmt.Errorf("read configuration: %w", err)
 	}
