Keep the pages read when the read of another page fails

What callers would see: no job starts, since no entry leads the cell, while the store refuses a part of the reads.

Cause: a takeover reads eighteen pages or more; one that was refused discarded all of them, and the takeover began anew.

Fix: ReadAll repeats a page that failed until its context ends. A limit of a second without progress for each page was tried and dropped: pages that wait for others on a slow link were abandoned and transferred again (TestSoakOverSlowLinks failed).

TestTakeoverWithRefusedReads failed before (no entry leads after 12s, with each fourth request refused) and passes now. TestSoakOverSlowLinks injects the faults of the soak while rows take longer to read than the leadership lease.

--- a/internal/jobs/lead/soak_test.go
+++ b/internal/jobs/lead/soak_test.go
@@ -21,14 +21,27 @@
 // sessions and the store fail at random.
 func TestSoak(t *testing.T) {
 	for seed := range *soakSeeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { soak(t, seed) }) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { soak(t, seed, 0) }) })
 	}
 }
 
-func soak(t *testing.T, seed uint64) {
+var slowSoakSeeds = flag.Uint64("slowsoak", 10, "seeds of TestSoakOverSlowLinks, each in virtual time")
+
+// Guards against the same while each process reads from the store over a slow link, so that a takeover transfers rows for
+// longer than the head row may stay unchanged.
+func TestSoakOverSlowLinks(t *testing.T) {
+	const rate = 1_000 // bytes per second; the rows of all jobs take longer than the leadership lease
+	for seed := range *slowSoakSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { soak(t, seed, rate) }) })
+	}
+}
+
+// soak injects faults at random; a rate other than 0 limits the transfer of rows, in bytes per second.
+func soak(t *testing.T, seed uint64, rate int) {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	c := newCluster(ctx, t, seed)
+	c.store.SetRate(rate)
 	c.plan = func(r wire.Run) runs.Plan {
 		runTime := 300*time.Millisecond + time.Duration(len(r.Task)*7919%900)*time.Millisecond
 		return runs.Plan{Size: sizes.Resources{Processors: 1000}, RunTime: runTime}
--- a/internal/jobs/lead/takeover_test.go
+++ b/internal/jobs/lead/takeover_test.go
@@ -441,6 +441,27 @@
 	})
 }
 
+// Guards against a cell without a leader while the store refuses a part of the reads: a takeover reads many pages, and one
+// that was refused discarded all of them.
+func TestTakeoverWithRefusedReads(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		j := job(1, 1, 1)
+		c.submit(j)
+		requests := 0
+		entry := c.entries["entry-2"]
+		c.setFaults(func(caller string) memory.Fault {
+			if caller != entry.name || !entry.leader.IsLeading() || entry.leader.Term() != nil {
+				return memory.Fault{}
+			}
+			requests++
+			return memory.Fault{Refuse: requests%4 == 0}
+		})
+		c.kill("entry-1")
+		c.awaitTerm(12 * time.Second)
+		c.awaitState(j.ID, rows.Done, 10*time.Second)
+	})
+}
+
 // Guards against a session that closes again and again because the commands to one worker exceed a frame.
 func TestManyStartsOnOneWorker(t *testing.T) {
 	withCluster(t, func(c *cluster) {
--- a/internal/jobs/rows/rows.go
+++ b/internal/jobs/rows/rows.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"trefoilramp.org/trefoilramp/internal/core/pause"
 )
 
 // Errors of a store.
@@ -100,12 +102,19 @@
 	return all, nil
 }
 
-// ReadAll returns all rows of a span, read page by page, with the version of the first page.
+// pageRetry is the delay after a failed read of a page.
+const pageRetry = 50 * time.Millisecond
+
+// ReadAll returns all rows of a span, read page by page, with the version of the first page. It repeats the read of a page
+// that fails until ctx ends, and keeps the pages before.
 func ReadAll(ctx context.Context, st Store, s Span) (Page, error) {
 	var all Page
 	for {
 		p, err := st.Read(ctx, s)
 		if err != nil {
+			if pause.For(ctx, pageRetry) {
+				continue
+			}
 			return Page{}, err
 		}
 		all.Rows = append(all.Rows, p.Rows...)
