Read only the newest configuration after an outage of the store

Callers would see an old configuration for long after the store, or one entry's path to it, was away while the configuration changed: after that, an entry on a slow link transferred each version that it had missed, one after the other.

The store returns every change of the row, each with the whole document.

Fix: after 3 s without a response, or a response that took as long, the row itself is read.

--- a/cmd/trefoilramp/cell_test.go
+++ b/cmd/trefoilramp/cell_test.go
@@ -103,7 +103,7 @@
 		c.t.Fatal(err)
 	}
 	put := rows.Change{Puts: []rows.Row{{Ref: adapter.ConfigRef, Value: b}}}
-	if _, err := c.rows.Client("operator").Change(c.t.Context(), put); err != nil {
+	if _, err := c.rows.Operator().Change(c.t.Context(), put); err != nil {
 		c.t.Fatal(err)
 	}
 }
--- a/internal/role/jobs/jobs_test.go
+++ b/internal/role/jobs/jobs_test.go
@@ -112,7 +112,7 @@
 
 func putConfig(t *testing.T, s *memory.Store, version byte) {
 	t.Helper()
-	if _, err := s.Client("operator").Change(t.Context(), rows.Change{Puts: []rows.Row{{Ref: config, Value: []byte{version}}}}); err != nil {
+	if _, err := s.Operator().Change(t.Context(), rows.Change{Puts: []rows.Row{{Ref: config, Value: []byte{version}}}}); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/internal/role/jobs/source.go
+++ b/internal/role/jobs/source.go
@@ -23,6 +23,7 @@
 	changesLag   = 10 * time.Second       // for which each request asks for changes again that were not received
 	rereadAfter  = time.Minute            // between reads of the row itself, plus up to half of it
 	rereadRetry  = 5 * time.Second        // delay after such a read failed
+	maxGap       = 3 * time.Second        // after which many versions may have been missed, of which only the newest counts
 )
 
 // RowSource watches the row that holds the operator's configuration of queues; it implements Source.
@@ -34,6 +35,7 @@
 	Log     *zap.Logger
 
 	readDue  time.Time // next read of the row itself
+	lastAt   time.Time // end of the last successful request
 	newest   uint64    // version of the newest document received
 	received uint64    // version of the newest change received
 	trail    []mark    // responses of the last changesLag and the last one before; empty if the position is not known
@@ -47,7 +49,8 @@
 
 // Watch implements Source. The store may withhold changes for some time, so each request asks again for the changes of
 // the last changesLag that were not received, and the row itself is read at long intervals. A failed request is repeated
-// from the same position, so that a large document is transferred only when it has changed.
+// from the same position, so that a large document is transferred only when it has changed. After a longer gap the row is
+// read, since the changes would include each version that was missed.
 func (s *RowSource) Watch(ctx context.Context, apply func(queues.Document)) {
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -60,9 +63,15 @@
 			return
 		}
 		s.record(call, began, err)
+		now := time.Now()
+		if call == "changes" && (now.Sub(began) > maxGap || err != nil && now.Sub(s.lastAt) > maxGap) {
+			s.trail = nil
+		}
 		if err != nil {
 			pause.For(ctx, watchRetry)
+			continue
 		}
+		s.lastAt = now
 	}
 }
 
--- a/internal/role/jobs/source_test.go
+++ b/internal/role/jobs/source_test.go
@@ -144,3 +144,27 @@
 		})
 	}
 }
+
+// Guards against the transfer of all versions of the configuration that an entry has missed, one after the other.
+func TestOutageTransfersNewestVersionOnly(t *testing.T) {
+	withSource(t, func(s *observedStore, put func(byte), version func() uint64) {
+		time.Sleep(10 * time.Second)
+		s.set(func() { s.refused = true })
+		const newest = 20
+		for v := byte(2); v <= newest; v++ {
+			time.Sleep(500 * time.Millisecond)
+			put(v)
+		}
+		var before int
+		s.set(func() { s.refused, before = false, s.transfers })
+		time.Sleep(1100 * time.Millisecond)
+		s.set(func() {
+			if n := s.transfers - before; n != 1 {
+				t.Errorf("%d transfers after the outage, want 1", n)
+			}
+		})
+		if v := version(); v != newest {
+			t.Errorf("version %d in force, want %d", v, newest)
+		}
+	})
+}
--- a/internal/stand/memory/store.go
+++ b/internal/stand/memory/store.go
@@ -47,12 +47,16 @@
 }
 
 // Client returns a view of the store whose requests are made by caller.
-func (s *Store) Client(caller string) rows.Store { return view{s, caller} }
+func (s *Store) Client(caller string) rows.Store { return view{store: s, caller: caller} }
+
+// Operator returns a view of the store for the operator, whose changes may have any size.
+func (s *Store) Operator() rows.Store { return view{store: s, caller: "operator", unlimited: true} }
 
 // view implements rows.Store for one caller.
 type view struct {
-	store  *Store
-	caller string
+	store     *Store
+	caller    string
+	unlimited bool // accepts changes of any size
 }
 
 // latency is the time that each request takes without a fault, and the pause between two polls of Changes.
@@ -76,7 +80,7 @@
 	}
 }
 
-// MaxRowBytes is the largest value of a row.
+// MaxRowBytes is the largest value of a row, except for the operator.
 const MaxRowBytes = 64 << 10
 
 const (
@@ -99,7 +103,7 @@
 	if err != nil {
 		return rows.Outcome{}, err
 	}
-	if isTooLarge(c) {
+	if !v.unlimited && isTooLarge(c) {
 		return rows.Outcome{}, rows.ErrNotDone
 	}
 	if f.LoseLate > 0 {
