Decode only the newest configuration of a response

Cause: the store returns each change of the row, and each was decoded and indexed, 40 ms for 4,247 queues on a fifth of a processor, before the newest came into force.

TestNewestOfSeveralVersionsIsDecoded failed before (5 documents decoded, want 1).

--- a/internal/role/jobs/source.go
+++ b/internal/role/jobs/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -124,9 +125,10 @@
 	return nil
 }
 
-// applyRows calls apply with the configuration in the watched row, and skips one that cannot be decoded.
+// applyRows calls apply with the configuration in the newest version of the watched row that can be decoded; list is in
+// the order of versions.
 func (s *RowSource) applyRows(list []rows.Row, apply func(queues.Document)) {
-	for _, r := range list {
+	for _, r := range slices.Backward(list) {
 		if r.Ref != s.Ref || r.Removed {
 			continue
 		}
@@ -142,5 +144,6 @@
 				zap.Int("Bytes", len(r.Value)), zap.Duration("Decoding", time.Since(began)))
 		}
 		apply(d)
+		return
 	}
 }
--- a/internal/role/jobs/source_test.go
+++ b/internal/role/jobs/source_test.go
@@ -21,6 +21,7 @@
 	rows.Store
 	mu        sync.Mutex
 	transfers int
+	decoded   int
 	withheld  bool
 	refused   bool
 	truncated bool
@@ -75,7 +76,10 @@
 		var current uint64
 		source := &jobs.RowSource{
 			Store: s, Ref: config, Metrics: set, Log: zap.NewNop(),
-			Decode: func(b []byte) (queues.Document, error) { return queues.Document{Version: uint64(b[0])}, nil },
+			Decode: func(b []byte) (queues.Document, error) {
+				s.set(func() { s.decoded++ })
+				return queues.Document{Version: uint64(b[0])}, nil
+			},
 		}
 		wg.Go(func() {
 			source.Watch(ctx, func(d queues.Document) {
@@ -168,3 +172,27 @@
 		}
 	})
 }
+
+// Guards against the time for decoding versions of the configuration that a newer one in the same response replaces.
+func TestNewestOfSeveralVersionsIsDecoded(t *testing.T) {
+	withSource(t, func(s *observedStore, put func(byte), version func() uint64) {
+		time.Sleep(10 * time.Second)
+		s.set(func() { s.refused = true })
+		const newest = 6
+		for v := byte(2); v <= newest; v++ {
+			put(v)
+		}
+		time.Sleep(time.Second)
+		var before int
+		s.set(func() { s.refused, before = false, s.decoded })
+		time.Sleep(1100 * time.Millisecond)
+		s.set(func() {
+			if n := s.decoded - before; n != 1 {
+				t.Errorf("%d documents decoded, want 1", n)
+			}
+		})
+		if v := version(); v != newest {
+			t.Errorf("version %d in force, want %d", v, newest)
+		}
+	})
+}
