Log failed reads of the configuration once a second

While the store refuses requests, each entry repeats them every 120 ms and wrote a line for each: 132 lines of one entry in two outages of 10 and 8 s. The first failure is logged, then one a second with the number of failures.

--- a/internal/role/jobs/source.go
+++ b/internal/role/jobs/source.go
@@ -25,6 +25,7 @@
 	rereadAfter  = time.Minute            // between reads of the row itself, plus up to half of it
 	rereadRetry  = 5 * time.Second        // delay after such a read failed
 	maxGap       = 3 * time.Second        // after which many versions may have been missed, of which only the newest counts
+	failureLog   = time.Second            // between log lines while requests fail
 )
 
 // RowSource watches the row that holds the operator's configuration of queues; it implements Source.
@@ -37,6 +38,8 @@
 
 	readDue  time.Time // next read of the row itself
 	lastAt   time.Time // end of the last successful request
+	failures int       // since then
+	loggedAt time.Time // last log line on a failure
 	newest   uint64    // version of the newest document received
 	received uint64    // version of the newest change received
 	trail    []mark    // responses of the last changesLag and the last one before; empty if the position is not known
@@ -76,14 +79,20 @@
 	}
 }
 
-// record counts a request and logs a failed one.
+// record counts a request, and logs failures at intervals.
 func (s *RowSource) record(call string, began time.Time, err error) {
-	outcome := "done"
-	if err != nil {
-		outcome = "failed"
-		event.Log(s.Log, event.QueuesReadFailed, zap.String("Call", call), zap.Duration("Took", time.Since(began)), zap.Error(err))
+	if err == nil {
+		s.failures = 0
+		s.Metrics.Counter(metric.ConfigReads, call, "done").Inc(1)
+		return
+	}
+	s.failures++
+	s.Metrics.Counter(metric.ConfigReads, call, "failed").Inc(1)
+	if now := time.Now(); s.failures == 1 || now.Sub(s.loggedAt) >= failureLog {
+		s.loggedAt = now
+		event.Log(s.Log, event.QueuesReadFailed, zap.String("Call", call), zap.Duration("Took", now.Sub(began)),
+			zap.Int("Failures", s.failures), zap.Error(err))
 	}
-	s.Metrics.Counter(metric.ConfigReads, call, outcome).Inc(1)
 }
 
 func (s *RowSource) read(ctx context.Context, apply func(queues.Document)) error {
