Grow the configuration in the soak of real processes, over slow links

The soak stored one small configuration. Now entries read from the store over links of 10 Mbit/s, while the configuration grows to 4,200 queues and changes every 1.8 s beside the other faults. Once no fault is left, each entry has 3 s to have the newest in force.

--- a/cmd/trefoilramp/cell_soak_test.go
+++ b/cmd/trefoilramp/cell_soak_test.go
@@ -29,6 +29,9 @@
 	cellRecoverTimeout = 40 * time.Second
 	cellCallers        = 4
 	cellSubmitInterval = 400 * time.Millisecond // between the jobs of a caller
+	cellStoreRate      = 10_000_000 / 8         // of the links from the store to the entries, bytes per second
+	cellQueues         = 4200                   // of the largest configuration, which such a link transfers in 0.8 s
+	cellConfigTarget   = 3 * time.Second        // until a configuration is in force once no fault is left
 )
 
 var (
@@ -86,8 +89,16 @@
 			jobs = append(jobs, list...)
 		})
 	}
-	for range cellRounds {
+	for _, p := range s.entries {
+		s.relays["store of "+p.name].SetRate(netsim.Backward, cellStoreRate)
+	}
+	version := uint64(1)
+	for round := range cellRounds {
 		end := time.Now().Add(cellRoundTime)
+		if round%3 == 0 { // no more often than such a link can follow
+			version++
+			s.configure(version, min(cellQueues, 700*int(version)))
+		}
 		for range 1 + s.rng.IntN(2) {
 			s.inject()
 		}
@@ -95,6 +106,7 @@
 		s.checkAlive()
 	}
 	s.heal(time.Now().Add(time.Hour))
+	s.checkConfiguration(ctx, version)
 	stop()
 	wg.Wait()
 	time.Sleep(cellSettleTime)
@@ -104,6 +116,24 @@
 	s.checkLogs()
 }
 
+// checkConfiguration fails the test unless all entries have a version in force soon.
+func (s *cellInjector) checkConfiguration(ctx context.Context, version uint64) {
+	a, end := s.caller(version), time.Now().Add(cellConfigTarget)
+	for _, p := range s.entries {
+		for {
+			status, _ := a.request(ctx, p, http.MethodGet, spec.ID(versionPath(version)), nil)
+			if status == http.StatusOK {
+				break
+			}
+			if time.Now().After(end) {
+				s.t.Errorf("version %d is not in force on %s after %v: status %d", version, p.name, cellConfigTarget, status)
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
 // generateLoad submits, cancels and queries jobs as one caller until loadCtx ends.
 func (s *cellInjector) generateLoad(loadCtx context.Context, seed uint64, caller int) []*trackedJob {
 	var list []*trackedJob
--- a/cmd/trefoilramp/cell_test.go
+++ b/cmd/trefoilramp/cell_test.go
@@ -80,7 +80,7 @@
 	if b, err := exec.CommandContext(ctx, "go", "build", "-o", c.binary, ".").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, b)
 	}
-	c.configure()
+	c.configure(1, 0)
 	for i := range entries {
 		c.addEntry(fmt.Sprintf("entry-%d", i+1))
 	}
@@ -90,15 +90,21 @@
 	return c
 }
 
-// configure stores a configuration with one queue.
-func (c *cell) configure() {
-	b, err := adapter.EncodeConfig(queues.Document{
-		Version: 1,
-		Queues: []queues.Queue{{
-			Name: "plans", Host: cellHost, Prefix: cellPrefix, Service: "packing", MaxAttempts: 3, Stretch: 2, Objective: time.Second,
-		}},
-		Services: []queues.Service{{Name: "packing"}},
-	})
+// configure stores a version of the configuration with the queue for jobs, a queue named after the version, and a number of
+// other queues.
+func (c *cell) configure(version uint64, others int) {
+	d := queues.Document{Version: version, Services: []queues.Service{{Name: "packing"}}}
+	add := func(name, host, prefix string) {
+		d.Queues = append(d.Queues, queues.Queue{
+			Name: name, Host: host, Prefix: prefix, Service: "packing", MaxAttempts: 3, Stretch: 2, Objective: time.Second,
+		})
+	}
+	add("plans", cellHost, cellPrefix)
+	add("newest", cellHost, cellPrefix+versionPath(version))
+	for i := range others {
+		add(fmt.Sprintf("other-%06d", i), fmt.Sprintf("host-%06d.example", i), fmt.Sprintf("/path-%06d/", i))
+	}
+	b, err := adapter.EncodeConfig(d)
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -108,6 +114,9 @@
 	}
 }
 
+// versionPath returns the last part of the path of the queue that only the given version has.
+func versionPath(version uint64) string { return fmt.Sprintf("v%d/", version) }
+
 // addRelay starts a relay to an address and returns the address of the relay.
 func (c *cell) addRelay(name, address string) string {
 	r, err := netsim.New(c.t.Context(), address)
