--- a/internal/jobs/lead/takeover_test.go
+++ b/internal/jobs/lead/takeover_test.go
@@ -13,23 +13,15 @@
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
-	"trefoilramp.org/trefoilramp/internal/stand/memory"
 	"trefoilramp.org/trefoilramp/internal/stand/runs"
 )
 
-// withCluster runs f in virtual time with two entries, of which entry-1 leads, and two workers with four processors
-// each.
-func withCluster(t *testing.T, f func(c *cluster)) {
+// inCluster runs f in virtual time with a cluster, and then stops it.
+func inCluster(t *testing.T, f func(c *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		c := newCluster(ctx, t, 1)
-		c.addEntry("entry-1")
-		time.Sleep(500 * time.Millisecond)
-		c.addEntry("entry-2")
-		c.addHost("host-1", 4000)
-		c.addHost("host-2", 4000)
-		time.Sleep(3 * time.Second)
 		f(c)
 		c.checkRuns()
 		cancel()
@@ -41,6 +33,21 @@
 	})
 }
 
+// withCluster runs f in virtual time with two entries, of which entry-1 leads, and two workers with four processors
+// each.
+func withCluster(t *testing.T, f func(c *cluster)) {
+	t.Helper()
+	inCluster(t, func(c *cluster) {
+		c.addEntry("entry-1")
+		time.Sleep(500 * time.Millisecond)
+		c.addEntry("entry-2")
+		c.addHost("host-1", 4000)
+		c.addHost("host-2", 4000)
+		time.Sleep(3 * time.Second)
+		f(c)
+	})
+}
+
 // runsOf returns the runs of a job on all workers.
 func runsOf(c *cluster, id spec.ID) []runs.Record {
 	var list []runs.Record
@@ -411,135 +418,3 @@
 		}
 	})
 }
-
-// Guards against a cell without a leader: the reads of a takeover had to end within the leadership lease, began anew when
-// they did not, and another entry took the cell over in the meantime.
-func TestTakeoverOverSlowLink(t *testing.T) {
-	const (
-		jobs    = 100
-		payload = 4000             // bytes
-		rate    = 50_000           // bytes per second, so that the rows of the jobs take 8 s
-		target  = 12 * time.Second // from the end of the leader until the cell is led again
-	)
-	withCluster(t, func(c *cluster) {
-		c.addEntry("entry-3")
-		var list []*spec.Job
-		for n := range jobs {
-			j := job(n+1, 1, 1)
-			j.Payload = strings.Repeat("x", payload)
-			c.submit(j)
-			list = append(list, j)
-		}
-		c.store.SetRate(rate)
-		c.kill("entry-1")
-		killedAt := time.Now()
-		c.awaitTerm(target)
-		t.Logf("led again after %v, epoch %d", time.Since(killedAt), c.term().Epoch())
-		for _, j := range list {
-			c.awaitState(j.ID, rows.Done, 30*time.Second)
-		}
-	})
-}
-
-// Guards against a cell without a leader while the store refuses a part of the reads: a takeover reads many pages, and one
-// that was refused discarded all of them.
-func TestTakeoverWithRefusedReads(t *testing.T) {
-	withCluster(t, func(c *cluster) {
-		j := job(1, 1, 1)
-		c.submit(j)
-		requests := 0
-		entry := c.entries["entry-2"]
-		c.setFaults(func(caller string) memory.Fault {
-			if caller != entry.name || !entry.leader.IsLeading() || entry.leader.Term() != nil {
-				return memory.Fault{}
-			}
-			requests++
-			return memory.Fault{Refuse: requests%4 == 0}
-		})
-		c.kill("entry-1")
-		c.awaitTerm(12 * time.Second)
-		c.awaitState(j.ID, rows.Done, 10*time.Second)
-	})
-}
-
-// Guards against a session that closes again and again because the commands to one worker exceed a frame.
-func TestManyStartsOnOneWorker(t *testing.T) {
-	withCluster(t, func(c *cluster) {
-		c.addHost("host-3", 64_000)
-		time.Sleep(3 * time.Second)
-		j := job(1, 1, 60)
-		j.Payload = strings.Repeat("x", spec.MaxPayload)
-		c.submit(j)
-		c.awaitState(j.ID, rows.Done, 3*time.Second) // twice its run time and its objective
-	})
-}
-
-// Guards against a leader that repeats a change that the store never accepts: the progress of many jobs together exceeded
-// the largest change.
-func TestProgressOfManyJobsIsStored(t *testing.T) {
-	const (
-		jobs   = 80
-		tasks  = 1500             // of each job, with a checkpoint each: 36 KB of progress
-		target = 10 * time.Second // for tasks of 1 s
-	)
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		c := newCluster(ctx, t, 1)
-		for n := range jobs {
-			j := job(n+1, 1, tasks)
-			j.Steps[0].Checkpoints, j.Steps[0].PerWorker = true, 1 // so that a task of each job runs at the same time
-			c.submit(j)
-			c.putProgress(j)
-		}
-		c.addEntry("entry-1")
-		c.addHost("host-1", jobs*1000)
-		for n := range jobs {
-			c.awaitProgress(job(n+1, 1, 1).ID, target)
-		}
-		if t := c.term(); t == nil || t.Epoch() != 1 {
-			c.t.Error("the leader has lost the cell")
-		}
-		cancel()
-		for _, e := range c.entries {
-			<-e.done
-		}
-		c.wg.Wait()
-		time.Sleep(time.Minute)
-	})
-}
-
-// Guards against a leader that repeats a change that the store never accepts: the progress of one job exceeded the largest
-// row.
-func TestProgressOfLargeJobIsStored(t *testing.T) {
-	const target = 10 * time.Second // for tasks of 1 s
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		c := newCluster(ctx, t, 1)
-		ran := make(map[string]bool)
-		c.plan = func(r wire.Run) runs.Plan {
-			isFirst := !ran[r.Task]
-			ran[r.Task] = true
-			return runs.Plan{Size: sizes.Resources{Processors: 1000}, RunTime: time.Second, Fails: isFirst}
-		}
-		tasks := 1
-		for len(encodeCheckpoints(t, tasks+1)) <= memory.MaxRowBytes {
-			tasks++
-		}
-		j := job(1, 1, tasks) // failed runs make its progress larger than a row
-		j.Steps[0].Checkpoints = true
-		c.submit(j)
-		c.putProgress(j)
-		c.addEntry("entry-1")
-		c.addHost("host-1", 100_000)
-		c.awaitProgress(j.ID, target)
-		if t := c.term(); t == nil || t.Epoch() != 1 {
-			c.t.Error("the leader has lost the cell")
-		}
-		cancel()
-		for _, e := range c.entries {
-			<-e.done
-		}
-		c.wg.Wait()
-		time.Sleep(time.Minute)
-	})
-}
