Acknowledge the end of a run only when its job has been looked for

What callers would see: a task that runs again after it has succeeded (TWICE).

Cause: a worker reports the end of a run to a new leader that does not know the job yet, because the previous leader was notified of it after the rows had been read. The end was kept in memory and acknowledged at once; when that leader was followed by another before it had read the job's row and stored the progress, nobody knew of the end any more.

Fix: such an end, and those after it, are acknowledged only after the rows of jobs have been read since. The job is then known and its progress is stored first, or it is gone.

--- a/internal/jobs/lead/commit.go
+++ b/internal/jobs/lead/commit.go
@@ -34,14 +34,26 @@
 	t.startCommit(ctx, now)
 }
 
-// markEndsDurable marks all applied ends as durable; no progress may be waiting for a commit.
+// markEndsDurable marks the acknowledgeable ends as durable; no progress may be waiting for a commit.
 func (t *Term) markEndsDurable() {
 	for w := range t.undurable {
-		w.durableEnd = w.appliedEnd
+		if t.advanceDurable(w, t.acknowledgeable(w)) {
+			t.wakeBy(time.Now())
+		}
+	}
+}
+
+// advanceDurable marks the ends of a worker up to a number as durable and reports whether any was not yet.
+func (t *Term) advanceDurable(w *worker, number uint64) bool {
+	advanced := number > w.durableEnd
+	if advanced {
+		w.durableEnd = number
 		w.queue()
-		t.wakeBy(time.Now())
 	}
-	clear(t.undurable)
+	if w.durableEnd >= w.appliedEnd {
+		delete(t.undurable, w)
+	}
+	return advanced
 }
 
 // startCommit writes the progress of up to maxBatch jobs and maxBatchBytes, and deletes up to maxDeletes rows, in the
@@ -69,7 +81,7 @@
 	}
 	if len(t.dirty) == 0 {
 		for w := range t.undurable {
-			c.ends = append(c.ends, appliedEnds{worker: w, incarnation: w.state.Incarnation, number: w.appliedEnd})
+			c.ends = append(c.ends, appliedEnds{worker: w, incarnation: w.state.Incarnation, number: t.acknowledgeable(w)})
 		}
 		t.commitNow = false
 	}
@@ -123,11 +135,7 @@
 	if w.state.Incarnation != e.incarnation {
 		return
 	}
-	w.durableEnd = max(w.durableEnd, e.number)
-	w.queue()
-	if w.durableEnd >= w.appliedEnd {
-		delete(t.undurable, w)
-	}
+	t.advanceDurable(w, e.number)
 }
 
 // removeFinished removes jobs in a final state from the active list.
--- a/internal/jobs/lead/intake.go
+++ b/internal/jobs/lead/intake.go
@@ -116,17 +116,18 @@
 	jobs, cancels, agents := t.jobsVersion, t.cancelsVersion, t.agentsVersion
 	for pause.For(ctx, pollEvery) {
 		var f polled
-		t.readChanges(ctx, rows.Jobs, &jobs, &f.jobs)
+		if began := time.Now(); t.readChanges(ctx, rows.Jobs, &jobs, &f.jobs) {
+			f.jobsReadAt = began
+		}
 		t.readChanges(ctx, rows.Cancels, &cancels, &f.cancels)
 		t.readChanges(ctx, rows.Agents, &agents, &f.agents)
-		if len(f.jobs.Rows)+len(f.cancels.Rows)+len(f.agents.Rows) > 0 {
-			t.events.Put(ctx, f)
-		}
+		t.events.Put(ctx, f)
 	}
 }
 
-// readChanges reads the changes of a table after a version, or the whole table if the store no longer has that history.
-func (t *Term) readChanges(ctx context.Context, table string, after *uint64, page *rows.Page) {
+// readChanges reads the changes of a table after a version, or the whole table if the store no longer has that history. It
+// reports whether the read succeeded.
+func (t *Term) readChanges(ctx context.Context, table string, after *uint64, page *rows.Page) bool {
 	limited, cancel := stall.WithTimeout(ctx, readTimeout, readTimeout)
 	defer cancel()
 	p, err := t.cfg.Store.Changes(limited, table, *after, 0)
@@ -138,10 +139,11 @@
 		p, err = rows.ReadParts(limited, t.cfg.Store, table, parts)
 	}
 	if err != nil {
-		return // retried at the next poll; the store client logs the error
+		return false // retried at the next poll; the store client logs the error
 	}
 	*after = max(*after, p.Version)
 	*page = p
+	return true
 }
 
 // applyChanges applies polled rows of agents, jobs and cancellations.
@@ -162,6 +164,9 @@
 			t.cancel(spec.ID(r.Key))
 		}
 	}
+	if !f.jobsReadAt.IsZero() {
+		t.jobsReadAt = f.jobsReadAt
+	}
 }
 
 // isOwn reports whether the row of a job or cancellation belongs to this cell.
--- a/internal/jobs/lead/leader_test.go
+++ b/internal/jobs/lead/leader_test.go
@@ -421,3 +421,49 @@
 		stop()
 	})
 }
+
+// Guards against a second run of a task that has succeeded: a leader that did not know the job yet acknowledged the end
+// of its run, and was followed by another leader before the job's row was read and the progress stored.
+func TestEndOfUnknownJobIsNotAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := storeWithAgents(t, "host")
+		g := gate{make(chan struct{})}
+		close(g.open)
+		term, stop := startLeader(ctx, t, s, g)
+		l, incarnation := &sent{}, wire.WorkerIncarnation{ID: "host", StartedAt: 1}
+		term.Opened("host", l)
+		announce(term, "host", l, incarnation)
+		time.Sleep(time.Second)
+		j := job(1, 1, 1)
+		packed, err := rows.Encode(j)
+		if err != nil {
+			t.Fatal(err)
+		}
+		put := rows.Change{Puts: []rows.Row{{Ref: rows.JobRef(cell, j.ID), Value: packed}}}
+		if _, err := s.Client("caller").Change(ctx, put); err != nil {
+			t.Fatal(err)
+		}
+		end := wire.RunEnd{Number: 1, Run: wire.Run{Task: string(j.ID) + ".0.0.0", Number: 1}, Cause: wire.EndDone}
+		term.Message("host", l, &wire.RunReport{Incarnation: incarnation, Ended: []wire.RunEnd{end}})
+		isStored := func() bool {
+			p, err := s.Client("test").Read(ctx, rows.ProgressRef(cell, j.ID).One())
+			return err == nil && len(p.Rows) > 0
+		}
+		for range 300 {
+			acknowledged := slices.ContainsFunc(l.orders(), func(o *wire.TaskOrders) bool { return o.DurableEnds > 0 })
+			if stored := isStored(); acknowledged || stored {
+				if !stored {
+					t.Error("the end is acknowledged before its effect is stored")
+				}
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if !isStored() {
+			t.Error("the end is not stored")
+		}
+		cancel()
+		stop()
+	})
+}
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -90,6 +90,7 @@
 	}
 	polled struct {
 		jobs, cancels, agents rows.Page
+		jobsReadAt            time.Time // start of the read of jobs; zero if it failed
 	}
 	advised struct {
 		key     stepKey
@@ -130,6 +131,7 @@
 	advice         map[stepKey]*advice
 	adviceInFlight int       // requests to the policy service
 	wakeAt         time.Time // next iteration of the event loop
+	jobsReadAt     time.Time // start of the last read of changed jobs that was applied
 	jobsVersion    uint64    // versions up to which changes were read
 	cancelsVersion uint64
 	agentsVersion  uint64
--- a/internal/jobs/lead/unmatched.go
+++ b/internal/jobs/lead/unmatched.go
@@ -13,9 +13,10 @@
 // unmatchedEnd is the end of a run whose job is not known yet: an earlier leader was notified of the job, this one was
 // not.
 type unmatchedEnd struct {
-	worker *worker
-	end    wire.RunEnd
-	at     time.Time
+	worker      *worker
+	incarnation wire.WorkerIncarnation
+	end         wire.RunEnd
+	at          time.Time
 }
 
 // addUnmatchedEnd keeps the end of a run if its job is not known, and drops ends older than unmatchedEndTTL.
@@ -30,7 +31,23 @@
 			delete(t.unmatchedEnds, job)
 		}
 	}
-	t.unmatchedEnds[id.Job] = append(t.unmatchedEnds[id.Job], unmatchedEnd{worker: w, end: e, at: now})
+	t.unmatchedEnds[id.Job] = append(t.unmatchedEnds[id.Job], unmatchedEnd{
+		worker: w, incarnation: w.state.Incarnation, end: e, at: now,
+	})
+}
+
+// acknowledgeable returns the number of the last applied end of a worker that may be acknowledged once all earlier effects
+// are stored. An unmatched end is held until the rows of jobs have been read after it: its job is then known, or gone.
+func (t *Term) acknowledgeable(w *worker) uint64 {
+	number := w.appliedEnd
+	for _, list := range t.unmatchedEnds {
+		for _, e := range list {
+			if e.worker == w && e.incarnation == w.state.Incarnation && !e.at.Before(t.jobsReadAt) {
+				number = min(number, e.end.Number-1)
+			}
+		}
+	}
+	return number
 }
 
 // adoptUnmatched applies the runs and ends of a new job that workers reported before the job was known.
