Log what became of starts without an outcome, and runs found after their release

Cause: the line of a refused start did not say that an earlier attempt of it had no response, a run that a worker executed after its release showed only as "run is not expected", and a start whose outcome stays unknown left no line at all.

Change: E908 has the number of earlier attempts (Unanswered). E945 and the metric runs_found_after_release report a run that a worker lists after the leader released it, with the reason of the release. Decisions are unchanged.

--- a/internal/core/event/jobs.go
+++ b/internal/core/event/jobs.go
@@ -45,6 +45,8 @@
 	QueuesRead         Number = 942
 	QueuesReadFailed   Number = 943
 	QueuesOutdated     Number = 944
+	ReleasedRunFound   Number = 945
+	StartPending       Number = 946
 )
 
 var jobEvents = []Entry{
@@ -89,4 +91,6 @@
 	{QueuesRead, zapcore.InfoLevel, "configuration of queues read", "A response of the store included a version of the configuration that this process has not read before.", "None."},
 	{QueuesReadFailed, zapcore.InfoLevel, "configuration of queues not read", "The store did not return the configuration or its changes; the request is repeated and the current version stays in force.", "Check the store and the link to it if this persists."},
 	{QueuesOutdated, zapcore.InfoLevel, "outdated configuration of queues ignored", "The store returned an older configuration than the one in force.", "Check the store if this persists."},
+	{ReleasedRunFound, zapcore.WarnLevel, "released run found on a worker", "A worker has a run that the leader had released; another run of its task may have run at the same time, and the worker may have exceeded its capacity.", "Report it with the log; Reason is why the run had been released."},
+	{StartPending, zapcore.InfoLevel, "start pending", "The outcome of a start is still unknown after some seconds; its task and its capacity are held until it is known.", "Check the worker if this persists."},
 }
--- a/internal/host/driver/call.go
+++ b/internal/host/driver/call.go
@@ -42,13 +42,15 @@
 // start starts a run. If the outcome stays unknown, it stops the run, after which the worker refuses a start of that
 // run that arrives later.
 func (a *Agent) start(ctx context.Context, h header, command wire.StartCommand) {
-	for range startAttempts {
+	for attempt := range startAttempts {
 		callCtx, cancel := context.WithTimeout(ctx, startTimeout)
 		err := a.cfg.Worker.Start(callCtx, Start{
 			Incarnation: h.incarnation, Token: h.token, Deadline: h.deadline, Command: command,
 		})
 		cancel()
 		if r := (*RefusedError)(nil); errors.As(err, &r) {
+			event.Log(a.cfg.Log, event.StartRefused, zap.String("Task", command.Task), zap.Int("Run", command.Number),
+				zap.Stringer("Reason", r.Reason), zap.Int("Unanswered", attempt))
 			a.startDone(h, command.Run, r.Reason)
 			return
 		}
@@ -91,8 +93,6 @@
 	if reason == 0 || h.token != a.token {
 		return
 	}
-	event.Log(a.cfg.Log, event.StartRefused, zap.String("Task", r.Task), zap.Int("Run", r.Number),
-		zap.Stringer("Reason", reason))
 	if reason == wire.RefusedSilent || reason == wire.RefusedOld {
 		a.synced = false // the next complete report shows whether the run is running, has ended or never started
 		return
--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -192,6 +192,7 @@
 		reported[s.Run] = true
 		r := w.runs[s.Run]
 		if r == nil {
+			t.reportIfReleased(w, s.Run)
 			t.stopUnknownRun(w, s.Run)
 			continue
 		}
@@ -202,7 +203,9 @@
 	}
 	for _, k := range m.Pending {
 		reported[k] = true
-		if w.runs[k] == nil {
+		if r := w.runs[k]; r != nil {
+			t.logPending(r, now)
+		} else {
 			t.stopUnknownRun(w, k)
 		}
 	}
@@ -246,6 +249,7 @@
 func (t *Term) release(r *run, reason string) {
 	event.Log(t.cfg.Log, event.RunReleased, zap.String("Task", r.key.Task), zap.Int("Run", r.key.Number),
 		zap.String("Worker", r.worker.state.Incarnation.ID), zap.String("Reason", reason))
+	t.recordReleased(r, reason)
 	r.worker.remove(r)
 	r.job.dropRun(r)
 	t.recordDown(r)
@@ -276,6 +280,7 @@
 		zap.Stringer("Cause", e.Cause), zap.String("Worker", w.state.Incarnation.ID), zap.Uint64("End", e.Number),
 		zap.Bool("Counts", r != nil))
 	if r == nil {
+		t.reportIfReleased(w, e.Run)
 		t.addUnmatchedEnd(w, e)
 		return // already released or no longer needed, or its job is not known yet
 	}
--- a/internal/jobs/lead/cluster_test.go
+++ b/internal/jobs/lead/cluster_test.go
@@ -464,4 +464,5 @@
 func (noMeter) Takeover()                          {}
 func (noMeter) RunStarted(time.Duration, bool)     {}
 func (noMeter) RunEnded(wire.EndCause)             {}
+func (noMeter) ReleasedRunFound()                  {}
 func (noMeter) JobEnded(rows.State, time.Duration) {}
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -213,6 +213,7 @@
 	speedRecorded    bool      // its lateness has been counted in the worker's speed
 	resumed          bool      // started from a checkpoint
 	copied           bool      // a speculative copy was started
+	pendingLogged    bool      // StartPending was logged
 	startBlocked     bool      // a stop command ensures that the worker no longer starts it
 	startedAt        time.Time // when the start command was issued or the run adopted
 	percent          int       // last reported progress
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -61,6 +61,8 @@
 	RunStarted(untilFirst time.Duration, isFirst bool)
 	// RunEnded counts the end of a run.
 	RunEnded(cause wire.EndCause)
+	// ReleasedRunFound counts a run that a worker listed after the leader had released it.
+	ReleasedRunFound()
 	// JobEnded records the end of a job and the time since it was added.
 	JobEnded(state rows.State, took time.Duration)
 }
@@ -137,6 +139,7 @@
 	agentsVersion  uint64
 	wg             sync.WaitGroup
 	unmatchedEnds  map[spec.ID][]unmatchedEnd
+	released       []releasedRun    // released without an end, oldest first
 	cancelledEarly map[spec.ID]bool // jobs cancelled before they were known
 	pendingDeletes []rows.Ref       // rows to delete with the next commit
 	watchAt        time.Time        // last check of all runs
--- a/internal/ops/metric/catalogue.go
+++ b/internal/ops/metric/catalogue.go
@@ -53,6 +53,7 @@
 	JobSeconds     Name = "job_seconds"
 	RunsStarted    Name = "runs_ordered"
 	RunsEnded      Name = "runs_ended"
+	ReleasedRuns   Name = "runs_found_after_release"
 	StartSeconds   Name = "job_start_seconds"
 	CellTakeovers  Name = "cell_terms"
 	LogDropped     Name = "log_lines_dropped"
@@ -85,6 +86,7 @@
 	{JobSeconds, Histogram, []string{"state"}, "Time from the acceptance of a job of steps to its final state, in seconds."},
 	{RunsStarted, Counter, nil, "Runs that this leader commanded workers to start."},
 	{RunsEnded, Counter, []string{"cause"}, "Ended runs that workers reported to this leader, by cause."},
+	{ReleasedRuns, Counter, nil, "Runs that a worker listed after this leader had released them."},
 	{StartSeconds, Histogram, nil, "Time from the acceptance of a job of steps to its first run, in seconds."},
 	{CellTakeovers, Counter, nil, "Cells that this entry took over."},
 	{LogDropped, Gauge, nil, "Log lines dropped because the log queue was full or writing failed."},
--- a/internal/role/jobs/meter.go
+++ b/internal/role/jobs/meter.go
@@ -31,6 +31,9 @@
 	m.set.Counter(metric.RunsEnded, strings.TrimPrefix(cause.String(), "End")).Inc(1)
 }
 
+// ReleasedRunFound implements lead.Meter.
+func (m meter) ReleasedRunFound() { m.set.Counter(metric.ReleasedRuns).Inc(1) }
+
 // JobEnded implements lead.Meter.
 func (m meter) JobEnded(state rows.State, took time.Duration) {
 	m.set.Counter(metric.JobsEnded, state.String()).Inc(1)
