Add failing tests of starts whose refusal speaks for one attempt only

The stand-in worker can refuse a command.

TestRefusalAfterUnansweredStart, for each of RefusedSick, Room, Late, Ticket and Bad: "was reported as refused, but the worker executed it"; for RefusedOld the run is executed after its start had been given up. TestStopOfUnansweredStartIsRepeatedAfterRefusal and TestUnansweredStartIsResolvedAfterChangeOfLeader (change during the stop): the start is still pending 5 s after the last fault.

--- /dev/null
+++ b/internal/host/driver/outcome_test.go
@@ -0,0 +1,106 @@
+package driver_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"trefoilramp.org/trefoilramp/internal/host/driver"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/stand/runs"
+)
+
+// inTurn returns the given faults for the commands of a worker, one each, and none after the last.
+func inTurn(list ...runs.Fault) func() runs.Fault {
+	var mu sync.Mutex
+	return func() runs.Fault {
+		mu.Lock()
+		defer mu.Unlock()
+		if len(list) == 0 {
+			return runs.Fault{}
+		}
+		f := list[0]
+		list = list[1:]
+		return f
+	}
+}
+
+// checkResolved reports an error if the last report lists a pending start, or a run was refused and executed.
+func checkResolved(t *testing.T, w *countingWorker, l *leader) {
+	t.Helper()
+	reports := l.reports()
+	if last := reports[len(reports)-1]; len(last.Pending) > 0 {
+		t.Errorf("pending: %v", last.Pending)
+	}
+	for _, f := range l.refusals() {
+		for _, r := range w.Records() {
+			if r.Run == f.Run {
+				t.Errorf("%v was reported as refused (%v), but the worker executed it", f.Run, f.Reason)
+			}
+		}
+	}
+}
+
+// Guards against two runs of a task: a refusal of one attempt of a start was taken as its outcome, although an earlier
+// attempt had no response and was executed later.
+func TestRefusalAfterUnansweredStart(t *testing.T) {
+	for _, reason := range []wire.Refusal{
+		wire.RefusedSick, wire.RefusedRoom, wire.RefusedLate, wire.RefusedTicket, wire.RefusedBad, wire.RefusedOld,
+	} {
+		t.Run(reason.String(), func(t *testing.T) {
+			withAgent(t, func(ctx context.Context, a *driver.Agent, w *countingWorker, l *leader) {
+				w.SetFaults(inTurn(runs.Fault{LoseLate: 2 * time.Second}, runs.Fault{Refuse: reason}))
+				a.Execute(ctx, l, commands(1, w, run1))
+				time.Sleep(8 * time.Second)
+				checkResolved(t, w, l)
+				if n := len(w.Records()); n != 0 {
+					t.Errorf("the run was executed %d times after its start had been given up", n)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a task that never starts again: a stop that the worker refused was given up, and the start without a
+// response stayed pending.
+func TestStopOfUnansweredStartIsRepeatedAfterRefusal(t *testing.T) {
+	withAgent(t, func(ctx context.Context, a *driver.Agent, w *countingWorker, l *leader) {
+		lost, refused := runs.Fault{LoseLate: 3 * time.Second}, runs.Fault{Refuse: wire.RefusedSick}
+		w.SetFaults(inTurn(lost, lost, lost, refused, refused))
+		a.Execute(ctx, l, commands(1, w, run1))
+		time.Sleep(8 * time.Second)
+		checkResolved(t, w, l)
+	})
+}
+
+// Guards against a task that never starts again: the leader changed while a start without a response was being stopped,
+// and every later leader took it for pending.
+func TestUnansweredStartIsResolvedAfterChangeOfLeader(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		after time.Duration // from the command to the change of leader
+	}{
+		{"during the start", 500 * time.Millisecond},
+		{"during the stop", 1500 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withAgent(t, func(ctx context.Context, a *driver.Agent, w *countingWorker, l *leader) {
+				w.SetFaults(func() runs.Fault { return runs.Fault{LoseLate: 3 * time.Second} })
+				a.Execute(ctx, l, commands(1, w, run1))
+				time.Sleep(test.after)
+				next := &leader{}
+				a.Adopt(next, &wire.LeadAdopt{Token: 6})
+				time.Sleep(time.Second)
+				w.SetFaults(nil)
+				time.Sleep(8 * time.Second)
+				checkResolved(t, w, next)
+				for _, r := range w.Records() {
+					if r.Ended.IsZero() {
+						t.Errorf("%v runs, although no leader expects it", r.Run)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/stand/runs/worker.go
+++ b/internal/stand/runs/worker.go
@@ -28,6 +28,7 @@
 type Fault struct {
 	LoseAfter bool          // the command is executed but its response is lost
 	LoseLate  time.Duration // if positive, the command is executed after this time and its response is lost
+	Refuse    wire.Refusal  // if not 0, the command is refused for this reason
 }
 
 // Record is the history of one run on a worker.
@@ -167,6 +168,9 @@
 	if nextFault != nil {
 		fault = nextFault()
 	}
+	if fault.Refuse != 0 {
+		return &driver.RefusedError{Reason: fault.Refuse}
+	}
 	apply := func() error {
 		w.mu.Lock()
 		defer w.mu.Unlock()
