Settle every start of unknown outcome, whatever leaders come and go

Callers saw long-running tasks that never started again, and jobs that stayed Running (LOST).

Cause: the agent stops a run whose start had no response, and reports it as pending meanwhile. It gave that stop up when the worker refused it once, or when the leader changed, and kept the run pending. Every later leader took it for a run that may still begin, and waited for good. The opposite was possible too: a start that was interrupted by a change of leader was no longer pending although an attempt had no response.

Change: a run stays pending until its outcome is known, and the agent pursues it under the token of the newest leader. The outcome is known when the worker has confirmed the start or the stop, lists the run or its end, has answered a poll with a higher token than that of the start, which it refuses from then on, or has restarted. A poll resolves what it shows, so that a worker which answers polls but not stops no longer delays the next leader. A refused stop is repeated. One stop at a time is in progress for a run; the leader repeats stops with each complete report, and each was retried on its own before.

--- a/internal/host/driver/agent.go
+++ b/internal/host/driver/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -55,7 +56,8 @@
 	leaseRequestedAt time.Time
 	runCount         int // number of runs in the last poll response
 	refused          []wire.RunRefused
-	pending          map[wire.Run]struct{}
+	pending          map[wire.Run]pendingRun // runs that the worker may still start because of a command
+	stopping         map[wire.Run]uint64     // runs with a stop in progress, with its fencing token
 	pacer            pacer
 	commands         sync.WaitGroup
 }
@@ -63,7 +65,8 @@
 // New returns an agent whose worker is unknown until its first announcement.
 func New(cfg Config) *Agent {
 	return &Agent{
-		cfg: cfg, wake: make(chan struct{}, 1), pending: make(map[wire.Run]struct{}), pacer: newPacer(),
+		cfg: cfg, wake: make(chan struct{}, 1), pending: make(map[wire.Run]pendingRun),
+		stopping: make(map[wire.Run]uint64), pacer: newPacer(),
 	}
 }
 
@@ -117,6 +120,7 @@
 	a.gone, a.clock, a.deadline, a.acked, a.reported = false, 0, 0, 0, 0
 	a.synced, a.refused = false, nil
 	clear(a.pending)
+	clear(a.stopping)
 	a.pacer = newPacer()
 	if a.cancelPoll != nil {
 		a.cancelPoll()
@@ -231,18 +235,22 @@
 		a.pacer.addRun(profile)
 	}
 	a.pacer.setWeights(m.Interference)
+	h := a.header()
 	for _, r := range m.Stops {
-		h := a.header()
-		a.commands.Go(func() { a.stop(ctx, h, r) })
+		if a.stopping[r] != h.token {
+			a.stopping[r] = h.token
+			a.commands.Go(func() { a.stop(ctx, h, r) })
+		}
 	}
 	for _, r := range m.Cancels {
-		h := a.header()
-		a.commands.Go(func() { a.cancelRun(ctx, h, r) })
+		a.pending[r] = pendingRun{token: h.token, isCancelled: true}
+		a.commands.Go(func() {
+			a.cancelRun(ctx, h.incarnation, wire.RunRefused{Run: r, Reason: wire.RefusedSilent})
+		})
 	}
 	for _, s := range m.Starts {
-		a.pending[s.Run] = struct{}{}
+		a.pending[s.Run] = pendingRun{token: h.token}
 		a.pacer.addRun(s.RunProfile)
-		h := a.header()
 		a.commands.Go(func() { a.start(ctx, h, s) })
 	}
 }
@@ -314,16 +322,6 @@
 	return request, pollContext{ctx: pollCtx, cancel: cancel, commandNumber: a.commandNumber}, true
 }
 
-func (a *Agent) pendingRuns() []wire.Run {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	list := make([]wire.Run, 0, len(a.pending))
-	for r := range a.pending {
-		list = append(list, r)
-	}
-	return list
-}
-
 // pollFailed handles a failed poll and returns the number of consecutive failures.
 func (a *Agent) pollFailed(request PollRequest, err error, failures int) int {
 	a.mu.Lock()
@@ -357,7 +355,8 @@
 // pollDone handles a poll response and sends the changes to the leader. It reports whether the next poll would wait
 // at the worker instead of returning at once.
 func (a *Agent) pollDone(
-	ctx context.Context, request PollRequest, commandNumber uint64, response PollResponse, pendingBefore []wire.Run,
+	ctx context.Context, request PollRequest, commandNumber uint64, response PollResponse,
+	pendingBefore map[wire.Run]pendingRun,
 ) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -371,6 +370,7 @@
 		a.state.Healthy = true
 		a.sendState()
 	}
+	a.resolvePending(request.Token, response, pendingBefore)
 	for _, p := range a.pacer.observe(response.Running, a.state.Capacity.Processors, time.Now()) {
 		h := a.header()
 		a.commands.Go(func() { a.pace(ctx, h, p) })
@@ -392,12 +392,8 @@
 		if !a.synced {
 			m.Interference = a.pacer.weights()
 		}
-		m.Pending = pendingBefore
-		for r := range a.pending {
-			if !slices.Contains(pendingBefore, r) {
-				m.Pending = append(m.Pending, r)
-			}
-		}
+		maps.Copy(pendingBefore, a.pending)
+		m.Pending = slices.Collect(maps.Keys(pendingBefore))
 		a.leaseRequestedAt = now
 	}
 	a.report(m, response.Ended)
--- a/internal/host/driver/call.go
+++ b/internal/host/driver/call.go
@@ -13,11 +13,12 @@
 )
 
 const (
-	startTimeout   = 350 * time.Millisecond // of one attempt to start a run
-	startAttempts  = 3                      // a start without response is repeated; starts are idempotent
-	stopTimeout    = 700 * time.Millisecond // of one stop
-	stopRetryPause = 100 * time.Millisecond // between failed stops
-	paceTimeout    = 500 * time.Millisecond // of one change of a pace
+	startTimeout    = 350 * time.Millisecond // of one attempt to start a run
+	startAttempts   = 3                      // a start without response is repeated; starts are idempotent
+	stopTimeout     = 700 * time.Millisecond // of one stop
+	stopRetryPause  = 100 * time.Millisecond // between failed stops
+	endedRetryPause = time.Second            // likewise while the worker counts as ended
+	paceTimeout     = 500 * time.Millisecond // of one change of a pace
 )
 
 // header holds the fields that are common to the commands to a worker.
@@ -50,88 +51,116 @@
 			Incarnation: h.incarnation, Token: h.token, Deadline: h.deadline, Command: command,
 		})
 		cancel()
+		if err == nil {
+			a.startDone(h, command.Run)
+			if command.BestEffort {
+				a.paceNewRun(ctx, h, command.Run)
+			}
+			return
+		}
 		if r := (*RefusedError)(nil); errors.As(err, &r) {
 			event.Log(a.cfg.Log, event.StartRefused, zap.String("Task", command.Task), zap.Int("Run", command.Number),
 				zap.Stringer("Reason", r.Reason), zap.Int("Unanswered", unanswered))
 			if unanswered == 0 {
-				a.startDone(h, wire.RunRefused{Run: command.Run, Reason: r.Reason})
+				a.startRefused(h, wire.RunRefused{Run: command.Run, Reason: r.Reason})
 				return
 			}
 			lastRefusal = r.Reason
 			break
 		}
-		if err == nil || errors.Is(err, ErrIncarnation) || !a.isCurrent(h) {
-			a.startDone(h, wire.RunRefused{Run: command.Run})
-			if err == nil && command.BestEffort {
-				a.paceNewRun(ctx, h, command.Run)
-			}
-			return
-		}
 		event.Log(a.cfg.Log, event.StartUnanswered, zap.String("Task", command.Task),
 			zap.Int("Run", command.Number), zap.Error(err))
+		if errors.Is(err, ErrIncarnation) || !a.isCurrent(h) || !a.isPending(command.Run) {
+			break
+		}
 		if !errors.Is(err, ErrUnreachable) {
 			unanswered++
 		}
 	}
-	if a.stop(ctx, h, command.Run) {
-		a.startDone(h, wire.RunRefused{Run: command.Run, Reason: wire.RefusedSilent, Cause: lastRefusal})
-	}
+	a.cancelRun(ctx, h.incarnation, wire.RunRefused{Run: command.Run, Reason: wire.RefusedSilent, Cause: lastRefusal})
 }
 
-// cancelRun stops a run whose start may still reach the worker, and reports to the leader that it can no longer start.
-func (a *Agent) cancelRun(ctx context.Context, h header, r wire.Run) {
-	if !a.stop(ctx, h, r) {
-		return
+// cancelRun makes sure that the worker does not start a pending run any more, stops it if it is running, and then reports
+// f. It retries until the outcome is known, whatever leaders come and go meanwhile.
+func (a *Agent) cancelRun(ctx context.Context, incarnation wire.WorkerIncarnation, f wire.RunRefused) {
+	for ctx.Err() == nil {
+		a.mu.Lock()
+		h, gone := a.header(), a.gone
+		p, isPending := a.pending[f.Run]
+		if h.incarnation != incarnation || !isPending {
+			a.mu.Unlock()
+			return
+		}
+		p.isCancelled = true
+		a.pending[f.Run] = p
+		a.mu.Unlock()
+		if a.stopOnce(ctx, h, f.Run) {
+			a.startRefused(h, f)
+			return
+		}
+		if gone {
+			pause.For(ctx, endedRetryPause)
+		} else {
+			pause.For(ctx, stopRetryPause)
+		}
 	}
+}
+
+// startDone records that the worker has a run.
+func (a *Agent) startDone(h header, r wire.Run) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if h.incarnation == a.state.Incarnation && h.token == a.token {
-		a.refused = append(a.refused, wire.RunRefused{Run: r, Reason: wire.RefusedSilent})
-		a.report(nil, nil)
+	if h.incarnation == a.state.Incarnation {
+		delete(a.pending, r)
 	}
 }
 
-// startDone handles the outcome of a start; reason 0 means that the worker has the run or that the command is obsolete.
-func (a *Agent) startDone(h header, f wire.RunRefused) {
+// startRefused reports that the worker has refused a run and will not start it any more.
+func (a *Agent) startRefused(h header, f wire.RunRefused) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if h.incarnation != a.state.Incarnation {
 		return
 	}
 	delete(a.pending, f.Run)
-	if f.Reason == 0 || h.token != a.token {
-		return
-	}
 	if f.Reason == wire.RefusedSilent || f.Reason == wire.RefusedOld {
 		a.synced = false // the next complete report shows whether the run is running, has ended or never started
 	}
-	if f.Reason == wire.RefusedOld {
+	if f.Reason == wire.RefusedOld || h.token != a.token {
 		return
 	}
 	a.refused = append(a.refused, f)
 	a.report(nil, nil)
 }
 
-// stop stops a run and retries until the worker responds or the command is obsolete; it reports whether the worker
-// confirmed the stop.
-func (a *Agent) stop(ctx context.Context, h header, r wire.Run) bool {
-	for a.isCurrent(h) {
-		callCtx, cancel := context.WithTimeout(ctx, stopTimeout)
-		err := a.cfg.Worker.Stop(callCtx, h.incarnation, h.token, r)
-		cancel()
-		if err == nil {
-			return true
-		}
-		event.Log(a.cfg.Log, event.StopFailed, zap.String("Task", r.Task), zap.Int("Run", r.Number), zap.Error(err))
-		if refusal := (*RefusedError)(nil); errors.As(err, &refusal) || errors.Is(err, ErrIncarnation) {
-			return false
-		}
+// stop stops a run and retries until the worker confirms it or lists its end, or the command is obsolete.
+func (a *Agent) stop(ctx context.Context, h header, r wire.Run) {
+	for ctx.Err() == nil && a.isCurrent(h) && a.isStopping(h, r) && !a.stopOnce(ctx, h, r) {
 		pause.For(ctx, stopRetryPause)
-		if ctx.Err() != nil {
-			return false
-		}
 	}
-	return false
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stopping[r] == h.token {
+		delete(a.stopping, r)
+	}
+}
+
+// isStopping reports whether the stop of a run with h is in progress, that is, the worker has not listed its end.
+func (a *Agent) isStopping(h header, r wire.Run) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.stopping[r] == h.token
+}
+
+// stopOnce stops a run and reports whether the worker confirmed it.
+func (a *Agent) stopOnce(ctx context.Context, h header, r wire.Run) bool {
+	callCtx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	err := a.cfg.Worker.Stop(callCtx, h.incarnation, h.token, r)
+	if err != nil {
+		event.Log(a.cfg.Log, event.StopFailed, zap.String("Task", r.Task), zap.Int("Run", r.Number), zap.Error(err))
+	}
+	return err == nil
 }
 
 // paceNewRun sets the pace of a run that has just started, before it interferes with serving tasks.
--- a/internal/jobs/lead/soak_test.go
+++ b/internal/jobs/lead/soak_test.go
@@ -74,6 +74,9 @@
 	time.Sleep(time.Minute) // lets the timers of the workers expire
 }
 
+// refusals are the reasons for which a worker refuses commands during a soak.
+var refusals = []wire.Refusal{wire.RefusedSick, wire.RefusedSick, wire.RefusedRoom}
+
 // injectFaults injects random faults for 25 seconds.
 func (c *cluster) injectFaults(ctx context.Context, entries []string, hosts []*host) {
 	for end := time.Now().Add(25 * time.Second); time.Now().Before(end) && ctx.Err() == nil; {
@@ -106,13 +109,15 @@
 			h.worker.Crash()
 			wait(ctx, duration/2)
 			c.startWorker(h)
-		case 6: // commands to a worker are lost or delayed
+		case 6: // commands to a worker are lost, delayed or refused
 			h.worker.SetFaults(func() runs.Fault {
-				switch c.randN(4) {
+				switch c.randN(6) {
 				case 0:
 					return runs.Fault{LoseAfter: true}
-				case 1:
-					return runs.Fault{LoseLate: time.Duration(1+c.randN(4)) * time.Second}
+				case 1, 2:
+					return runs.Fault{LoseLate: time.Duration(1+c.randN(8)) * time.Second}
+				case 3:
+					return runs.Fault{Refuse: refusals[c.randN(len(refusals))]}
 				default:
 					return runs.Fault{}
 				}
