Release a cancelled run only by a report that follows its cancel

Callers could see two runs of one task, or a worker over its capacity.

Cause: the leader cancels a run of which it doesn't know whether the agent got its start. The agent confirms once the worker has stopped it, and the next complete report without the run released it. That report may carry the response of a poll from before the cancel, which arrives late, for example at an agent that was paused: the worker may have started the run after that poll and may still be stopping it.

Change: a cancel counts like a start: reports older than its message do not release the run. The cancel is sent once a session instead of with each complete report.

Evidence: TestReportOlderThanCancelReleasesNothing: "1 starts after a report older than the cancel" before.

--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -22,7 +22,7 @@
 	}
 	w.link, w.synced, w.commandSeq, w.out, w.ackedEnd = ev.link, false, 0, nil, 0
 	for _, r := range w.runs {
-		r.commandSeq = 0 // the start was sent in an earlier session or never
+		r.commandSeq, r.cancelling = 0, false // the start was sent in an earlier session or never
 	}
 	event.Log(t.cfg.Log, event.AgentOpened, zap.String("Agent", w.agent.Name), zap.Uint64("Token", t.token))
 	if err := ev.link.Send(&wire.LeadAdopt{Cell: t.cfg.Cell, Token: t.token}); err != nil {
@@ -214,6 +214,8 @@
 		case reported[key] || r.commandSeq > m.LastOrders: // or the report is older than the start command
 		case r.commandSeq == 0 && !r.listed && !r.startBlocked:
 			w.outgoing().Cancels = append(w.outgoing().Cancels, key) // its start may still reach the worker
+			r.commandSeq, r.cancelling = w.commandSeq+1, true
+		case r.cancelling && !r.startBlocked:
 		default:
 			t.release(r, "run is not on the worker")
 		}
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -214,6 +214,7 @@
 	resumed          bool      // started from a checkpoint
 	copied           bool      // a speculative copy was started
 	pendingLogged    bool      // StartPending was logged
+	cancelling       bool      // a cancel was sent in this session
 	startBlocked     bool      // a stop command ensures that the worker no longer starts it
 	startedAt        time.Time // when the start command was issued or the run adopted
 	percent          int       // last reported progress
--- /dev/null
+++ b/internal/jobs/lead/outcome_test.go
@@ -0,0 +1,62 @@
+package lead_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"trefoilramp.org/trefoilramp/internal/jobs/lead"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+)
+
+var incarnation1 = wire.WorkerIncarnation{ID: "host-1", StartedAt: 1}
+
+// withRun runs f in virtual time with a leader that has ordered one run on its only worker; l is the session to its agent.
+func withRun(t *testing.T, f func(term *lead.Term, l *sent, r wire.Run)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		g := gate{make(chan struct{})}
+		close(g.open)
+		term, stop := startLeader(ctx, t, storeWithAgents(t, "host"), g)
+		l := &sent{}
+		term.Opened("host", l)
+		announce(term, "host", l, incarnation1)
+		accept(t, term, job(1, 1, 1))
+		time.Sleep(time.Second)
+		f(term, l, l.starts()[0])
+		cancel()
+		stop()
+	})
+}
+
+// Guards against two runs of a task: a report from before a cancel was taken for a later one, while the worker was still
+// stopping the run.
+func TestReportOlderThanCancelReleasesNothing(t *testing.T) {
+	withRun(t, func(term *lead.Term, _ *sent, r wire.Run) {
+		l := &sent{}
+		term.Opened("host", l)
+		announce(term, "host", l, incarnation1) // lists no run
+		time.Sleep(time.Second)
+		orders := l.orders()
+		if len(orders) == 0 || len(orders[0].Cancels) != 1 {
+			t.Fatalf("commands %+v; want a cancel", orders)
+		}
+		number := orders[0].Number
+		report := func(m wire.RunReport) {
+			m.Incarnation, m.RequestLease = incarnation1, true
+			term.Message("host", l, &m)
+			time.Sleep(time.Second)
+		}
+		report(wire.RunReport{LastOrders: number, Refused: []wire.RunRefused{{Run: r, Reason: wire.RefusedSilent}}})
+		report(wire.RunReport{Complete: true, LastOrders: number - 1})
+		if n := len(l.starts()); n != 0 {
+			t.Errorf("%d starts after a report older than the cancel", n)
+		}
+		report(wire.RunReport{Complete: true, LastOrders: number})
+		if n := len(l.starts()); n != 1 {
+			t.Errorf("%d starts after a report without the cancelled run, want 1", n)
+		}
+	})
+}
