Count a job as waiting until a worker lists one of its runs

Cause: a job counted as begun when the leader had ordered its first run. A start without a response can stay open for seconds, during which no worker runs anything of the job.

Change: a job has begun when a complete report lists one of its runs, or a run's end is reported.

Evidence: TestJobWaitsUntilWorkerListsRun: "0 jobs wait while the start is pending, want 1" before.

--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -149,7 +149,6 @@
 	w.add(r)
 	j.addRun(ordinal, r)
 	j.tasks[ordinal].lastNumber = max(j.tasks[ordinal].lastNumber, key.Number)
-	j.begun = true
 	r.stopping = j.state.IsFinal() || j.tasks[ordinal].done // reconcile sends the stop command
 	return r
 }
@@ -236,6 +235,7 @@
 // updateProgress records the progress and the checkpoint of a run as listed in a complete report.
 func (t *Term) updateProgress(r *run, s *wire.RunState, now time.Time) {
 	if !r.listed {
+		r.job.begun = true
 		r.listed, r.firstSeenAt, r.firstPercent, r.progressedAt = true, now, s.Percent, now
 	}
 	if s.Percent > r.percent {
@@ -290,6 +290,7 @@
 	}
 	w.remove(r)
 	j, task := r.job, &r.job.tasks[r.ordinal]
+	j.begun = true
 	j.dropRun(r)
 	if j.state.IsFinal() {
 		return
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -47,7 +47,7 @@
 	endedAt       time.Time
 	dirty         bool      // progress waits for a commit
 	inherited     bool      // accepted under an earlier epoch, so runs may exist that this leader does not know
-	begun         bool      // a run was started
+	begun         bool      // a worker has listed a run or its end
 	addedAt       time.Time // when this leader added the job
 	deadline      time.Time // soft deadline for the end of the job
 	urgency       urgency
--- a/internal/jobs/lead/outcome_test.go
+++ b/internal/jobs/lead/outcome_test.go
@@ -60,3 +60,27 @@
 		}
 	})
 }
+
+// Guards against a job that is reported as running although no worker has executed its start yet.
+func TestJobWaitsUntilWorkerListsRun(t *testing.T) {
+	withRun(t, func(term *lead.Term, l *sent, r wire.Run) {
+		waiting := func() int {
+			entry := &sent{}
+			term.Request(entry, &wire.JobAsk{Number: 1, Action: wire.QueueLength, Queue: job(1, 1, 1).Queue})
+			time.Sleep(time.Second)
+			return entry.all()[0].(*wire.JobTell).Waiting
+		}
+		report := func(m wire.RunReport) {
+			m.Incarnation, m.RequestLease, m.Complete, m.LastOrders = incarnation1, true, true, 1
+			term.Message("host", l, &m)
+		}
+		report(wire.RunReport{Pending: []wire.Run{r}})
+		if n := waiting(); n != 1 {
+			t.Errorf("%d jobs wait while the start is pending, want 1", n)
+		}
+		report(wire.RunReport{Running: []wire.RunState{{Run: r}}})
+		if n := waiting(); n != 0 {
+			t.Errorf("%d jobs wait while the run is running, want 0", n)
+		}
+	})
+}
--- a/internal/jobs/lead/schedule.go
+++ b/internal/jobs/lead/schedule.go
@@ -238,8 +238,7 @@
 	}
 	w.add(r)
 	j.addRun(ordinal, r)
-	t.cfg.Meter.RunStarted(now.Sub(j.addedAt), !j.begun)
-	j.begun = true
+	t.cfg.Meter.RunStarted(now.Sub(j.addedAt), !j.begun && j.state == rows.Queued)
 	if j.state == rows.Queued {
 		j.state = rows.Running
 	}
