Let the next report decide about the runs of a worker that restarts under its ID

Callers could see two runs of one task, or a worker over its capacity.

Cause: a command names the ID of a worker, not the time of its start, so that a worker which has restarted under the same ID executes starts meant for its earlier incarnation. The agent reported that incarnation as ended as soon as a poll showed the later one, and the leader started its runs elsewhere. Found by looking for the class: the stand-in workers compared the time of the start too, which no platform does, so that no test could show it.

Change: the agent reports such a worker as unhealthy until its announcement arrives, and counts a worker as ended only while no start is in flight to it. After a restart under the same ID the leader keeps the runs until the first complete report: it lists those that the later incarnation has started, and the others are cancelled there. The stand-in executes commands by ID.

Evidence: TestRestartUnderSameIDIsNotAnEnd and TestRunOnRestartedWorkerIsKept failed before: the worker "was reported as ended before its next incarnation was announced", and the leader stopped the run.

--- a/internal/host/driver/agent.go
+++ b/internal/host/driver/agent.go
@@ -58,6 +58,7 @@
 	refused          []wire.RunRefused
 	pending          map[wire.Run]pendingRun // runs that the worker may still start because of a command
 	stopping         map[wire.Run]uint64     // runs with a stop in progress, with its fencing token
+	startCalls       int                     // starts in flight to the worker
 	pacer            pacer
 	commands         sync.WaitGroup
 }
@@ -331,25 +332,23 @@
 		return 0
 	}
 	switch {
-	case errors.Is(err, ErrIncarnation):
-	case errors.Is(err, ErrUnreachable) && failures+1 >= downAfterPolls:
-	case errors.Is(err, ErrUnreachable):
-		return failures + 1
-	case failures+1 < unhealthyAfterPolls:
+	case errors.Is(err, ErrIncarnation),
+		errors.Is(err, ErrUnreachable) && failures+1 >= downAfterPolls && a.startCalls == 0:
+		event.Log(a.cfg.Log, event.WorkerEnded, zap.String("Worker", request.Incarnation.ID),
+			zap.Int64("Born", request.Incarnation.StartedAt), zap.Error(err))
+		a.gone = true
+		a.sendState()
+		return 0
+	case errors.Is(err, ErrRestarted): // it may run what was meant for this incarnation, which therefore has not ended for the leader
+	case errors.Is(err, ErrUnreachable), failures+1 < unhealthyAfterPolls:
 		return failures + 1
-	default:
-		if a.state.Healthy {
-			a.state.Healthy = false
-			event.Log(a.cfg.Log, event.WorkerUnresponsive, zap.String("Worker", request.Incarnation.ID), zap.Error(err))
-			a.sendState()
-		}
-		return failures
 	}
-	event.Log(a.cfg.Log, event.WorkerEnded, zap.String("Worker", request.Incarnation.ID),
-		zap.Int64("Born", request.Incarnation.StartedAt), zap.Error(err))
-	a.gone = true
-	a.sendState()
-	return 0
+	if a.state.Healthy {
+		a.state.Healthy = false
+		event.Log(a.cfg.Log, event.WorkerUnresponsive, zap.String("Worker", request.Incarnation.ID), zap.Error(err))
+		a.sendState()
+	}
+	return failures
 }
 
 // pollDone handles a poll response and sends the changes to the leader. It reports whether the next poll would wait
--- a/internal/host/driver/call.go
+++ b/internal/host/driver/call.go
@@ -37,6 +37,11 @@
 func (a *Agent) isCurrent(h header) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.isCurrentLocked(h)
+}
+
+// isCurrentLocked is isCurrent for callers that hold mu.
+func (a *Agent) isCurrentLocked(h header) bool {
 	return h.incarnation == a.state.Incarnation && h.token == a.token && !a.gone
 }
 
@@ -46,11 +51,10 @@
 	unanswered := 0
 	var lastRefusal wire.Refusal
 	for range startAttempts {
-		callCtx, cancel := context.WithTimeout(ctx, startTimeout)
-		err := a.cfg.Worker.Start(callCtx, Start{
-			Incarnation: h.incarnation, Token: h.token, Deadline: h.deadline, Command: command,
-		})
-		cancel()
+		err, ok := a.startOnce(ctx, h, command)
+		if !ok {
+			break
+		}
 		if err == nil {
 			a.startDone(h, command.Run)
 			if command.BestEffort {
@@ -70,7 +74,7 @@
 		}
 		event.Log(a.cfg.Log, event.StartUnanswered, zap.String("Task", command.Task),
 			zap.Int("Run", command.Number), zap.Error(err))
-		if errors.Is(err, ErrIncarnation) || !a.isCurrent(h) || !a.isPending(command.Run) {
+		if errors.Is(err, ErrIncarnation) || errors.Is(err, ErrRestarted) {
 			break
 		}
 		if !errors.Is(err, ErrUnreachable) {
@@ -80,6 +84,29 @@
 	a.cancelRun(ctx, h.incarnation, wire.RunRefused{Run: command.Run, Reason: wire.RefusedSilent, Cause: lastRefusal})
 }
 
+// startOnce attempts to start a pending run. It reports false, without an attempt, if the command is no longer valid or the
+// run is no longer pending. The worker does not count as ended during an attempt, since its next incarnation may have the
+// same ID and execute it.
+func (a *Agent) startOnce(ctx context.Context, h header, command wire.StartCommand) (err error, ok bool) {
+	a.mu.Lock()
+	_, isPending := a.pending[command.Run]
+	if !isPending || !a.isCurrentLocked(h) {
+		a.mu.Unlock()
+		return nil, false
+	}
+	a.startCalls++
+	a.mu.Unlock()
+	callCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	err = a.cfg.Worker.Start(callCtx, Start{
+		Incarnation: h.incarnation, Token: h.token, Deadline: h.deadline, Command: command,
+	})
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.startCalls--
+	return err, true
+}
+
 // cancelRun makes sure that the worker does not start a pending run any more, stops it if it is running, and then reports
 // f. It retries until the outcome is known, whatever leaders come and go meanwhile.
 func (a *Agent) cancelRun(ctx context.Context, incarnation wire.WorkerIncarnation, f wire.RunRefused) {
--- a/internal/host/driver/outcome_test.go
+++ b/internal/host/driver/outcome_test.go
@@ -104,3 +104,22 @@
 		})
 	}
 }
+
+// Guards against two runs of a task: a worker that had restarted under the same ID executed a start for its earlier
+// incarnation, which the agent then reported as ended.
+func TestRestartUnderSameIDIsNotAnEnd(t *testing.T) {
+	withAgent(t, func(ctx context.Context, a *driver.Agent, w *countingWorker, l *leader) {
+		w.Restart(wire.WorkerIncarnation{ID: "w-1", StartedAt: 2})
+		a.Execute(ctx, l, commands(1, w, run1))
+		time.Sleep(2 * time.Second)
+		if l.receivedGone() {
+			t.Error("the worker was reported as ended before its next incarnation was announced")
+		}
+		a.Announce(w.State(), 1)
+		time.Sleep(200 * time.Millisecond)
+		reports := l.reports()
+		if last := reports[len(reports)-1]; !last.Complete || last.Incarnation != w.Incarnation() {
+			t.Errorf("last report %+v; want a complete one of the next incarnation", last)
+		}
+	})
+}
--- a/internal/host/driver/pending.go
+++ b/internal/host/driver/pending.go
@@ -19,14 +19,6 @@
 	return maps.Clone(a.pending)
 }
 
-// isPending reports whether the outcome of the start of a run is unknown.
-func (a *Agent) isPending(r wire.Run) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	_, ok := a.pending[r]
-	return ok
-}
-
 // resolvePending removes the pending runs whose outcome follows from a poll with the given token: the worker lists a run
 // that has started, never starts a run again that has ended, and refuses commands with a lower token. It removes them from
 // before too, the runs that were pending before the poll.
--- a/internal/host/driver/worker.go
+++ b/internal/host/driver/worker.go
@@ -11,8 +11,9 @@
 
 // Errors of the methods of a Worker.
 var (
-	ErrUnreachable = errors.New("connection to the worker refused") // its process has ended
-	ErrIncarnation = errors.New("another incarnation of the worker responded")
+	ErrUnreachable = errors.New("connection to the worker refused")                             // its process has ended
+	ErrIncarnation = errors.New("an incarnation of the worker with another ID responded")       // and did nothing
+	ErrRestarted   = errors.New("a later incarnation of the worker with the same ID responded") // and may have executed the command
 )
 
 // RefusedError is the error of a command that the worker refused and did not execute.
@@ -47,8 +48,8 @@
 	Command     wire.StartCommand
 }
 
-// Worker is the API of one worker. Methods return ErrUnreachable, ErrIncarnation or a *RefusedError; after any other
-// error the outcome is unknown.
+// Worker is the API of one worker. Methods return ErrUnreachable, ErrIncarnation, ErrRestarted or a *RefusedError; after
+// ErrRestarted and any other error the outcome is unknown.
 type Worker interface {
 	Poll(ctx context.Context, request PollRequest) (PollResponse, error)
 	Start(ctx context.Context, s Start) error
--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -58,10 +58,14 @@
 }
 
 // applyWorkerState records the reported state of a worker. When the worker has restarted or exited, all runs of the
-// earlier incarnation are released.
+// earlier incarnation are released, unless the later one may have executed their starts.
 func (t *Term) applyWorkerState(w *worker, m *wire.WorkerState) {
 	if m.Incarnation != w.state.Incarnation {
-		t.releaseAll(w, "worker has restarted")
+		if m.Incarnation.ID == w.state.Incarnation.ID {
+			w.suspectRuns(time.Now())
+		} else {
+			t.releaseAll(w, "worker has restarted")
+		}
 		w.appliedEnd, w.durableEnd, w.ackedEnd, w.synced = 0, 0, 0, false
 		w.out = nil
 		w.reliability = reliability{}
--- a/internal/jobs/lead/outcome_test.go
+++ b/internal/jobs/lead/outcome_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"trefoilramp.org/trefoilramp/internal/core/sizes"
 	"trefoilramp.org/trefoilramp/internal/jobs/lead"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
@@ -84,3 +85,30 @@
 		}
 	})
 }
+
+// Guards against two runs of a task: a worker that had restarted under the same ID executed a start for its earlier
+// incarnation, whose runs the leader then started elsewhere.
+func TestRunOnRestartedWorkerIsKept(t *testing.T) {
+	withRun(t, func(term *lead.Term, l *sent, r wire.Run) {
+		incarnation2 := wire.WorkerIncarnation{ID: incarnation1.ID, StartedAt: 2}
+		term.Message("host", l, &wire.WorkerState{
+			Incarnation: incarnation2, Service: "packing", Phase: wire.WorkerReady, Healthy: true,
+			Capacity: sizes.Resources{Processors: 4000, Memory: 1 << 40},
+		})
+		report := func(m wire.RunReport) {
+			m.Incarnation, m.RequestLease, m.Complete = incarnation2, true, true
+			term.Message("host", l, &m)
+			time.Sleep(time.Second)
+		}
+		report(wire.RunReport{Running: []wire.RunState{{Run: r, Percent: 10}}})
+		report(wire.RunReport{Running: []wire.RunState{{Run: r, Percent: 90}}})
+		if n := len(l.starts()); n != 1 {
+			t.Errorf("%d starts; want only that of the run, which the worker lists", n)
+		}
+		for _, o := range l.orders() {
+			if len(o.Stops) > 0 || len(o.Cancels) > 0 {
+				t.Errorf("commands %+v; want no stop of the run", o)
+			}
+		}
+	})
+}
--- a/internal/jobs/lead/worker.go
+++ b/internal/jobs/lead/worker.go
@@ -102,6 +102,15 @@
 	}
 }
 
+// suspectRuns makes the next complete report decide about the runs of a worker that has restarted under the same ID. Its
+// new incarnation has executed the starts that were on their way during the restart; the others are cancelled there.
+func (w *worker) suspectRuns(now time.Time) {
+	for _, r := range w.runs {
+		r.commandSeq, r.listed, r.cancelling, r.startBlocked = 0, false, false, false
+		r.percent, r.startedAt, r.progressedAt = 0, now, now
+	}
+}
+
 // free returns the capacity that no run has reserved.
 func (w *worker) free() sizes.Resources { return w.state.Capacity.Minus(w.used) }
 
--- a/internal/stand/runs/worker.go
+++ b/internal/stand/runs/worker.go
@@ -147,13 +147,13 @@
 	return append([]wire.Run(nil), w.overcommits...)
 }
 
-// checkReachable returns driver.ErrUnreachable if the worker has crashed and driver.ErrIncarnation if incarnation is
-// not the current one.
+// checkReachable returns driver.ErrUnreachable if the worker has crashed and driver.ErrIncarnation if the current
+// incarnation has another ID; commands do not name the time of its start.
 func (w *Worker) checkReachable(incarnation wire.WorkerIncarnation) error {
 	if w.down {
 		return driver.ErrUnreachable
 	}
-	if incarnation != w.incarnation {
+	if incarnation.ID != w.incarnation.ID {
 		return driver.ErrIncarnation
 	}
 	return nil
@@ -162,7 +162,7 @@
 // execute runs f, the effect of a command, under the fault of that command.
 func (w *Worker) execute(ctx context.Context, incarnation wire.WorkerIncarnation, f func() error) error {
 	w.mu.Lock()
-	nextFault := w.nextFault
+	nextFault, received := w.nextFault, w.incarnation
 	w.mu.Unlock()
 	var fault Fault
 	if nextFault != nil {
@@ -177,6 +177,9 @@
 		if err := w.checkReachable(incarnation); err != nil {
 			return err
 		}
+		if w.incarnation != received {
+			return errLost // the process that received the command has ended
+		}
 		return f()
 	}
 	if fault.LoseLate > 0 {
@@ -185,7 +188,7 @@
 		return err
 	}
 	<-ctx.Done()
-	return errLost
+	return errors.Mark(ctx.Err(), errLost)
 }
 
 // checkToken rejects a token lower than the highest one seen and remembers the highest.
@@ -382,7 +385,7 @@
 		case <-changed:
 		case <-time.After(time.Duration(req.Wait) * time.Millisecond):
 		case <-ctx.Done():
-			return driver.PollResponse{}, errLost
+			return driver.PollResponse{}, errors.Mark(ctx.Err(), errLost)
 		}
 	}
 	return w.snapshot(req.Incarnation)
@@ -394,6 +397,9 @@
 	if err := w.checkReachable(incarnation); err != nil {
 		return driver.PollResponse{}, err
 	}
+	if incarnation != w.incarnation {
+		return driver.PollResponse{}, driver.ErrRestarted
+	}
 	s := driver.PollResponse{Clock: time.Since(w.began).Milliseconds(), Ended: append([]wire.RunEnd(nil), w.ended...)}
 	for run, a := range w.active {
 		percent := 100
