Acknowledge ends only to the incarnation that listed them

Callers could see a task run again after its success.

Cause: a poll carries the number of the last stored end and the deadline of the lease. A worker that has restarted under the same ID numbers its ends anew and has another clock: it dropped ends that nobody had stored, up to a number of its earlier incarnation, until its announcement reached the agent.

Change: after a poll that failed other than by a refusal or without a response, the next one acknowledges nothing, extends nothing and does not wait; its response shows which incarnation responds.

--- a/internal/host/driver/agent.go
+++ b/internal/host/driver/agent.go
@@ -59,6 +59,7 @@
 	pending          map[wire.Run]pendingRun // runs that the worker may still start because of a command
 	stopping         map[wire.Run]uint64     // runs with a stop in progress, with its fencing token
 	startCalls       int                     // starts in flight to the worker
+	mayBeOther       bool                    // the worker may have restarted under the same ID since the last response
 	pacer            pacer
 	commands         sync.WaitGroup
 }
@@ -119,7 +120,7 @@
 // reset clears the state of an earlier incarnation of the worker.
 func (a *Agent) reset() {
 	a.gone, a.clock, a.deadline, a.acked, a.reported = false, 0, 0, 0, 0
-	a.synced, a.refused = false, nil
+	a.synced, a.refused, a.mayBeOther = false, nil, false
 	clear(a.pending)
 	clear(a.stopping)
 	a.pacer = newPacer()
@@ -320,6 +321,10 @@
 		Incarnation: a.state.Incarnation, Token: a.token, DurableEnds: a.acked, Deadline: a.deadline,
 		Wait: wait.Milliseconds(),
 	}
+	if a.mayBeOther {
+		// Another incarnation would drop ends of its own, and take the deadline for one on its clock.
+		request.DurableEnds, request.Deadline, request.Wait = 0, 0, 0
+	}
 	return request, pollContext{ctx: pollCtx, cancel: cancel, commandNumber: a.commandNumber}, true
 }
 
@@ -331,6 +336,8 @@
 	if request.Incarnation != a.state.Incarnation || request.Token != a.token {
 		return 0
 	}
+	isRefused := errors.HasType(err, (*RefusedError)(nil))
+	a.mayBeOther = a.mayBeOther || !isRefused && !errors.Is(err, context.DeadlineExceeded)
 	switch {
 	case errors.Is(err, ErrIncarnation),
 		errors.Is(err, ErrUnreachable) && failures+1 >= downAfterPolls && a.startCalls == 0:
@@ -363,6 +370,7 @@
 	if request.Incarnation != a.state.Incarnation || request.Token != a.token {
 		return true
 	}
+	a.mayBeOther = false
 	a.clock = max(a.clock, response.Clock)
 	a.runCount = len(response.Running)
 	if !a.state.Healthy {
--- a/internal/jobs/lead/soak_test.go
+++ b/internal/jobs/lead/soak_test.go
@@ -107,8 +107,14 @@
 			wait(ctx, duration/4)
 		case 5:
 			h.worker.Crash()
-			wait(ctx, duration/2)
-			c.startWorker(h)
+			if c.randN(2) == 0 {
+				wait(ctx, duration/2)
+				c.startWorker(h)
+			} else { // restarts at once under the same ID
+				wait(ctx, duration/100)
+				h.worker.Restart(wire.WorkerIncarnation{ID: h.worker.Incarnation().ID, StartedAt: h.worker.Incarnation().StartedAt + 1})
+				h.starts = int(h.worker.Incarnation().StartedAt)
+			}
 		case 6: // commands to a worker are lost, delayed or refused
 			h.worker.SetFaults(func() runs.Fault {
 				switch c.randN(6) {
