Report a change of a job as unknown when an attempt had no reply

What operators would see: POST /v1/jobs and DELETE /v1/jobs/{id} responded with 503, "nothing was changed", although the job had been accepted or cancelled, or still could be. A submission without an ID that is repeated after such a 503 becomes a second job.

Cause: jobs.callOwner sends a change to the owner of the partition until it replies. When the first attempt reached the owner and had no reply (the session ended) and the later ones were refused or not sent, the last refusal was returned as the outcome of all attempts. Even a single attempt without a reply became a 503.

Change: callJob marks an error as table.ErrUnknown if the request may have reached the owner; callOwner remembers it, and returns it instead of a later refusal. Queries change nothing and keep 503.

--- a/internal/role/entry/jobs.go
+++ b/internal/role/entry/jobs.go
@@ -11,8 +11,10 @@
 	"github.com/cockroachdb/errors"
 
 	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/plat/table"
 )
 
 const (
@@ -109,21 +111,28 @@
 }
 
 // callOwner sends an idempotent request to the owner of its home partition and retries until the owner replies or ctx
-// ends.
+// ends. A reply of 503 means that no attempt had an effect. The error wraps table.ErrUnknown if an attempt of a change
+// had no reply: the refusal of a later one is no proof that it had no effect.
 func (j *jobs) callOwner(ctx context.Context, home ident.Partition, m wire.Message) (wire.JobReply, error) {
+	_, isQuery := m.(*wire.JobQuery)
+	var unanswered error // of the latest attempt without a reply
 	for {
 		reply, err := j.tryOnce(ctx, home, m)
-		if err == nil && reply.Status != http.StatusServiceUnavailable {
+		switch {
+		case err == nil && reply.Status != http.StatusServiceUnavailable:
 			return reply, nil
+		case errors.Is(err, table.ErrUnknown) && !isQuery:
+			unanswered = err
+		case err != nil:
+			reply = wire.JobReply{Status: http.StatusServiceUnavailable, Detail: err.Error()}
 		}
-		select {
-		case <-ctx.Done():
-			if err == nil {
-				return reply, nil
-			}
-			return wire.JobReply{Status: http.StatusServiceUnavailable, Detail: err.Error()}, nil
-		case <-time.After(jobRetryDelay):
+		if pause.For(ctx, jobRetryDelay) {
+			continue
 		}
+		if unanswered != nil {
+			return wire.JobReply{}, unanswered
+		}
+		return reply, nil
 	}
 }
 
@@ -142,13 +151,22 @@
 	return callJob(ctx, s, m)
 }
 
-// callJob sends a request about a job to another entry and returns its reply.
+// callJob sends a request about a job to another entry and returns its reply. The error wraps table.ErrUnknown if the
+// request may have reached the entry.
 func callJob(ctx context.Context, s *sess.Session, m wire.Message) (wire.JobReply, error) {
 	st, err := s.Open(ctx, m)
 	if err != nil {
 		return wire.JobReply{}, fmt.Errorf("ask owner: %w", err)
 	}
-	defer st.Reset("request has ended")
+	reply, err := receiveReply(ctx, st)
+	st.Reset("request has ended")
+	if err != nil && st.Sent() {
+		err = fmt.Errorf("%w: %w", table.ErrUnknown, err)
+	}
+	return reply, err
+}
+
+func receiveReply(ctx context.Context, st *sess.Stream) (wire.JobReply, error) {
 	if err := st.CloseWrite(); err != nil {
 		return wire.JobReply{}, fmt.Errorf("ask owner: %w", err)
 	}
