Accept the repeat of a configuration change that had no response

What operators would see: `config apply` or the console gets no response, or 504; the operator repeats the change and is refused with 412, "the change is based on version 5, but version 6 is accepted", in the console "Another operator was faster". Version 6 is their own change: the first attempt had been executed, seconds late or without its response.

Cause: Accept compared the base of the change with the accepted version only. The refusal of the repeat counted as the outcome of the change, although the earlier attempt had an effect.

Change: if the accepted version is the one after the base, by the same author and with the same hash, Accept reports it without a further effect (RFC 9110, section 13.1.1, permits a 2xx to If-Match in this case). This also holds when the earlier attempt is executed between the read of the head row and the transaction of the repeat. If a later version has replaced it, the conflict names the version that the change had. The console no longer shows a race between a draft and an accepted document that are equal.

Ruled out: a second effect.

--- a/internal/conf/head/accept.go
+++ b/internal/conf/head/accept.go
@@ -25,22 +25,68 @@
 
 // ConflictError reports that the accepted version is not the base of a change.
 type ConflictError struct {
-	Base   uint64
-	Actual Revision // the accepted version
+	Base    uint64
+	Actual  Revision // the accepted version
+	Earlier uint64   // replaced version that an earlier attempt of the same change created; 0 if there is none
 }
 
 // Error implements error.
 func (e *ConflictError) Error() string {
+	if e.Earlier != 0 {
+		return fmt.Sprintf("the change was accepted as version %d, which version %d has replaced", e.Earlier, e.Actual.Version)
+	}
 	return fmt.Sprintf("the change is based on version %d, but version %d is accepted", e.Base, e.Actual.Version)
 }
 
 // Accept validates c and stores it as the next version if its base is still the accepted version. The errors
 // *strict.FaultsError, *ConflictError, table.ErrUnavailable and table.ErrRateLimited mean that the change had no
-// effect; table.ErrUnknown means that ctx ended before the outcome was known.
+// effect; table.ErrUnknown means that ctx ended before the outcome was known. A repeated change that an earlier attempt
+// has stored as the accepted version succeeds without another effect.
 func (h *Holder) Accept(ctx context.Context, c Change) (*Current, error) {
 	if err := c.Document.Validate().Err(); err != nil {
 		return nil, err
 	}
+	current, err := h.accept(ctx, c)
+	if conflict := (*ConflictError)(nil); errors.As(err, &conflict) {
+		return h.findEarlier(ctx, c, conflict)
+	}
+	return current, err
+}
+
+// findEarlier returns the accepted version if an earlier attempt of c created it, and otherwise the conflict.
+func (h *Holder) findEarlier(ctx context.Context, c Change, conflict *ConflictError) (*Current, error) {
+	compact, err := encodeCompact(c.Document)
+	if err != nil {
+		return nil, err
+	}
+	hash := model.Hash(compact)
+	isOwn := func(r Revision) bool { return r.Version == c.Base+1 && r.Author == c.Author && r.Hash == hash }
+	if isOwn(conflict.Actual) {
+		current, err := newCurrent(conflict.Actual, compact)
+		if err != nil {
+			return nil, err
+		}
+		h.putInForce(current)
+		return current, nil
+	}
+	if conflict.Actual.Version > c.Base+1 {
+		// Without the document row, the conflict is reported without the earlier version.
+		if d, err := readDoc(ctx, h.store, c.Base+1); err == nil && isOwn(d.Revision) {
+			conflict.Earlier = d.Version
+		}
+	}
+	return nil, conflict
+}
+
+// putInForce applies a version that this process has accepted and notifies the other entries.
+func (h *Holder) putInForce(c *Current) {
+	h.apply(c)
+	if h.onAccepted != nil {
+		h.onAccepted(c.Version)
+	}
+}
+
+func (h *Holder) accept(ctx context.Context, c Change) (*Current, error) {
 	if err := h.hook.At(point.AcceptValidated, c.Author); err != nil {
 		return nil, err
 	}
@@ -72,10 +118,7 @@
 	}
 	event.Log(h.log, event.ConfigurationAccepted, zap.Uint64("Version", p.current.Version),
 		zap.String("Author", c.Author))
-	h.apply(p.current)
-	if h.onAccepted != nil {
-		h.onAccepted(p.current.Version)
-	}
+	h.putInForce(p.current)
 	return p.current, h.hook.At(point.AcceptCommitted, c.Author)
 }
 
--- a/internal/ops/admin/admin_test.go
+++ b/internal/ops/admin/admin_test.go
@@ -133,8 +133,8 @@
 	}
 }
 
-// Guards against changes without a base version, lost updates, faults without a path, and changes without an audit
-// record.
+// Guards against changes without a base version, lost updates, a repeat that is refused although its response was lost,
+// faults without a path, and changes without an audit record.
 func TestConfig(t *testing.T) {
 	f := newFixture(t)
 	d := model.Default()
@@ -146,6 +146,11 @@
 		t.Errorf("ETag %s, body %s", w.Header().Get("ETag"), w.Body)
 	}
 	w = f.call("PUT", "/v1/config", changeToken, encode(t, d), "If-Match", `"0"`)
+	if w.Code != 200 || w.Header().Get("ETag") != `"1"` {
+		t.Errorf("repeated change: %d %s", w.Code, w.Body)
+	}
+	d.Teams[0].Weight = 2
+	w = f.call("PUT", "/v1/config", changeToken, encode(t, d), "If-Match", `"0"`)
 	var p admin.Problem
 	if err := json.Unmarshal(w.Body.Bytes(), &p); err != nil || w.Code != 412 || p.Version != 1 {
 		t.Errorf("change with an outdated base: %d %+v %v", w.Code, p, err)
--- a/internal/ops/admin/config.go
+++ b/internal/ops/admin/config.go
@@ -136,7 +136,11 @@
 // AcceptProblem returns the problem for an error of Config.Accept.
 func AcceptProblem(err error) *Problem {
 	if ce := (*head.ConflictError)(nil); errors.As(err, &ce) {
-		p := problem(http.StatusPreconditionFailed, ce.Error()+"; read it, repeat the change on it and submit again")
+		next := "; read it, repeat the change on it and submit again"
+		if ce.Earlier != 0 {
+			next = "; read it before you submit the change again"
+		}
+		p := problem(http.StatusPreconditionFailed, ce.Error()+next)
 		p.Version = ce.Actual.Version
 		return p
 	}
--- a/internal/ops/cons/edit.go
+++ b/internal/ops/cons/edit.go
@@ -186,7 +186,7 @@
 	Version     uint64 // accepted version
 	Differences []difference
 	Faults      []reviewFault
-	Race        *race // nil unless the accepted version differs from the draft's base
+	Race        *race // nil unless the accepted version differs from the draft and its base
 	CanSubmit   bool
 }
 
@@ -249,7 +249,7 @@
 		return data, err
 	}
 	data.Differences = formatDifferences(list)
-	if accepted.Version != d.Base {
+	if accepted.Version != d.Base && len(list) > 0 {
 		data.Race, err = c.newRace(r, d, doc, accepted)
 		return data, err
 	}
@@ -323,10 +323,13 @@
 	case err == nil:
 		c.render(w, http.StatusOK, "message.html", pageData{Title: "Accepted", Page: "config", Session: s,
 			Message: fmt.Sprintf("Version %d is accepted and comes into force in every zone within seconds.", accepted.Version)})
+	case errors.As(err, &conflict) && conflict.Earlier != 0:
+		c.review(w, r, s, d, fmt.Sprintf("Your change was accepted as version %d; version %d has replaced it.",
+			conflict.Earlier, conflict.Actual.Version))
 	case errors.As(err, &conflict):
 		c.review(w, r, s, d, "Another operator was faster. Nothing of your input is lost; compare both versions below.")
 	case errors.Is(err, table.ErrUnknown):
-		c.review(w, r, s, d, "The store did not say whether the change took effect. Review it again before you submit it again.")
+		c.review(w, r, s, d, "The store did not say whether the change took effect. You can submit it again; it is accepted only once.")
 	default:
 		c.review(w, r, s, d, "The change was not accepted; your input is kept: "+err.Error())
 	}
