Keep the row of a released claim

What callers would see: a request with an Idempotency-Key is refused with NotRun and repeated as asked; every repeat gets 409 for the rest of the deadline, and then Unknown for good, although no request with this key ever ran.

Cause: a claim is written on condition that its row does not exist. The first write gets no response and is repeated, the repeat succeeds, the request turns out not to run (no target, no slot), and its claim is released by deleting the row. The store then executes the first write, whose condition holds again: a claim that belongs to no request, and that nobody resolves. The same happens to an entry that is told that another one holds the key.

Change: a release replaces the row with one in the state Released, and the next claim replaces that on condition of its version. As a row is never deleted, each write's condition holds at most once. Claims that were recorded or lost were never deleted either, so the rows grow no faster. withRetries no longer repeats an unknown outcome, after which its context has ended: a rejected try after it would have hidden the outcome from the cleanup.

Ruled out: a second run. The row of the late write only refuses requests.

Evidence: TestLateClaimAfterRelease, on the code before, each case alone (4 is Mismatch, from the late row): released by the same request, repeated: got outcome 4 and error <nil>, want outcome 1 released by another entry, repeated: got outcome 4 and error <nil>, want outcome 1

--- a/internal/serve/claim/claim.go
+++ b/internal/serve/claim/claim.go
@@ -12,18 +12,20 @@
 
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/core/point"
 	"trefoilramp.org/trefoilramp/internal/plat/table"
 	"trefoilramp.org/trefoilramp/internal/serve/retry"
 )
 
 const (
-	maxClockSkew   = 10 * time.Second       // tolerated between the wall clocks of entries
-	cleanupTimeout = 30 * time.Second       // of the background cleanup of an unconfirmed claim
-	maxCleanups    = 64                     // concurrent cleanups
-	acquireTries   = 3                      // tries that the store rejects before the request is refused
-	backoffBase    = 20 * time.Millisecond  // first bound on the delay between store requests
-	backoffLimit   = 500 * time.Millisecond // largest bound on that delay
+	maxClockSkew    = 10 * time.Second       // tolerated between the wall clocks of entries
+	cleanupTimeout  = 30 * time.Second       // of the background cleanup of an unconfirmed claim
+	maxCleanups     = 64                     // concurrent cleanups
+	acquireTries    = 3                      // tries that the store rejects before the request is refused
+	maxReplacements = 3                      // writes of a claim, each but the first over a released one
+	backoffBase     = 20 * time.Millisecond  // first bound on the delay between store requests
+	backoffLimit    = 500 * time.Millisecond // largest bound on that delay
 )
 
 // ErrStore means that the store did not confirm the claim; the request must not run.
@@ -92,20 +94,26 @@
 		Until:       deadline.Add(maxClockSkew).UnixNano(),
 	}
 	k := Key(service, key)
-	existing, version, err := reg.write(ctx, k, r, 0, acquireTries)
-	switch {
-	case err != nil:
-		if errors.Is(err, table.ErrUnknown) {
-			reg.cleanUp(ctx, k, r)
-		}
-		return Result{}, fmt.Errorf("%w: %w", ErrStore, err)
-	case existing == nil:
-		if err := reg.hook.At(point.ClaimWritten, k); err != nil {
-			return Result{}, fmt.Errorf("after the claim: %w", err)
+	var version uint64 // of the released claim that r replaces; 0 for none
+	for range maxReplacements {
+		existing, v, err := reg.write(ctx, k, r, version, acquireTries)
+		switch {
+		case err != nil:
+			if errors.Is(err, table.ErrUnknown) {
+				reg.cleanUp(ctx, k, r, version)
+			}
+			return Result{}, fmt.Errorf("%w: %w", ErrStore, err)
+		case existing == nil:
+			if err := reg.hook.At(point.ClaimWritten, k); err != nil {
+				return Result{}, fmt.Errorf("after the claim: %w", err)
+			}
+			return Result{Outcome: Acquired, Claim: &Claim{registry: reg, key: k, row: r, version: v}}, nil
+		case existing.State != Released:
+			return classify(*existing, fingerprint, time.Now()), nil
 		}
-		return Result{Outcome: Acquired, Claim: &Claim{registry: reg, key: k, row: r, version: version}}, nil
+		version = v
 	}
-	return classify(*existing, fingerprint, time.Now()), nil
+	return Result{}, fmt.Errorf("%w: other requests have claimed and released %s meanwhile", ErrStore, k)
 }
 
 // classify returns the outcome for a request with the given fingerprint when another request has written row r.
@@ -157,28 +165,25 @@
 	return &existing, res.Conflicts[0].Version, nil
 }
 
-// withRetries repeats f until it succeeds, the request is malformed, ctx ends, or the store rejects a try and the given
-// number of tries is used up. A try of unknown outcome is repeated even if it is the last of them.
+// withRetries repeats f, which calls table.Resolve, until it succeeds, the request is malformed, ctx ends, or the store
+// has rejected the given number of tries. An unknown outcome, after which ctx has ended, is never followed by another
+// try: its rejection would hide that outcome.
 func (reg *Registry) withRetries(ctx context.Context, tries int, f func() error) error {
 	for n := 0; ; n++ {
 		err := f()
-		if err == nil || errors.Is(err, table.ErrMalformed) || n+1 >= tries && !errors.Is(err, table.ErrUnknown) {
+		if err == nil || errors.IsAny(err, table.ErrMalformed, table.ErrUnknown) || n+1 >= tries {
 			return err
 		}
-		timer := time.NewTimer(reg.backoff.Delay(n))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if !pause.For(ctx, reg.backoff.Delay(n)) {
 			return err
 		}
 	}
 }
 
-// cleanUp determines in the background whether an unconfirmed claim was written and deletes it, because its request
+// cleanUp determines in the background whether an unconfirmed claim was written and releases it, because its request
 // did not run. Otherwise repeated requests would be refused until the claim expires, and get ResponseLost after
 // that. It does nothing when maxCleanups cleanups are in progress.
-func (reg *Registry) cleanUp(ctx context.Context, key string, r row) {
+func (reg *Registry) cleanUp(ctx context.Context, key string, r row, version uint64) {
 	select {
 	case reg.cleanups <- struct{}{}:
 	default:
@@ -188,7 +193,7 @@
 	go func() {
 		defer func() { <-reg.cleanups }()
 		defer cancel()
-		existing, version, err := reg.write(ctx, key, r, 0, math.MaxInt)
+		existing, version, err := reg.write(ctx, key, r, version, math.MaxInt)
 		if err == nil && existing == nil {
 			c := &Claim{registry: reg, key: key, row: r, version: version}
 			err = c.Release(ctx)
@@ -235,19 +240,15 @@
 	return nil
 }
 
-// Release deletes the claim of a request that did not run, so that a repeated request can run. If the store does not
-// confirm the deletion, repeated requests are refused until the claim expires.
+// Release marks the claim of a request that did not run as released, so that a repeated request can run. The row is kept:
+// if it were deleted, a write of the claim without a response could still be executed. If the store does not confirm the
+// release, repeated requests are refused until the claim expires.
 func (c *Claim) Release(ctx context.Context) error {
-	t := table.Transaction{
-		Txn:        ident.NewTxn(),
-		Conditions: []table.Condition{{Key: c.key, Version: c.version}},
-		Deletes:    []string{c.key},
-	}
-	err := c.registry.withRetries(ctx, math.MaxInt, func() error {
-		_, err := c.registry.store.Transact(ctx, t) // a conflict means that an earlier try succeeded
-		return err
-	})
-	if err != nil {
+	r := c.row
+	r.Txn = ident.NewTxn()
+	r.State = Released
+	// A conflict means that an earlier try succeeded and another request has claimed the key since.
+	if _, _, err := c.registry.write(ctx, c.key, r, c.version, math.MaxInt); err != nil {
 		event.Log(c.registry.log, event.ClaimNotReleased, zap.String("Key", c.key), zap.Error(err))
 		return fmt.Errorf("release claim %s: %w", c.key, err)
 	}
--- a/internal/serve/claim/claim_test.go
+++ b/internal/serve/claim/claim_test.go
@@ -167,3 +167,30 @@
 		}
 	})
 }
+
+// Guards against a claim without a request: its write had no response and was executed after the key had been claimed
+// and released, so that every repeated request was refused.
+func TestLateClaimAfterRelease(t *testing.T) {
+	for name, other := range map[string]bool{"released by the same request": false, "released by another entry": true} {
+		synctest.Test(t, func(t *testing.T) {
+			reg, s := newRegistry(t)
+			late := script.Rule{Action: script.LoseLate, Kind: store.KindTransact, Count: 1, Delay: script.Duration(5 * time.Second)}
+			if err := s.Faults().Set(late); err != nil {
+				t.Fatal(err)
+			}
+			holder := reg
+			if other {
+				go wantOutcome(t, name+", late", reg, "x", claim.InProgress)
+				time.Sleep(time.Millisecond) // the first write has had no response, the second is not sent yet
+				holder = claim.NewRegistry(s, "entry-2", 2, zap.NewNop(), nil)
+			}
+			r := wantOutcome(t, name, holder, "x", claim.Acquired)
+			time.Sleep(time.Second)
+			if err := r.Claim.Release(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(10 * time.Second)
+			wantOutcome(t, name+", repeated", reg, "y", claim.Acquired)
+		})
+	}
+}
--- a/internal/serve/claim/row.go
+++ b/internal/serve/claim/row.go
@@ -20,6 +20,7 @@
 const (
 	Running  State = "Running"
 	Recorded State = "Recorded"
+	Released State = "Released" // its request did not run; another request may replace the row
 	Lost     State = "Lost"
 )
 
