Report the repeat of a running keyed request as Unknown, not as NotRun

What callers see: the first request with an Idempotency-Key gets no response; the repeat gets 409, "a request with this key is in progress", with the outcome NotRun. A caller that trusts the outcome gives the work up, or sends it with another key, while the first request runs: the booking is made twice.

Cause: NotRun on a 409 was true of the repeat only. For the caller, the key names the work, and the entry knows that this work is running or may be.

Change: 409 has the outcome Unknown. 422, for other content under a used key, keeps NotRun: that content does not run.

--- a/internal/serve/front/keyed.go
+++ b/internal/serve/front/keyed.go
@@ -44,7 +44,9 @@
 	case claim.Replayed:
 		return true, c.replay(result.Response)
 	case claim.InProgress:
-		hw.refuse(requestProblem(http.StatusConflict, result.Detail))
+		p := requestProblem(http.StatusConflict, result.Detail)
+		p.Outcome = Unknown // the caller may be repeating the request that is running
+		hw.refuse(p)
 		return true, nil
 	case claim.Mismatch:
 		hw.refuse(requestProblem(http.StatusUnprocessableEntity, result.Detail))
