Say how to repeat a change that got no response

The operator runs it again, and the job runs twice, since the entry generates a new ID for each submission. `config apply`, `job cancel` and `worker drain` did not say either that the change may have been made.

Cause: the client treated an exchange without a response like a refused connection, and only the entry knew the ID of a job without one.

Change: the client distinguishes requests that were not sent (no connection) from those that may have had an effect (admin.IsUnknown: no valid response, 502, 504). `job submit` chooses the ID before it sends the job and prints the --id with which the repeat is the same job; --id also applies to a job from a file. The other changes can be repeated as they are. The API's 504 to a submission names the ID that it generated.

--- a/cmd/trefoilramp/config.go
+++ b/cmd/trefoilramp/config.go
@@ -161,7 +161,7 @@
 	}
 	a, err := api.Apply(ctx, c.Uint64("base"), b)
 	if err != nil {
-		return err
+		return changeError(err, "repeat the command, which changes nothing if this change is accepted")
 	}
 	if c.Bool("json") {
 		return printJSON(out(c), a)
--- a/cmd/trefoilramp/job.go
+++ b/cmd/trefoilramp/job.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"trefoilramp.org/trefoilramp/internal/conf/model"
+	"trefoilramp.org/trefoilramp/internal/core/ident"
 	"trefoilramp.org/trefoilramp/internal/ops/admin"
 )
 
@@ -35,7 +37,7 @@
 		}),
 		apiCommand("cancel", "cancel a job", "ID", nil, func(ctx context.Context, c *cli.Command, api *admin.Client) error {
 			j, err := api.Cancel(ctx, c.Args().First())
-			return showJobs(c, err, j)
+			return showJobs(c, changeError(err, "repeat the command"), j)
 		}),
 		apiCommand("watch", "print the progress of a job until it is finished", "ID", nil, watchJob),
 	)
@@ -43,7 +45,7 @@
 
 func submitFlags() []cli.Flag {
 	return []cli.Flag{
-		&cli.StringFlag{Name: "file", Usage: "read the job from a JSON `FILE` instead of the other flags"},
+		&cli.StringFlag{Name: "file", Usage: "read the job from a JSON `FILE` instead of the other flags, except --id"},
 		&cli.StringFlag{Name: "id", Usage: "`ID` of the job, which makes the submission idempotent"},
 		&cli.StringFlag{Name: "team", Usage: "`NAME` of the team"},
 		&cli.StringFlag{Name: "class", Usage: "`NAME` of the job class"},
@@ -62,11 +64,17 @@
 	if err != nil {
 		return err
 	}
-	if _, err := admin.ParseJob(b); err != nil {
+	request, err := admin.ParseJob(b)
+	if err != nil {
 		return inputError("%v; correct it or see %s --help", err, c.FullName())
 	}
+	// The ID is chosen here, so that the submission can be repeated if it gets no response.
+	request.Job = cmp.Or(c.String("id"), request.Job, string(ident.NewJob()))
+	if b, err = json.Marshal(request); err != nil {
+		return errors.Wrap(err, "encode job")
+	}
 	j, err := api.Submit(ctx, b)
-	return showJobs(c, err, j)
+	return showJobs(c, changeError(err, "repeat the command with --id "+request.Job+", which submits no second job"), j)
 }
 
 func readJob(c *cli.Command) ([]byte, error) {
--- a/cmd/trefoilramp/operate.go
+++ b/cmd/trefoilramp/operate.go
@@ -194,6 +194,14 @@
 	return cli.Exit("trefoilramp: "+pe.Error(), exitFailure)
 }
 
+// changeError adds to the error of a change that may have taken effect what to do next.
+func changeError(err error, next string) error {
+	if !admin.IsUnknown(err) {
+		return err
+	}
+	return cli.Exit(fmt.Sprintf("trefoilramp: %v; the change may have taken effect or may still do so; %s", err, next), exitFailure)
+}
+
 // printJSON writes v as indented JSON.
 func printJSON(w io.Writer, v any) error {
 	enc := json.NewEncoder(w)
--- a/cmd/trefoilramp/worker.go
+++ b/cmd/trefoilramp/worker.go
@@ -18,7 +18,7 @@
 			func(ctx context.Context, c *cli.Command, api *admin.Client) error {
 				d, err := api.Drain(ctx, c.Args().First())
 				if err != nil {
-					return err
+					return changeError(err, "repeat the command")
 				}
 				if c.Bool("json") {
 					return printJSON(out(c), d)
--- a/internal/ops/admin/admin_test.go
+++ b/internal/ops/admin/admin_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -17,6 +18,7 @@
 	"trefoilramp.org/trefoilramp/internal/ops/admin"
 	"trefoilramp.org/trefoilramp/internal/ops/audit"
 	"trefoilramp.org/trefoilramp/internal/ops/metric"
+	"trefoilramp.org/trefoilramp/internal/plat/table"
 	"trefoilramp.org/trefoilramp/internal/stand/script"
 	"trefoilramp.org/trefoilramp/internal/stand/store"
 )
@@ -29,12 +31,16 @@
 // fakeEntry implements the interfaces through which the API uses its entry.
 type fakeEntry struct {
 	submitted wire.JobSpec
+	submitErr error
 	cancelled string
 	ready     error
 }
 
 func (e *fakeEntry) Submit(_ context.Context, s wire.JobSpec) (wire.JobReply, error) {
 	e.submitted = s
+	if e.submitErr != nil {
+		return wire.JobReply{}, e.submitErr
+	}
 	return wire.JobReply{Status: http.StatusCreated, Jobs: []wire.JobStatus{{Spec: s, Queued: s.Tasks}}}, nil
 }
 
@@ -191,7 +197,8 @@
 	}
 }
 
-// Guards against jobs that violate the rules of their class or team, and defaults that are not applied.
+// Guards against jobs that violate the rules of their class or team, defaults that are not applied, and a submission of
+// unknown outcome that cannot be repeated since its generated ID is not named.
 func TestSubmit(t *testing.T) {
 	f := newFixture(t)
 	d := model.Default()
@@ -220,4 +227,9 @@
 	if s.Job != "plan-7" || s.RunTime != int64(10*time.Minute) || s.Size.Processors != 1000 || s.Submitter != "amina" {
 		t.Errorf("submitted %+v", s)
 	}
+	f.submitErr = fmt.Errorf("no reply: %w", table.ErrUnknown)
+	w := f.call("POST", "/v1/jobs", changeToken, `{"Team":"team-1","Class":"standard","Command":"plan","Tasks":3}`)
+	if id := string(f.submitted.Job); w.Code != 504 || id == "" || !strings.Contains(w.Body.String(), id) {
+		t.Errorf("submission of unknown outcome with the generated ID %q: %d %s", id, w.Code, w.Body)
+	}
 }
--- a/internal/ops/admin/client.go
+++ b/internal/ops/admin/client.go
@@ -9,11 +9,15 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"trefoilramp.org/trefoilramp/internal/conf/head"
 	"trefoilramp.org/trefoilramp/internal/conf/model"
 )
@@ -52,9 +56,22 @@
 	return e.Problem.Detail
 }
 
+// errNoResponse means that a request may have reached the API, but no valid response arrived.
+var errNoResponse = errors.New("no valid response")
+
+// IsUnknown reports whether a change that failed with err may have taken effect or may still do so.
+func IsUnknown(err error) bool {
+	if pe := (*ProblemError)(nil); errors.As(err, &pe) {
+		return pe.Problem.Status == http.StatusGatewayTimeout || pe.Problem.Status == http.StatusBadGateway
+	}
+	return errors.Is(err, errNoResponse)
+}
+
 const maxResponse = 64 << 20 // bytes
 
 func (c *Client) do(ctx context.Context, method, path string, body []byte, header http.Header) ([]byte, http.Header, error) {
+	var connected atomic.Bool // while false, no byte of the request has been written
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
 	r, err := http.NewRequestWithContext(ctx, method, c.address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, nil, fmt.Errorf("build request: %w", err)
@@ -68,12 +85,16 @@
 	}
 	w, err := c.http.Do(r)
 	if err != nil {
-		return nil, nil, fmt.Errorf("call the administration API: %w", err)
+		err = fmt.Errorf("call the administration API: %w", err)
+		if connected.Load() {
+			err = fmt.Errorf("%w: %w", errNoResponse, err)
+		}
+		return nil, nil, err
 	}
 	defer w.Body.Close()
 	b, err := io.ReadAll(io.LimitReader(w.Body, maxResponse))
 	if err != nil {
-		return nil, nil, fmt.Errorf("read response: %w", err)
+		return nil, nil, fmt.Errorf("%w: read response: %w", errNoResponse, err)
 	}
 	if w.StatusCode < http.StatusBadRequest {
 		return b, w.Header, nil
@@ -94,7 +115,7 @@
 		return v, err
 	}
 	if err := json.Unmarshal(b, &v); err != nil {
-		return v, fmt.Errorf("decode response of %s %s: %w", method, path, err)
+		return v, fmt.Errorf("%w: decode response of %s %s: %w", errNoResponse, method, path, err)
 	}
 	return v, nil
 }
--- a/internal/ops/admin/job.go
+++ b/internal/ops/admin/job.go
@@ -160,12 +160,16 @@
 	spec := j.spec(class, author, a.Now())
 	record := audit.New(a.Now(), author, audit.ActionSubmit, "job/"+string(spec.Job))
 	record.After = fmt.Sprintf("%d tasks of class %s for team %s", spec.Tasks, spec.Class, spec.Team)
-	if p := a.record(r.Context(), record); p != nil {
-		return p
+	p = a.record(r.Context(), record)
+	if p == nil {
+		p = a.writeJobs(w, http.StatusCreated, false, func(jobs Jobs) (wire.JobReply, error) {
+			return jobs.Submit(r.Context(), spec)
+		})
 	}
-	return a.writeJobs(w, http.StatusCreated, false, func(jobs Jobs) (wire.JobReply, error) {
-		return jobs.Submit(r.Context(), spec)
-	})
+	if p != nil && p.Status == http.StatusGatewayTimeout {
+		p.Detail += fmt.Sprintf("; repeat the submission with the ID %s, which submits no second job", spec.Job)
+	}
+	return p
 }
 
 func (a *API) listJobs(w http.ResponseWriter, r *http.Request) *Problem {
