Keep what a peer reported when an earlier session of it closes late

What operators would see: the status reports a version as in force in a zone although an agent there has not applied it. When the machine of an agent loses power and comes back, the entry notices the end of the previous session up to 5 s after the new one has opened; it then forgot the agent, until that applied a later version. The same for an entry: its list of live entries was dropped while its session was open.

Cause: the end of any session removed the state that is kept by the name of the peer (conf/head.Tracker) or by name and incarnation (roster sources).

Change: that state is removed with the last session of the peer.

Evidence: TestLateCloseKeepsRestartedAgent, on the code before: entry_test.go:118: version 1 counts as in force, but the agent has not applied it

--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -309,10 +309,31 @@
 	}
 }
 
+// unregister removes a session that has ended. It forgets what its peer reported, unless the peer has opened another
+// session: the end of the earlier one may be noticed late.
 func (e *Entry) unregister(s *sess.Session) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.registered, s)
+	if s.Peer().Role == wire.RoleAgent {
+		if !e.hasSession(func(p wire.Hello) bool { return memberOf(p) == memberOf(s.Peer()) }) {
+			e.tracker.Remove(memberOf(s.Peer()))
+		}
+		return
+	}
+	if !e.hasSession(func(p wire.Hello) bool { return roster.SourceOf(p) == roster.SourceOf(s.Peer()) }) {
+		e.network.forgetPeer(s)
+	}
+}
+
+// hasSession reports whether a session with a matching peer is registered; the caller holds e.mu.
+func (e *Entry) hasSession(matches func(p wire.Hello) bool) bool {
+	for s := range e.registered {
+		if matches(s.Peer()) {
+			return true
+		}
+	}
+	return false
 }
 
 func (e *Entry) sessions() []*sess.Session {
--- a/internal/role/entry/session.go
+++ b/internal/role/entry/session.go
@@ -111,14 +111,11 @@
 
 // HandleClosed implements sess.Handler.
 func (e *Entry) HandleClosed(s *sess.Session, _ error) {
-	e.unregister(s)
 	e.directory.remove(s)
 	if s.Peer().Role == wire.RoleAgent {
 		e.owner.SessionClosed(agentSession{s})
-		e.tracker.Remove(memberOf(s.Peer()))
-		return
 	}
-	e.network.forgetPeer(s)
+	e.unregister(s)
 }
 
 // send queues a message; a failure means that the session is ending.
