Use a new session only after it was chosen

What operators would see: an agent that reconnects through the balancer and directly at the same moment, for instance after its only entry has restarted, gets no more batch tasks, and its running tasks pause at the end of their leases, although its session is open.

Cause: the agent sent its state on each session that it had dialed, and only then did the connector find that there was another one with the same entry and close the newer. The entry had already replaced the older session by the newer one (owner.SessionOpened); at the end of the newer one it considered the worker lost, and ignored the messages of the session that was left. Entries dial each other through the same connector.

Change: the connector reports a session as opened (ConnectorConfig.Opened) once it is the one that is kept, and nothing is sent on it before. The accepting entry registers a session at its first message, so it never sees the other one.

Evidence: TestReconnectsWithOneSession, on the code before, in three of three runs: the agent used 2 sessions with the entry, want 1 The effect on batch tasks follows from batch/owner/owner.go (SessionClosed, sessionOf); it was read, not run.

--- a/internal/link/roster/connector.go
+++ b/internal/link/roster/connector.go
@@ -30,7 +30,7 @@
 	Close(err error)
 }
 
-// Dial opens a session with the process at address, a host:port.
+// Dial opens a session with the process at address, a host:port, and sends no messages on it.
 type Dial func(ctx context.Context, address string) (Session, error)
 
 // ConnectorConfig holds the settings of a Connector.
@@ -39,6 +39,7 @@
 	Peers    func() []wire.EntryInfo // entries to connect to; see GroupOf, PeersOf and MeshOf
 	Balancer string                  // address dialed while no session is open; empty for none
 	Dial     Dial
+	Opened   func(s Session) // called for each session that is kept, which may send messages from then on; nil for none
 	Log      *zap.Logger
 }
 
@@ -254,12 +255,22 @@
 	return c.sessions[name]
 }
 
-// add registers s, or closes it and returns false if there is already a session with the entry.
+// add registers s and reports it as opened, or closes it and returns false if there is already a session with the entry.
 func (c *Connector) add(name ident.Entry, s Session) bool {
+	if !c.register(name, s) {
+		s.Close(nil)
+		return false
+	}
+	if c.cfg.Opened != nil {
+		c.cfg.Opened(s)
+	}
+	return true
+}
+
+func (c *Connector) register(name ident.Entry, s Session) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.sessions[name] != nil {
-		s.Close(nil)
 		return false
 	}
 	c.sessions[name] = s
--- a/internal/role/agent/agent_test.go
+++ b/internal/role/agent/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,6 +27,8 @@
 type fakeEntry struct {
 	sessions chan *sess.Session
 	versions chan uint64 // from ConfigApplied messages and heartbeats
+	address  string
+	route    func(address string) string // of the agent; nil for none
 }
 
 // HandleMessage implements sess.Handler.
@@ -55,6 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	e.address = ln.Addr().String()
 	w := worker.New(worker.Options{
 		Worker: "w1", Total: sizes.Resources{Processors: 1000, Memory: 1000, Slots: 8, Connections: 64},
 		Objects: store.New(store.Options{}),
@@ -64,7 +68,7 @@
 			Name: "w1", AvailabilityZone: "agadir", Rack: "r1", Announcements: "127.0.0.1:0", Balancer: ln.Addr().String(),
 			Key: setup.Secret{Value: key},
 		},
-		Worker: w, Log: zap.NewNop(),
+		Worker: w, Log: zap.NewNop(), Route: e.route,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -119,3 +123,45 @@
 		}
 	}
 }
+
+// Guards against two sessions of an agent that an entry uses at once, one of which the agent then closes, when the agent
+// reconnects through the balancer and directly at the same time: the entry would consider the agent lost.
+func TestReconnectsWithOneSession(t *testing.T) {
+	var reconnecting atomic.Bool
+	dialing, both := make(chan struct{}, 2), make(chan struct{})
+	e := &fakeEntry{sessions: make(chan *sess.Session, 1024), versions: make(chan uint64, 1024), route: func(address string) string {
+		if reconnecting.Load() {
+			dialing <- struct{}{}
+			<-both
+		}
+		return address
+	}}
+	first := startAgent(t, e)
+	err := first.Send(&wire.Roster{Version: 1, Entries: []wire.EntryInfo{{Name: "e1", Zone: "agadir", Address: e.address}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 { // the roster has arrived before the second heartbeat
+		<-e.versions
+	}
+	reconnecting.Store(true)
+	first.Close(nil)
+	<-dialing
+	<-dialing
+	reconnecting.Store(false)
+	close(both)
+	used := make(map[*sess.Session]bool)
+	for timeout := time.After(2 * time.Second); ; {
+		select {
+		case s := <-e.sessions:
+			used[s] = true
+			continue
+		case <-timeout:
+		}
+		break
+	}
+	delete(used, first)
+	if len(used) != 1 {
+		t.Errorf("the agent used %d sessions with the entry, want 1", len(used))
+	}
+}
--- a/internal/role/agent/connect.go
+++ b/internal/role/agent/connect.go
@@ -17,6 +17,7 @@
 		Peers:    roster.GroupOf(a.roster, ident.AvailabilityZone(s.AvailabilityZone)),
 		Balancer: s.Balancer,
 		Dial:     a.dial,
+		Opened:   a.handleOpened,
 		Log:      a.cfg.Log,
 	})
 }
@@ -30,9 +31,8 @@
 		Self: a.hello(), Key: a.cfg.Settings.Key.Bytes(), TLS: a.cfg.Settings.TLS.Config(), Log: a.cfg.Log,
 	}, a)
 	if err != nil {
-		return nil, err
+		return nil, err // not s: a nil *sess.Session is no nil Session
 	}
-	a.handleOpened(s)
 	return s, nil
 }
 
--- a/internal/role/agent/session.go
+++ b/internal/role/agent/session.go
@@ -43,7 +43,11 @@
 }
 
 // handleOpened registers a new session with an entry and sends the full state on it.
-func (a *Agent) handleOpened(s *sess.Session) {
+func (a *Agent) handleOpened(opened roster.Session) {
+	s, ok := opened.(*sess.Session)
+	if !ok {
+		return // dial returns no other type
+	}
 	es := &entrySession{session: s}
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/role/entry/network.go
+++ b/internal/role/entry/network.go
@@ -31,7 +31,7 @@
 		Self: self, Store: e.cfg.Store, Roster: n.roster, Zones: n.zones, Log: e.cfg.Log,
 	})
 	n.connector = roster.NewConnector(roster.ConnectorConfig{
-		Roster: n.roster, Peers: roster.MeshOf(n.roster, self, n.zones), Dial: n.dial, Log: e.cfg.Log,
+		Roster: n.roster, Peers: roster.MeshOf(n.roster, self, n.zones), Dial: n.dial, Opened: n.handleOpened, Log: e.cfg.Log,
 	})
 	return n
 }
@@ -85,12 +85,18 @@
 	}
 	s, err := sess.Dial(ctx, address, n.entry.sessionConfig(), n.entry)
 	if err != nil {
-		return nil, err
+		return nil, err // not s: a nil *sess.Session is no nil Session
 	}
-	n.entry.register(s)
 	return s, nil
 }
 
+// handleOpened registers a session that this entry has dialed.
+func (n *network) handleOpened(opened roster.Session) {
+	if s, ok := opened.(*sess.Session); ok { // dial returns no other type
+		n.entry.register(s)
+	}
+}
+
 // zones returns all zones of the configuration.
 func (n *network) zones() []ident.AvailabilityZone {
 	c := n.entry.holder.Current()
