Refuse a drain whose command cannot be sent

What operators would see: `worker drain` prints "worker w1 takes no new work", and the worker takes new work for as long as it runs.

Cause: the entry ignored the error of queueing the command on the session with the agent, for example on one that has ended and whose end it has not handled yet. The command line reported the agent's state, although the response (202) only says that the command was queued.

Change: if the command was queued on no session of the agent, the response is 503 and nothing was changed. The command line says that the worker was told, and where its state is shown.

Evidence: TestDrainThatIsNotSent, on the code before: jobs_test.go:76: drain over a session that has ended: <nil>, want ErrUnavailable

--- a/cmd/trefoilramp/worker.go
+++ b/cmd/trefoilramp/worker.go
@@ -23,7 +23,7 @@
 				if c.Bool("json") {
 					return printJSON(out(c), d)
 				}
-				fmt.Fprintf(out(c), "worker %s takes no new work\n", d.Worker)
+				fmt.Fprintf(out(c), "worker %s was told to take no new work; trefoilramp status shows its state\n", d.Worker)
 				return nil
 			}))
 }
--- a/internal/role/entry/directory.go
+++ b/internal/role/entry/directory.go
@@ -83,12 +83,11 @@
 }
 
 // addAgent registers a session with an agent.
-func (d *directory) addAgent(s *sess.Session) *agent {
+func (d *directory) addAgent(s *sess.Session) {
 	a := &agent{session: s, hello: s.Peer(), targets: make(map[string]*target)}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.agents[s] = a
-	return a
 }
 
 // addPeer registers a session with another entry.
--- a/internal/role/entry/jobs_test.go
+++ b/internal/role/entry/jobs_test.go
@@ -50,20 +50,7 @@
 		{"query, first attempt unanswered", 1, &wire.JobQuery{}, false},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			near, far := net.Pipe()
-			accepted := make(chan *sess.Session)
-			go func() {
-				s, err := sess.Accept(t.Context(), far, config("owner"), &busyOwner{unanswered: c.unanswered})
-				if err != nil {
-					t.Error(err)
-				}
-				accepted <- s
-			}()
-			s, err := sess.Connect(t.Context(), near, config("asker"), &busyOwner{})
-			if err != nil {
-				t.Fatal(err)
-			}
-			owner := <-accepted
+			s, owner := connect(t, &busyOwner{unanswered: c.unanswered})
 			ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond) // ends between two attempts
 			defer cancel()
 			reply, err := entry.CallOwner(ctx, s, c.m)
@@ -77,6 +64,41 @@
 	}
 }
 
+// Guards against a drain that is reported as requested although its command could not be sent.
+func TestDrainThatIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, agent := connect(t, &busyOwner{})
+		if err := entry.DrainWorker(s); err != nil {
+			t.Errorf("drain: %v", err)
+		}
+		s.Close(nil) // the entry has not handled the end of the session yet
+		if err := entry.DrainWorker(s); !errors.Is(err, table.ErrUnavailable) {
+			t.Errorf("drain over a session that has ended: %v, want ErrUnavailable", err)
+		}
+		s.Wait()
+		agent.Wait()
+	})
+}
+
+// connect returns both ends of a session, the second of which serves requests with h.
+func connect(t *testing.T, h sess.Handler) (near, far *sess.Session) {
+	t.Helper()
+	a, b := net.Pipe()
+	accepted := make(chan *sess.Session)
+	go func() {
+		s, err := sess.Accept(t.Context(), b, config("far"), h)
+		if err != nil {
+			t.Error(err)
+		}
+		accepted <- s
+	}()
+	near, err := sess.Connect(t.Context(), a, config("near"), &busyOwner{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return near, <-accepted
+}
+
 func config(name string) sess.Config {
 	return sess.Config{Self: wire.Hello{Role: wire.RoleEntry, Name: name, Zone: "agadir"}, Key: []byte("key of the test")}
 }
--- a/internal/role/entry/operate.go
+++ b/internal/role/entry/operate.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -144,19 +145,23 @@
 	})
 }
 
-// Drain implements admin.Workers.
+// Drain implements admin.Workers. The error wraps table.ErrUnavailable if the command was not queued on any session.
 func (d drainer) Drain(_ context.Context, worker string) error {
-	found := false
+	sent, failure := false, table.ErrNotFound
 	for _, s := range d.entry.directory.agentSessions() {
-		if s.Peer().Name == worker {
-			d.entry.send(s, &wire.Leaving{Reason: "drain asked by an operator"})
-			found = true
+		if s.Peer().Name != worker {
+			continue
 		}
+		if err := s.Send(&wire.Leaving{Reason: "drain asked by an operator"}); err != nil {
+			failure = fmt.Errorf("%w: send to the agent: %w", table.ErrUnavailable, err)
+			continue
+		}
+		sent = true
 	}
-	if !found {
-		return table.ErrNotFound
+	if sent {
+		return nil
 	}
-	return nil
+	return failure
 }
 
 // consoleHandler returns the handler of the web console. Its session cookies are signed with the shared key of the
