--- a/cmd/trefoilramp/worker.go
+++ b/cmd/trefoilramp/worker.go
@@ -18,12 +18,12 @@
 			func(ctx context.Context, c *cli.Command, api *admin.Client) error {
 				d, err := api.Drain(ctx, c.Args().First())
 				if err != nil {
-					return err
+					return changeError(err, "repeat the command")
 				}
 				if c.Bool("json") {
 					return printJSON(out(c), d)
 				}
-				fmt.Fprintf(out(c), "worker %s takes no new work\n", d.Worker)
+				fmt.Fprintf(out(c), "worker %s was told to take no new work; trefoilramp status shows its state\n", d.Worker)
 				return nil
 			}))
 }
