Return the error of an attempt to start a run last

The linter refuses an error that is not the last result. errObsolete stands for an attempt that is not made. No change of what the agent does; the tests of internal/host/driver pass.

--- a/internal/host/driver/call.go
+++ b/internal/host/driver/call.go
@@ -21,6 +21,9 @@
 	paceTimeout     = 500 * time.Millisecond // of one change of a pace
 )
 
+// errObsolete is returned for a command that must no longer be sent.
+var errObsolete = errors.New("the command is obsolete")
+
 // header holds the fields that are common to the commands to a worker.
 type header struct {
 	incarnation wire.WorkerIncarnation
@@ -51,8 +54,8 @@
 	unanswered := 0
 	var lastRefusal wire.Refusal
 	for range startAttempts {
-		err, ok := a.startOnce(ctx, h, command)
-		if !ok {
+		err := a.startOnce(ctx, h, command)
+		if errors.Is(err, errObsolete) {
 			break
 		}
 		if err == nil {
@@ -84,27 +87,27 @@
 	a.cancelRun(ctx, h.incarnation, wire.RunRefused{Run: command.Run, Reason: wire.RefusedSilent, Cause: lastRefusal})
 }
 
-// startOnce attempts to start a pending run. It reports false, without an attempt, if the command is no longer valid or the
-// run is no longer pending. The worker does not count as ended during an attempt, since its next incarnation may have the
+// startOnce attempts to start a pending run. It returns errObsolete, without an attempt, if the command is no longer valid
+// or the run is no longer pending. The worker does not count as ended during an attempt, since its next incarnation may have the
 // same ID and execute it.
-func (a *Agent) startOnce(ctx context.Context, h header, command wire.StartCommand) (err error, ok bool) {
+func (a *Agent) startOnce(ctx context.Context, h header, command wire.StartCommand) error {
 	a.mu.Lock()
 	_, isPending := a.pending[command.Run]
 	if !isPending || !a.isCurrentLocked(h) {
 		a.mu.Unlock()
-		return nil, false
+		return errObsolete
 	}
 	a.startCalls++
 	a.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	err = a.cfg.Worker.Start(callCtx, Start{
+	err := a.cfg.Worker.Start(callCtx, Start{
 		Incarnation: h.incarnation, Token: h.token, Deadline: h.deadline, Command: command,
 	})
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.startCalls--
-	return err, true
+	return err
 }
 
 // cancelRun makes sure that the worker does not start a pending run any more, stops it if it is running, and then reports
