Grant no lease to a worker on which only released runs may start

Callers could see two runs of one task.

Cause: when a lease has expired, the leader releases the runs on the worker and starts their tasks elsewhere, since the worker starts nothing without a lease. The agent may still be settling the start of a released run when it returns. The leader extended the lease with the first report and stopped the run afterwards, and the worker could execute the start in between.

Change: while a worker has no expected run but reports unexpected ones, its lease is not extended. Such a worker gets no new runs anyway.

Evidence: TestNoLeaseWhileOnlyReleasedRunsMayStart: "1 leases granted while a released run may start" before.

--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -129,7 +129,7 @@
 		t.markReconciled(w)
 		t.fleet.touch(w)
 	}
-	if m.RequestLease && t.mayGrant(now) {
+	if m.RequestLease && t.mayGrant(now) && !w.hasOnlyUnknownRuns() {
 		w.grantedAt = now
 		t.expireBy(t.leaseEnd(now))
 		if err := w.link.Send(&wire.LeaseGrant{Incarnation: m.Incarnation, Clock: m.Clock}); err != nil {
--- a/internal/jobs/lead/outcome_test.go
+++ b/internal/jobs/lead/outcome_test.go
@@ -112,3 +112,34 @@
 		}
 	})
 }
+
+// Guards against two runs of a task: the lease of a worker was extended again after it had expired and the runs on the worker
+// had been released, while a start of one of them could still be executed.
+func TestNoLeaseWhileOnlyReleasedRunsMayStart(t *testing.T) {
+	withRun(t, func(term *lead.Term, l *sent, r wire.Run) {
+		time.Sleep(70 * time.Second) // the lease has expired
+		before := len(l.all())
+		grants := func() int {
+			n := 0
+			for _, m := range l.all()[before:] {
+				if _, ok := m.(*wire.LeaseGrant); ok {
+					n++
+				}
+			}
+			return n
+		}
+		report := func(pending ...wire.Run) {
+			m := &wire.RunReport{Incarnation: incarnation1, Complete: true, RequestLease: true, LastOrders: 1, Pending: pending}
+			term.Message("host", l, m)
+			time.Sleep(time.Second)
+		}
+		report(r)
+		if n := grants(); n != 0 {
+			t.Errorf("%d leases granted while a released run may start", n)
+		}
+		report()
+		if n := grants(); n != 1 {
+			t.Errorf("%d leases granted after the released run can no longer start, want 1", n)
+		}
+	})
+}
--- a/internal/jobs/lead/worker.go
+++ b/internal/jobs/lead/worker.go
@@ -70,6 +70,10 @@
 	return w.link != nil && w.synced && len(w.unknownRuns) == 0 && w.state.Phase == wire.WorkerReady && w.state.Healthy
 }
 
+// hasOnlyUnknownRuns reports whether all runs that are, or may start, on the worker are unexpected. Without a lease, the
+// worker starts none of them and ends those that it has.
+func (w *worker) hasOnlyUnknownRuns() bool { return len(w.runs) == 0 && len(w.unknownRuns) > 0 }
+
 // add adds a run and reserves its capacity.
 func (w *worker) add(r *run) {
 	w.runs[r.key] = r
