Store the address of an agent on condition of its row

Seen: not by callers yet. A write of an earlier process of an agent that got no response and was applied seconds later replaced the address of its successor. The leader closed the session and dialed the old address; the agent registered again only after 5 s without a leader, so that the worker's lease could lapse.

Cause: the put of the address was unconditional, although the outcome of an earlier one was unknown.

Change: the put has the version of the row that was read as its condition.

Evidence: TestLateRegistrationHasNoEffect on the code before: "address 127.0.0.1:38627 is stored after a late write of the previous process; want 127.0.0.1:44093". It passes now, also with the race detector.

--- a/internal/role/jobs/agent.go
+++ b/internal/role/jobs/agent.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"trefoilramp.org/trefoilramp/internal/core/event"
@@ -25,6 +26,9 @@
 	reregisterAfter = 5 * time.Second         // without a leader, after which the agent registers again
 )
 
+// errRowChanged is returned when the row of the agent has changed while its address was being stored.
+var errRowChanged = errors.New("the row of the agent has changed")
+
 // AgentConfig configures an Agent.
 type AgentConfig struct {
 	Cell    string
@@ -105,6 +109,8 @@
 	}
 }
 
+// storeAddress stores the address of the agent unless the row has it, on condition that the row has not changed since it
+// was read: a write without a response may be applied after a later registration under the same name.
 func (a *Agent) storeAddress(ctx context.Context) error {
 	value, err := rows.Encode(&rows.Agent{
 		Name: a.cfg.Name, Zone: a.cfg.Zone, Address: a.cfg.Address, Incarnation: string(a.sessions.Self.Incarnation),
@@ -114,28 +120,38 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	if registered, err := a.isRegistered(limited); err != nil || registered {
+	version, registered, err := a.readAddress(limited)
+	if err != nil || registered {
 		return err
 	}
-	_, err = a.cfg.Store.Change(limited, rows.Change{
-		Puts: []rows.Row{{Ref: rows.AgentRef(a.cfg.Cell, a.cfg.Name), Value: value}},
+	ref := rows.AgentRef(a.cfg.Cell, a.cfg.Name)
+	out, err := a.cfg.Store.Change(limited, rows.Change{
+		Conditions: []rows.Condition{{Ref: ref, Version: version}},
+		Puts:       []rows.Row{{Ref: ref, Value: value}},
 	})
 	if err != nil {
 		return fmt.Errorf("store address: %w", err)
 	}
+	if !out.Applied {
+		return errRowChanged
+	}
 	return nil
 }
 
-// isRegistered reports whether the agent's row has its current address. Agents that come back together then read the
-// rows instead of writing all of them at once to the part of the store in which entries take the cell over.
-func (a *Agent) isRegistered(ctx context.Context) (bool, error) {
+// readAddress returns the version of the agent's row, 0 if there is none, and whether it has the current address. Agents
+// that come back together then read the rows instead of writing all of them at once to the part of the store in which
+// entries take the cell over.
+func (a *Agent) readAddress(ctx context.Context) (version uint64, registered bool, err error) {
 	p, err := a.cfg.Store.Read(ctx, rows.AgentRef(a.cfg.Cell, a.cfg.Name).One())
 	if err != nil {
-		return false, fmt.Errorf("read address: %w", err)
+		return 0, false, fmt.Errorf("read address: %w", err)
+	}
+	if len(p.Rows) == 0 {
+		return 0, false, nil
 	}
 	var stored rows.Agent
-	return len(p.Rows) == 1 && rows.Decode(p.Rows[0], &stored) == nil &&
-		stored.Address == a.cfg.Address && stored.Zone == a.cfg.Zone, nil
+	registered = rows.Decode(p.Rows[0], &stored) == nil && stored.Address == a.cfg.Address && stored.Zone == a.cfg.Zone
+	return p.Rows[0].Version, registered, nil
 }
 
 // linkFor returns the link of a session and the context for commands that arrive on it.
--- a/internal/role/jobs/jobs_test.go
+++ b/internal/role/jobs/jobs_test.go
@@ -247,3 +247,46 @@
 		t.Errorf("the row of the returning agent changed from version %d to %d", before, after)
 	}
 }
+
+// Guards against the address of an earlier process of an agent that replaces the current one: its write got no response
+// and was applied seconds later, so that the leader dialed an address at which nobody listens.
+func TestLateRegistrationHasNoEffect(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	const delay = time.Second
+	s := memory.New()
+	var isLate, isSent atomic.Bool
+	isLate.Store(true)
+	s.NextFault = func(caller string) memory.Fault {
+		if caller != "worker-1" || !isLate.Load() {
+			return memory.Fault{}
+		}
+		isSent.Store(true)
+		return memory.Fault{LoseLate: delay}
+	}
+	first, stop := context.WithCancel(ctx)
+	var firstDone sync.WaitGroup
+	startAgentAt(first, t, s, "worker-1", freeAddress(t), &firstDone)
+	await(t, "first registration", isSent.Load)
+	time.Sleep(delay / 5)
+	stop()
+	firstDone.Wait()
+	isLate.Store(false)
+	address := freeAddress(t)
+	startAgentAt(ctx, t, s, "worker-1", address, &wg)
+	stored := func() string {
+		var a rows.Agent
+		p, err := s.Client("test").Read(ctx, rows.AgentRef("main", "worker-1").One())
+		if err != nil || len(p.Rows) != 1 || rows.Decode(p.Rows[0], &a) != nil {
+			return ""
+		}
+		return a.Address
+	}
+	await(t, "second registration", func() bool { return stored() == address })
+	time.Sleep(delay + delay/5)
+	if got := stored(); got != address {
+		t.Errorf("address %s is stored after a late write of the previous process; want %s", got, address)
+	}
+}
