Count an agent that registers during a takeover as unreconciled

Cause: a leader considered each agent whose row it had not read at its takeover free of runs of earlier leaders. A deposed leader whose writes get no response does not know of its successor for up to its leadership lease; it reads the row of the new agent as well, is adopted by it and starts tasks there. The successor did not wait for that agent before it started the same tasks.

Change: until the leases of the previous leader have certainly ended, a new agent counts as unreconciled. Tasks of inherited jobs wait for its first report or the end of those leases, as for the agents read at the takeover.

It passes now; the package passes with and without the race detector.

--- a/internal/jobs/lead/intake.go
+++ b/internal/jobs/lead/intake.go
@@ -202,9 +202,13 @@
 	w := t.workers[r.Key]
 	switch {
 	case w == nil:
+		now := time.Now()
 		w = newWorker(a, r.Version)
-		w.reconciled = true // registered under this leader, so it has no runs of earlier ones
-		w.lostAt = time.Now()
+		w.lostAt = now
+		// A deposed leader that has not noticed it yet may have read the row as well and started runs on the worker.
+		if w.reconciled = !now.Before(t.leaseEnd(t.prevGrantsEnd)); !w.reconciled {
+			t.unreconciled++
+		}
 		t.workers[r.Key] = w
 		t.fleet.add(w)
 	case w.rowVersion >= r.Version || w.agent == a:
--- a/internal/jobs/lead/takeover_test.go
+++ b/internal/jobs/lead/takeover_test.go
@@ -13,6 +13,7 @@
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/stand/memory"
 	"trefoilramp.org/trefoilramp/internal/stand/runs"
 )
 
@@ -418,3 +419,38 @@
 		}
 	})
 }
+
+// Guards against a task that runs twice: a deposed leader that has not noticed it yet started the task on a worker that
+// registered after its successor had read the agents.
+func TestAgentRegisteredDuringTakeover(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		c.plan = func(wire.Run) runs.Plan {
+			return runs.Plan{Size: sizes.Resources{Processors: 1000}, RunTime: 5 * time.Second}
+		}
+		c.addEntry("entry-1")
+		time.Sleep(500 * time.Millisecond)
+		c.addEntry("entry-2")
+		time.Sleep(time.Second)
+		j := job(1, 1, 1)
+		c.submit(j)
+		c.mu.Lock()
+		c.partitioned["entry-2/host-1"], c.partitioned["entry-1/host-2"] = true, true
+		c.faults = func(caller string) memory.Fault {
+			if caller == "entry-1" {
+				return memory.Fault{LoseLate: time.Minute} // of writes; it still reads the rows of agents
+			}
+			return memory.Fault{}
+		}
+		second := c.entries["entry-2"].leader
+		c.mu.Unlock()
+		for second.Term() == nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.addHost("host-1", 1000)
+		c.addHost("host-2", 1000)
+		c.awaitState(j.ID, rows.Done, 30*time.Second)
+		if list := runsOf(c, j.ID); list[0].Worker != "host-1" {
+			t.Errorf("the deposed leader has not started the task: %v", list)
+		}
+	})
+}
