Report relayed writes that reach a term as not done

Seen: not by callers. An entry whose store requests fail hands a job to the leader. If it became the leader itself between two checks, it handed the job to its own term, which replied VerdictKnown without writing anything: a caller would have got 200 for a job that is not stored (LOST).

Cause: the reply to an action that the term does not handle was VerdictKnown.

Change: the reply to such an action is VerdictNotDone.

Evidence: TestTermStoresNoJobs on the code before: "JobStore: reply &{Number:7 Verdict:VerdictKnown State:0 Waiting:0}; want VerdictNotDone", and the same for JobRevoke. It passes now.

--- a/internal/jobs/lead/intake.go
+++ b/internal/jobs/lead/intake.go
@@ -79,6 +79,8 @@
 				reply.Waiting++
 			}
 		}
+	default: // the intake of the entry stores jobs and cancellations
+		reply.Verdict = wire.VerdictNotDone
 	}
 	if err := ev.link.Send(&reply); err != nil {
 		ev.link.Close(err)
--- a/internal/jobs/lead/leader_test.go
+++ b/internal/jobs/lead/leader_test.go
@@ -467,3 +467,18 @@
 		stop()
 	})
 }
+
+// Guards against a job that is reported as stored although nothing was written: the entry that relayed it has become the
+// leader in the meantime and handed the request to its own term.
+func TestTermStoresNoJobs(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		for _, a := range []wire.JobAction{wire.JobStore, wire.JobRevoke} {
+			entry := &sent{}
+			c.term().Request(entry, &wire.JobAsk{Number: 7, Action: a, ID: string(job(1, 1, 1).ID)})
+			time.Sleep(time.Second)
+			if m, ok := entry.all()[0].(*wire.JobTell); !ok || m.Verdict != wire.VerdictNotDone {
+				t.Errorf("%v: reply %+v; want VerdictNotDone", a, m)
+			}
+		}
+	})
+}
