Keep the unknown outcome of a hedged request after a refusal

Seen: not by callers; both users of Hedge look at Sent. A result could have Sent set and ErrNotDone as its error: the error of the last call replaced that of an earlier call without a response, which the store may still apply.

Cause: a refusal is the outcome of its own call only.

Change: the error is ErrNotDone only if all calls were refused.

Evidence: TestHedgeRefusalAfterUnknownOutcome on the code before: "sent true, error store has not applied the request". It passes now.

--- a/internal/jobs/rows/hedge.go
+++ b/internal/jobs/rows/hedge.go
@@ -13,7 +13,7 @@
 // Result is the outcome of a hedged request.
 type Result[T any] struct {
 	Value T
-	Err   error
+	Err   error     // ErrNotDone only if no call has taken effect or still may
 	Sent  bool      // a call may have taken effect, or may still do so, although Err is set
 	Began time.Time // start of the first call
 }
@@ -49,8 +49,11 @@
 			if r.err == nil {
 				return Result[T]{Value: r.value, Began: res.Began}
 			}
-			res.Err = r.err
-			res.Sent = res.Sent || !errors.Is(r.err, ErrNotDone)
+			isRefused := errors.Is(r.err, ErrNotDone)
+			if !isRefused || !res.Sent {
+				res.Err = r.err
+			}
+			res.Sent = res.Sent || !isRefused
 			if inFlight > 0 {
 				continue
 			}
--- a/internal/jobs/rows/hedge_test.go
+++ b/internal/jobs/rows/hedge_test.go
@@ -27,3 +27,28 @@
 		}
 	})
 }
+
+// Guards against a refusal that is taken as the outcome of a request although an earlier call of it got no response.
+func TestHedgeRefusalAfterUnknownOutcome(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		first error
+		sent  bool
+	}{
+		{"refused", rows.ErrNotDone, false},
+		{"unknown", rows.ErrUnknown, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			calls := 0
+			res := rows.Hedge(t.Context(), time.Minute, func(context.Context) (int, error) {
+				if calls++; calls == 1 {
+					return 0, test.first
+				}
+				return 0, rows.ErrNotDone
+			})
+			if res.Sent != test.sent || errors.Is(res.Err, rows.ErrNotDone) == test.sent {
+				t.Errorf("sent %v, error %v", res.Sent, res.Err)
+			}
+		})
+	}
+}
