Ignore known rows when a leader reads a whole table again

In the test, a job that is done runs again (TWICE).

Cause: when the store has lost its history, the leader reads whole tables. A page read before a retired job was deleted was applied after it, and its row was taken for that of a new job. The same holds for the row of a forgotten agent.

Change: rows up to the version that the leader has already received are ignored, as in the feed of changes.

It passes now.

--- a/internal/jobs/lead/intake.go
+++ b/internal/jobs/lead/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -127,8 +128,8 @@
 	}
 }
 
-// readChanges reads the changes of a table after a version, or the whole table if the store no longer has that history. It
-// reports whether the read succeeded.
+// readChanges reads the rows of a table that changed after a version, from the whole table if the store no longer has that
+// history. It reports whether the read succeeded.
 func (t *Term) readChanges(ctx context.Context, table string, after *uint64, page *rows.Page) bool {
 	limited, cancel := stall.WithTimeout(ctx, readTimeout, readTimeout)
 	defer cancel()
@@ -139,6 +140,8 @@
 			parts = rows.IntakeParts(t.cfg.Cell)
 		}
 		p, err = rows.ReadParts(limited, t.cfg.Store, table, parts)
+		// Rows that were received before may be those of jobs and agents which are being deleted.
+		p.Rows = slices.DeleteFunc(p.Rows, func(r rows.Row) bool { return r.Version <= *after })
 	}
 	if err != nil {
 		return false // retried at the next poll; the store client logs the error
--- a/internal/jobs/lead/size_test.go
+++ b/internal/jobs/lead/size_test.go
@@ -128,3 +128,26 @@
 		}
 	})
 }
+
+// Guards against a job that runs again after its rows were deleted: the leader had read the whole table before, since the
+// store had lost its history, and took the row for that of a new job.
+func TestRetiredJobIsNotAddedAgain(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		const jobs = 8
+		for n := range jobs {
+			c.submit(job(n+1, 1, 1))
+			time.Sleep(1300 * time.Millisecond)
+		}
+		c.mu.Lock()
+		c.faults = func(string) memory.Fault {
+			return memory.Fault{HistoryLost: true, Slow: 300 * time.Millisecond}
+		}
+		c.mu.Unlock()
+		time.Sleep(3 * time.Minute) // their retention expires
+		for n := range jobs {
+			if list := runsOf(c, job(n+1, 1, 1).ID); len(list) != 1 {
+				t.Errorf("%d runs of a job that has one task", len(list))
+			}
+		}
+	})
+}
