Delete the progress of jobs whose rows an earlier leader deleted

Seen: not by callers. Rows of progress stay in the store for good, each takeover reads them, and the state of such a job is reported long after its retention.

Cause: a leader deletes the rows of an expired job first and its progress with a later commit. If its term ended in between, or the commit had no response, no later leader knew of the deletion that was due.

Change: a takeover schedules the deletion of progress that has no job.

Evidence: TestProgressOfDeletedJobIsDeleted on the code before: "1 rows of progress, <nil>; want none". It passes now.

--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -256,7 +256,9 @@
 		}
 		done[r.Key] = a
 	}
+	known := make(map[string]bool, len(jobs.Rows))
 	for _, r := range jobs.Rows {
+		known[r.Key] = true
 		s := t.decodeJob(r)
 		if s == nil {
 			continue
@@ -272,6 +274,11 @@
 	for _, r := range cancels.Rows {
 		t.cancel(spec.ID(r.Key))
 	}
+	for _, r := range progress.Rows { // an earlier leader has deleted the job's row, but not its progress
+		if !known[r.Key] {
+			t.pendingDeletes = append(t.pendingDeletes, r.Ref)
+		}
+	}
 }
 
 // runTerm runs a term until it ends, and hands the cell over if ctx has ended.
--- a/internal/jobs/lead/leader_test.go
+++ b/internal/jobs/lead/leader_test.go
@@ -422,6 +422,21 @@
 	})
 }
 
+// Guards against progress that is stored forever: the leader that deleted the row of its job ended before it deleted the
+// progress.
+func TestProgressOfDeletedJobIsDeleted(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		j := job(1, 1, 1)
+		c.putProgress(j)
+		c.addEntry("entry-1")
+		time.Sleep(3 * time.Second)
+		p, err := c.store.Client("caller").Read(c.ctx, rows.ProgressRef(cell, j.ID).One())
+		if err != nil || len(p.Rows) > 0 {
+			t.Errorf("%d rows of progress, %v; want none", len(p.Rows), err)
+		}
+	})
+}
+
 // Guards against a second run of a task that has succeeded: a leader that did not know the job yet acknowledged the end
 // of its run, and was followed by another leader before the job's row was read and the progress stored.
 func TestEndOfUnknownJobIsNotAcknowledged(t *testing.T) {
