--- a/internal/jobs/lead/intake.go
+++ b/internal/jobs/lead/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -79,6 +80,8 @@
 				reply.Waiting++
 			}
 		}
+	default: // the intake of the entry stores jobs and cancellations
+		reply.Verdict = wire.VerdictNotDone
 	}
 	if err := ev.link.Send(&reply); err != nil {
 		ev.link.Close(err)
@@ -125,8 +128,8 @@
 	}
 }
 
-// readChanges reads the changes of a table after a version, or the whole table if the store no longer has that history. It
-// reports whether the read succeeded.
+// readChanges reads the rows of a table that changed after a version, from the whole table if the store no longer has that
+// history. It reports whether the read succeeded.
 func (t *Term) readChanges(ctx context.Context, table string, after *uint64, page *rows.Page) bool {
 	limited, cancel := stall.WithTimeout(ctx, readTimeout, readTimeout)
 	defer cancel()
@@ -137,6 +140,8 @@
 			parts = rows.IntakeParts(t.cfg.Cell)
 		}
 		p, err = rows.ReadParts(limited, t.cfg.Store, table, parts)
+		// Rows that were received before may be those of jobs and agents which are being deleted.
+		p.Rows = slices.DeleteFunc(p.Rows, func(r rows.Row) bool { return r.Version <= *after })
 	}
 	if err != nil {
 		return false // retried at the next poll; the store client logs the error
@@ -202,9 +207,13 @@
 	w := t.workers[r.Key]
 	switch {
 	case w == nil:
+		now := time.Now()
 		w = newWorker(a, r.Version)
-		w.reconciled = true // registered under this leader, so it has no runs of earlier ones
-		w.lostAt = time.Now()
+		w.lostAt = now
+		// A deposed leader that has not noticed it yet may have read the row as well and started runs on the worker.
+		if w.reconciled = !now.Before(t.leaseEnd(t.prevGrantsEnd)); !w.reconciled {
+			t.unreconciled++
+		}
 		t.workers[r.Key] = w
 		t.fleet.add(w)
 	case w.rowVersion >= r.Version || w.agent == a:
--- a/internal/jobs/lead/leader_test.go
+++ b/internal/jobs/lead/leader_test.go
@@ -422,6 +422,21 @@
 	})
 }
 
+// Guards against progress that is stored forever: the leader that deleted the row of its job ended before it deleted the
+// progress.
+func TestProgressOfDeletedJobIsDeleted(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		j := job(1, 1, 1)
+		c.putProgress(j)
+		c.addEntry("entry-1")
+		time.Sleep(3 * time.Second)
+		p, err := c.store.Client("caller").Read(c.ctx, rows.ProgressRef(cell, j.ID).One())
+		if err != nil || len(p.Rows) > 0 {
+			t.Errorf("%d rows of progress, %v; want none", len(p.Rows), err)
+		}
+	})
+}
+
 // Guards against a second run of a task that has succeeded: a leader that did not know the job yet acknowledged the end
 // of its run, and was followed by another leader before the job's row was read and the progress stored.
 func TestEndOfUnknownJobIsNotAcknowledged(t *testing.T) {
@@ -467,3 +482,18 @@
 		stop()
 	})
 }
+
+// Guards against a job that is reported as stored although nothing was written: the entry that relayed it has become the
+// leader in the meantime and handed the request to its own term.
+func TestTermStoresNoJobs(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		for _, a := range []wire.JobAction{wire.JobStore, wire.JobRevoke} {
+			entry := &sent{}
+			c.term().Request(entry, &wire.JobAsk{Number: 7, Action: a, ID: string(job(1, 1, 1).ID)})
+			time.Sleep(time.Second)
+			if m, ok := entry.all()[0].(*wire.JobTell); !ok || m.Verdict != wire.VerdictNotDone {
+				t.Errorf("%v: reply %+v; want VerdictNotDone", a, m)
+			}
+		}
+	})
+}
