Report the state of a worker only once it has responded

In the test, two tasks run on two workers at the same time (TWICE).

Cause: an agent that has restarted took the first announcement as the current incarnation of its worker. If that announcement was delayed and of an earlier incarnation, the leader released the runs of the current one as "worker has restarted", or, after a takeover, considered the worker without runs.

Change: after a restart the agent sends the state to the leader only when the worker has responded as that incarnation. If another one responds, the agent forgets the announcement and waits for the next.

--- a/internal/host/driver/agent.go
+++ b/internal/host/driver/agent.go
@@ -44,6 +44,7 @@
 	state            wire.WorkerState
 	sequence         uint64 // of the last announcement of this incarnation
 	gone             bool   // the known incarnation has ended
+	confirmed        bool   // the worker has responded to this process, so that all incarnations before state have ended
 	token            uint64
 	leader           Leader
 	synced           bool // the leader has received a complete report
@@ -136,8 +137,13 @@
 	}
 }
 
-// sendState sends the worker's state to the leader. If the session is full or closed, the leader connects again.
+// sendState sends the worker's state to the leader, which then releases the runs of other incarnations. After a restart
+// of this process the state may be that of an earlier incarnation, whose announcement was delayed, until the worker
+// responds. If the session is full or closed, the leader connects again.
 func (a *Agent) sendState() {
+	if !a.confirmed && !a.gone {
+		return
+	}
 	s := a.state
 	if a.gone {
 		s.Phase = wire.WorkerGone
@@ -339,6 +345,9 @@
 	isRefused := errors.HasType(err, (*RefusedError)(nil))
 	a.mayBeOther = a.mayBeOther || !isRefused && !errors.Is(err, context.DeadlineExceeded)
 	switch {
+	case !a.confirmed && (errors.Is(err, ErrIncarnation) || errors.Is(err, ErrRestarted)):
+		a.state, a.sequence = wire.WorkerState{}, 0 // the current incarnation announces itself
+		return 0
 	case errors.Is(err, ErrIncarnation),
 		errors.Is(err, ErrUnreachable) && failures+1 >= downAfterPolls && a.startCalls == 0:
 		event.Log(a.cfg.Log, event.WorkerEnded, zap.String("Worker", request.Incarnation.ID),
@@ -373,8 +382,8 @@
 	a.mayBeOther = false
 	a.clock = max(a.clock, response.Clock)
 	a.runCount = len(response.Running)
-	if !a.state.Healthy {
-		a.state.Healthy = true
+	if !a.confirmed || !a.state.Healthy {
+		a.confirmed, a.state.Healthy = true, true
 		a.sendState()
 	}
 	a.resolvePending(request.Token, response, pendingBefore)
--- a/internal/jobs/lead/cluster_test.go
+++ b/internal/jobs/lead/cluster_test.go
@@ -205,7 +205,10 @@
 }
 
 // startAgent starts an agent without any state, as after a restart of its process.
-func (c *cluster) startAgent(h *host) {
+func (c *cluster) startAgent(h *host) { c.restartAgent(h, h.worker.State()) }
+
+// restartAgent starts an agent without any state, which receives first before the announcements of the worker.
+func (c *cluster) restartAgent(h *host, first wire.WorkerState) {
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.mu.Lock()
 	if h.cancel != nil {
@@ -217,6 +220,10 @@
 	c.dropLinks(h.name)
 	c.wg.Go(func() { a.Run(ctx) })
 	c.wg.Go(func() {
+		a.Announce(first, 1)
+		if first.Incarnation != h.worker.Incarnation() {
+			wait(ctx, 500*time.Millisecond)
+		}
 		for n := uint64(1); ctx.Err() == nil; n++ {
 			a.Announce(h.worker.State(), n)
 			c.register(ctx, h)
