Start no command of an agent that waits for its last ones

Seen: TestProgressOfLargeJobIsStored failed under the race detector in 2 of 6 runs of its package: Execute added to the wait group of the commands while Run waited for it.

Cause: a session may deliver commands until it is closed, after the agent has been told to end.

Evidence: the trace of the race names these two calls. Whether it is gone is shown by repeated runs of the package under the race detector only.

--- a/internal/host/driver/agent.go
+++ b/internal/host/driver/agent.go
@@ -63,6 +63,7 @@
 	mayBeOther       bool                    // the worker may have restarted under the same ID since the last response
 	pacer            pacer
 	commands         sync.WaitGroup
+	hasEnded         bool // Run waits for commands, so that none may begin
 }
 
 // New returns an agent whose worker is unknown until its first announcement.
@@ -224,7 +225,7 @@
 func (a *Agent) Execute(ctx context.Context, l Leader, m *wire.TaskOrders) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.leader != l {
+	if a.leader != l || a.hasEnded {
 		return
 	}
 	a.commandNumber = m.Number
@@ -297,6 +298,9 @@
 		case <-ctx.Done():
 		}
 	}
+	a.mu.Lock()
+	a.hasEnded = true
+	a.mu.Unlock()
 	a.commands.Wait()
 }
 
