--- a/cmd/trefoilramp/unanswered_test.go
+++ b/cmd/trefoilramp/unanswered_test.go
@@ -7,6 +7,7 @@
 	"net/http/httputil"
 	"net/url"
 	"strings"
+	"sync"
 	"testing"
 
 	"trefoilramp.org/trefoilramp/internal/ops/admin"
@@ -20,9 +21,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var ids []string // of the submitted jobs
+	var mu sync.Mutex // guards ids and dropped
+	var ids []string  // of the submitted jobs
 	dropped := make(map[string]bool)
 	proxy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
 		if r.URL.Path == "/v1/jobs" {
 			b, err := io.ReadAll(r.Body)
 			j, parseErr := admin.ParseJob(b)
@@ -57,6 +61,7 @@
 		{submit + " --address 127.0.0.1:1", 1, "", "check --address"},
 	} {
 		code, stdout, stderr := p.run(t.Context(), c.args)
+		mu.Lock()
 		if code != c.code || !strings.Contains(stdout, c.stdout) || !strings.Contains(stderr, c.stderr) ||
 			strings.Count(stderr, "\n") != code {
 			t.Errorf("trefoilramp %s: exit code %d, want %d\nstdout: %s\nstderr: %s", c.args, code, c.code, stdout, stderr)
@@ -64,5 +69,6 @@
 		if len(ids) > 0 && code == 1 && !strings.Contains(c.args, "--address") && !strings.Contains(stderr, "--id "+ids[len(ids)-1]) {
 			t.Errorf("trefoilramp %s: standard error %q does not name the job %q", c.args, stderr, ids[len(ids)-1])
 		}
+		mu.Unlock()
 	}
 }
