Stop an attempt whose repeated start is refused

Users would see a task run twice (TWICE), and a worker given more than its ledger knows (LIMIT): the agent reports the attempt as refused, its reservation is returned, and the owner starts the next attempt elsewhere while the worker executes the first call seconds later.

Cause: the runner repeats a start without a response. When the worker refused the repetition (no room, an earlier attempt, an expired lease), it took the refusal as the outcome of all calls. A refusal is the outcome of its own call only.

Change: after an unanswered call, a refusal leads to a stop, which the platform answers with the final status or by refusing a later start. The attempt keeps its reservation until that answer, however often the worker refuses the stop.

Evidence: TestRefusalAfterUnansweredStart, on the code before, in all four cases: "attempt reported as [TaskRefused], runs true, {0 0 0 0 0} reserved".

--- a/internal/host/runner/calls.go
+++ b/internal/host/runner/calls.go
@@ -167,10 +167,16 @@
 		}
 		r.advance(t)
 	case errors.Is(err, worker.ErrUnknown), errors.Is(err, worker.ErrUnavailable):
+		t.unanswered = t.unanswered || errors.Is(err, worker.ErrUnknown)
 		if r.partition(t.partition).deadline <= r.Now() {
 			t.fence = true // Stop makes the worker refuse a start that arrives later
 		}
 		r.retry(t, err)
+	case t.unanswered:
+		// The refusal is the outcome of this call only; the worker may still execute an earlier one.
+		r.cfg.Log.Warn("worker refused a repeated start, stopping the attempt", zap.Stringer("Task", t.ref.Task), zap.Error(err))
+		t.fence = true
+		r.advance(t)
 	default:
 		r.finish(t, t.report(wire.TaskRefused, err.Error()))
 	}
--- /dev/null
+++ b/internal/host/runner/late_test.go
@@ -0,0 +1,76 @@
+package runner_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/plat/worker"
+	"trefoilramp.org/trefoilramp/internal/stand/script"
+	standin "trefoilramp.org/trefoilramp/internal/stand/worker"
+)
+
+// refusingWorker refuses each start after the first one.
+type refusingWorker struct {
+	*standin.Worker
+	refusal error
+	starts  int
+}
+
+func (w *refusingWorker) Start(ctx context.Context, s worker.Start) error {
+	if w.starts++; w.starts > 1 {
+		return w.refusal
+	}
+	return w.Worker.Start(ctx, s)
+}
+
+// startsLate makes the worker execute the next start after 3 s without a response.
+func (f *fixture) startsLate(more ...script.Rule) {
+	f.t.Helper()
+	late := script.Rule{Action: script.LoseLate, Kind: standin.KindStart, Count: 1, Delay: script.Duration(3 * time.Second)}
+	if err := f.worker.Faults().Set(append(more, late)...); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// Guards against a task that runs twice: the worker refuses the repetition of an unanswered start and then executes the
+// unanswered one.
+func TestRefusalAfterUnansweredStart(t *testing.T) {
+	noStop := script.Rule{Action: script.Down, Kind: standin.KindStop, For: script.Duration(5 * time.Second)}
+	cases := []struct {
+		name    string
+		refusal error
+		rules   []script.Rule
+		want    wire.TaskState
+	}{
+		{"no room", worker.ErrTooLarge, nil, wire.TaskRefused},
+		{"earlier attempt", worker.ErrBusy, nil, wire.TaskRefused},
+		{"lease", worker.ErrExpired, nil, wire.TaskRefused},
+		{"stop refused too", worker.ErrTooLarge, []script.Rule{noStop}, wire.TaskEvicted},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, o := newFixture(t), &owner{}
+				f.client = &refusingWorker{Worker: f.worker, refusal: c.refusal}
+				f.restart("second")
+				f.adopt(o)
+				f.startsLate(c.rules...)
+				f.startTask(o, "run=60s")
+				time.Sleep(4 * time.Second)
+				reported, running := len(o.states()) > 0, len(f.worker.History()) > 0
+				if reported && running || running != (f.ledger.Reserved() != sizes.Resources{}) {
+					t.Errorf("attempt reported as %v, runs %v, %v reserved", o.states(), running, f.ledger.Reserved())
+				}
+				time.Sleep(4 * time.Second)
+				f.wantStates(o, c.want)
+				if got := f.ledger.Reserved(); got != (sizes.Resources{}) {
+					t.Errorf("%v still reserved", got)
+				}
+			})
+		})
+	}
+}
--- a/internal/host/runner/runner_test.go
+++ b/internal/host/runner/runner_test.go
@@ -68,6 +68,7 @@
 type fixture struct {
 	t      *testing.T
 	worker *standin.Worker
+	client worker.Platform // of the agents that are started from now on
 	ledger *ledger.Ledger
 	runner *runner.Runner
 	self   ident.Incarnation
@@ -77,6 +78,7 @@
 func newFixture(t *testing.T) *fixture {
 	objects := store.New(store.Options{})
 	f := &fixture{t: t, worker: standin.New(standin.Options{Worker: "w1", Total: capacity, Objects: objects})}
+	f.client = f.worker
 	t.Cleanup(f.worker.Close)
 	f.restart("first")
 	t.Cleanup(func() { f.stop() })
@@ -90,7 +92,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.self = self
 	f.ledger = ledger.New(capacity)
-	f.runner = runner.New(runner.Config{Incarnation: self, Worker: f.worker, Ledger: f.ledger, Log: zap.NewNop()})
+	f.runner = runner.New(runner.Config{Incarnation: self, Worker: f.client, Ledger: f.ledger, Log: zap.NewNop()})
 	if err := f.runner.Restore(ctx); err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/host/runner/task.go
+++ b/internal/host/runner/task.go
@@ -26,6 +26,7 @@
 	start        worker.Start
 	phase        phase
 	startSent    bool            // a start was sent, so the worker may have the attempt
+	unanswered   bool            // a start got no response, so the worker may execute it later
 	calling      bool            // a call to the worker is in progress
 	stopping     wire.StopReason // 0 unless the attempt is being stopped
 	fence        bool            // the attempt may be lost; Stop makes the worker refuse a late start
