Confirm the stop of an unknown attempt only after the worker

Change: the agent has the worker stop an attempt that it does not hold and reports what the worker answers. The worker refuses a later start of a stopped attempt. While the agent still holds another attempt of the task, it does not answer, and the owner repeats the stop.

Evidence: TestStopCoversStartOfEarlierAgent, on the code before, for a cancellation and an eviction: "the worker ran [{{plan/1 1} w1 ... 0s 2s Running}]" after the report Stopped.

--- a/internal/host/runner/control.go
+++ b/internal/host/runner/control.go
@@ -179,16 +179,27 @@
 		return
 	}
 	t, ok := r.tasks[m.Task]
-	if !ok || t.ref.Attempt != m.Attempt {
-		absent := task{partition: m.Partition, ref: worker.Ref{Task: m.Task, Attempt: m.Attempt}}
-		r.send(o, absent.report(wire.TaskStopped, "agent does not hold the attempt"))
-		return
-	}
-	if t.final != nil {
+	switch {
+	case !ok:
+		r.stopUnknown(m.Partition, worker.Ref{Task: m.Task, Attempt: m.Attempt})
+	case t.ref.Attempt != m.Attempt:
+		// The owner repeats the stop until the other attempt has been forgotten.
+	case t.final != nil:
 		r.sendReport(t)
-		return
+	default:
+		r.stop(t, m.Reason)
 	}
-	r.stop(t, m.Reason)
+}
+
+// stopUnknown stops an attempt that this agent does not hold. Its predecessor may have sent a start that the worker
+// executes later, so the stop is confirmed only by the worker.
+func (r *Runner) stopUnknown(p ident.Partition, ref worker.Ref) {
+	if len(r.tasks) >= maxTasks {
+		return // the owner repeats the stop
+	}
+	t := &task{partition: p, ref: ref, phase: phaseRunning, startSent: true, stopping: wire.StopSuperseded}
+	r.tasks[ref.Task] = t
+	r.advance(t)
 }
 
 // stop initiates the end of an attempt; cancellation and supersession override eviction, which waits for a checkpoint.
--- a/internal/host/runner/late_test.go
+++ b/internal/host/runner/late_test.go
@@ -74,3 +74,32 @@
 		})
 	}
 }
+
+// Guards against a task that runs after its stop was confirmed: the agent that confirms has replaced the one that
+// started the task, and the worker executes the start late.
+func TestStopCoversStartOfEarlierAgent(t *testing.T) {
+	for _, reason := range []wire.StopReason{wire.StopCancel, wire.StopEvict} {
+		t.Run(reason.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, before, after := newFixture(t), &owner{}, &owner{}
+				f.adopt(before)
+				f.startsLate()
+				f.startTask(before, "run=60s")
+				f.restart("second")
+				f.adopt(after)
+				f.send(after, &wire.StopTask{Partition: partition, Epoch: 1, Task: task1, Attempt: 1, Reason: reason})
+				time.Sleep(5 * time.Second)
+				if got := after.states(); len(got) != 1 || got[0] != wire.TaskStopped {
+					t.Errorf("reported states %v, want Stopped", got)
+				}
+				if h := f.worker.History(); len(h) != 0 {
+					t.Errorf("the worker ran %v", h)
+				}
+				f.send(after, &wire.TaskReportAck{Task: task1, Attempt: 1})
+				if n := f.runner.Unreported(); n != 0 {
+					t.Errorf("%d attempts left after the acknowledgement", n)
+				}
+			})
+		})
+	}
+}
