Stop attempts that the worker starts late for an earlier agent

Users would see a worker that refuses tasks for which its agent reports room, for good: an agent is restarted while a start of its predecessor has no response yet, and the worker executes that start afterwards. The new agent reads the worker's tasks only once, before the start, and ignored attempts in later polls that it does not hold. The attempt paused at its deadline and kept its memory, outside the ledger, until the next restart.

Change: an attempt in a poll that the agent does not hold is stopped, reported and forgotten once its lease has expired or it has ended. It is not resumed, since the owner may have been told that it does not exist. An agent without tasks polls every 5 s, an agent that is leaving does not touch such attempts, and a list that was requested before the last attempt was forgotten proves nothing.

Evidence: TestLateStartOfEarlierAgentIsStopped, on the code before: "reported states [], want [TaskStopped]" 30 s after the restart.

--- a/internal/host/runner/calls.go
+++ b/internal/host/runner/calls.go
@@ -97,7 +97,7 @@
 		r.checkpointed(t, in.status, in.err)
 	case callForget:
 		if in.err == nil {
-			delete(r.tasks, t.ref.Task)
+			r.forget(t)
 			return
 		}
 		r.retry(t, in.err)
@@ -114,7 +114,7 @@
 	case t.final != nil && t.acked && t.startSent:
 		c.kind = callForget
 	case t.final != nil && t.acked:
-		delete(r.tasks, t.ref.Task)
+		r.forget(t)
 		return
 	case t.final != nil:
 		return
@@ -136,6 +136,12 @@
 	}
 }
 
+// forget removes an attempt whose final report is acknowledged and that the worker no longer lists.
+func (r *Runner) forget(t *task) {
+	delete(r.tasks, t.ref.Task)
+	r.forgottenAt = time.Now()
+}
+
 // deadline returns the lease deadline of a task on the wall clock, which the worker shares since it is on this machine.
 func (r *Runner) deadline(t *task) time.Time {
 	return time.Now().Add(time.Duration(r.partition(t.partition).deadline - r.Now()))
--- a/internal/host/runner/late_test.go
+++ b/internal/host/runner/late_test.go
@@ -103,3 +103,27 @@
 		})
 	}
 }
+
+// Guards against an attempt that stays on a worker for good, unaccounted for: the worker executes the start of an agent
+// after another one has replaced it.
+func TestLateStartOfEarlierAgentIsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, before, after := newFixture(t), &owner{}, &owner{}
+		f.adopt(before)
+		f.startsLate()
+		f.startTask(before, "run=60s")
+		f.restart("second")
+		f.adopt(after)
+		time.Sleep(agentLease + 10*time.Second)
+		f.wantStates(after, wire.TaskStopped)
+		list, err := f.worker.Tasks(t.Context())
+		if err != nil || len(list) != 1 || list[0].State != worker.Stopped {
+			t.Errorf("the worker has %+v, %v; want one attempt that is Stopped", list, err)
+		}
+		f.send(after, &wire.TaskReportAck{Task: task1, Attempt: 1})
+		time.Sleep(2 * agentLease)
+		if list, err = f.worker.Tasks(t.Context()); err != nil || len(list) != 0 || f.runner.Unreported() != 0 {
+			t.Errorf("after the acknowledgement the worker has %+v, %v", list, err)
+		}
+	})
+}
--- a/internal/host/runner/poll.go
+++ b/internal/host/runner/poll.go
@@ -17,10 +17,12 @@
 	requestedAt time.Time
 }
 
-// poll lists the worker's attempts at an interval while the runner has any.
+// poll lists the worker's attempts at an interval, which is longer while the runner has none.
 func (r *Runner) poll(ctx context.Context) {
+	var last time.Time
 	pause.Every(ctx, pollInterval, func() {
-		if r.Unreported() > 0 {
+		if r.Unreported() > 0 || time.Since(last) >= idlePollInterval {
+			last = time.Now()
 			r.pollOnce(ctx)
 		}
 	})
@@ -42,8 +44,12 @@
 	listed := make(map[worker.Ref]bool, len(in.list))
 	for _, s := range in.list {
 		listed[s.Ref] = true
-		if t, ok := r.tasks[s.Task]; ok && t.ref == s.Ref {
+		t, ok := r.tasks[s.Task]
+		switch {
+		case ok && t.ref == s.Ref:
 			r.observe(t, s)
+		case !ok && in.requestedAt.After(r.forgottenAt):
+			r.observeUnknown(s)
 		}
 	}
 	for _, t := range r.tasks {
@@ -71,6 +77,24 @@
 	r.cfg.Ledger.Observe(t.holder(), s.Peak)
 }
 
+// observeUnknown takes over an attempt that this agent does not hold once it has ended or its lease has expired: the
+// worker has executed a start of this agent's predecessor late. An inventory without the attempt may have been sent
+// since, so it must not be resumed. While its lease is valid it may belong to an agent that replaces this one.
+func (r *Runner) observeUnknown(s worker.Status) {
+	if r.leaving || len(r.tasks) >= maxTasks || s.State != worker.Paused && !s.State.HasEnded() {
+		return
+	}
+	t := r.restored(s)
+	r.tasks[s.Task] = t
+	if t.final != nil {
+		r.sendReport(t)
+		return
+	}
+	r.cfg.Log.Warn("worker executed the start of an earlier agent, stopping the attempt", zap.Stringer("Task", s.Task))
+	r.cfg.Ledger.Reserve(t.holder(), s.Size) // without effect if it does not fit; the worker refuses starts until then
+	r.stop(t, wire.StopSuperseded)
+}
+
 // evictOnOveruse evicts one task when the memory in use exceeds the capacity of the worker: the one furthest above its
 // declared size. The owner learns the real size from the report and uses it for the next placement.
 func (r *Runner) evictOnOveruse() {
--- a/internal/host/runner/runner.go
+++ b/internal/host/runner/runner.go
@@ -17,13 +17,14 @@
 )
 
 const (
-	maxTasks       = 512 // limits the memory of an agent; a worker of the largest size runs about 30
-	inboxSize      = 4 * maxTasks
-	executors      = 4                      // goroutines that call the worker
-	callTimeout    = 5 * time.Second        // of one call to the worker
-	pollInterval   = 500 * time.Millisecond // between polls of the worker's status while it has tasks
-	resendInterval = 2 * time.Second        // between transmissions of a final report until it is acknowledged
-	retryInterval  = 500 * time.Millisecond // between attempts of a failed call to the worker
+	maxTasks         = 512 // limits the memory of an agent; a worker of the largest size runs about 30
+	inboxSize        = 4 * maxTasks
+	executors        = 4                      // goroutines that call the worker
+	callTimeout      = 5 * time.Second        // of one call to the worker
+	pollInterval     = 500 * time.Millisecond // between polls of the worker's status while it has tasks
+	idlePollInterval = 5 * time.Second        // between polls while the agent holds no task
+	resendInterval   = 2 * time.Second        // between transmissions of a final report until it is acknowledged
+	retryInterval    = 500 * time.Millisecond // between attempts of a failed call to the worker
 )
 
 // Owner is a session with an entry that owns partitions.
@@ -64,6 +65,7 @@
 	lastSession uint64
 	renewing    bool
 	leaving     bool
+	forgottenAt time.Time // when an attempt was last removed from tasks
 }
 
 // input is a message or event that changes the state of a runner.
@@ -119,14 +121,8 @@
 	defer r.mu.Unlock()
 	reserved := make(map[ledger.Holder]sizes.Resources)
 	for _, s := range list {
-		p, class, err := parseLabel(s.Label)
-		if err != nil {
-			r.cfg.Log.Warn("task on the worker has an invalid label", zap.Stringer("Task", s.Task), zap.Error(err))
-		}
-		t := &task{partition: p, ref: s.Ref, class: class, size: s.Size, phase: phaseRunning, status: s, startSent: true}
-		if s.State.HasEnded() {
-			t.end(finalReport(t, s))
-		} else {
+		t := r.restored(s)
+		if t.final == nil {
 			reserved[t.holder()] = s.Size
 		}
 		r.tasks[s.Task] = t
@@ -134,6 +130,19 @@
 	r.cfg.Ledger.Rebuild(reserved)
 }
 
+// restored returns the task for an attempt on the worker that an earlier agent started.
+func (r *Runner) restored(s worker.Status) *task {
+	p, class, err := parseLabel(s.Label)
+	if err != nil {
+		r.cfg.Log.Warn("task on the worker has an invalid label", zap.Stringer("Task", s.Task), zap.Error(err))
+	}
+	t := &task{partition: p, ref: s.Ref, class: class, size: s.Size, phase: phaseRunning, status: s, startSent: true}
+	if s.State.HasEnded() {
+		t.end(finalReport(t, s))
+	}
+	return t
+}
+
 // Run processes inputs until ctx ends; running tasks continue on the worker under their leases.
 func (r *Runner) Run(ctx context.Context) {
 	var wg sync.WaitGroup
