Take an inventory only for the Adopt that it answers

Users would see tasks run twice (TWICE). An owner that gets no inventory for 2 s repeats Adopt, and so has two inventories under way. It took the first, started tasks, missed their reports while the agent or the link was slow, asked for a new inventory, and took the second one, sent before the starts, for the answer. Attempts that it does not list are released at once when the agent is the same, and the tasks ran on another worker too, with leases of both attempts renewed until the end.

Change: Adopt carries the generation of the owner's state of that agent, which changes whenever a new inventory is needed, and Inventory returns it. An inventory of another generation is ignored. Repetitions of one Adopt share a generation, since no task is started in between. An agent that does not know the field returns 0, which is taken as before.

--- a/internal/batch/owner/adopt.go
+++ b/internal/batch/owner/adopt.go
@@ -24,8 +24,8 @@
 	if p.closing {
 		return
 	}
-	for _, s := range p.leases.toAdopt() {
-		p.o.sendAgent(s, &wire.Adopt{Partition: p.id, Epoch: p.epoch})
+	for s, generation := range p.leases.toAdopt() {
+		p.o.sendAgent(s, &wire.Adopt{Partition: p.id, Epoch: p.epoch, Generation: generation})
 	}
 }
 
@@ -36,6 +36,9 @@
 		return
 	}
 	generation, ok := p.leases.expectedInventory(s)
+	if m.Generation != 0 && m.Generation != generation {
+		return // it was sent before the starts that the current Adopt asks about
+	}
 	if !ok || m.Epoch != p.epoch || p.closing || p.o.cfg.Hook.At(point.TakeoverAdopted, string(s.info.Worker)) != nil {
 		return
 	}
--- a/internal/batch/owner/agent_test.go
+++ b/internal/batch/owner/agent_test.go
@@ -67,13 +67,17 @@
 // addWorkers adds n workers, three per rack, and starts an agent for each.
 func (c *cluster) addWorkers(n int) {
 	for i := range n {
-		name := ident.Worker(fmt.Sprintf("w%d", i))
-		s := standin.New(standin.Options{Worker: name, Zone: zone, Total: workerCapacity, Objects: c.store})
-		c.workers = append(c.workers, s)
-		c.startAgent(s, name, fmt.Sprintf("rack%d", i/3))
+		c.addWorker(ident.Worker(fmt.Sprintf("w%d", i)), fmt.Sprintf("rack%d", i/3))
 	}
 }
 
+// addWorker adds a worker and starts its agent.
+func (c *cluster) addWorker(name ident.Worker, rack string) {
+	s := standin.New(standin.Options{Worker: name, Zone: zone, Total: workerCapacity, Objects: c.store})
+	c.workers = append(c.workers, s)
+	c.startAgent(s, name, rack)
+}
+
 // startAgent starts an agent process for a worker; an earlier one must have been killed.
 func (c *cluster) startAgent(s *standin.Worker, name ident.Worker, rack string) {
 	a := &agent{
--- a/internal/batch/owner/leases.go
+++ b/internal/batch/owner/leases.go
@@ -22,7 +22,7 @@
 type workerLease struct {
 	session    *session  // nil if there is none
 	ready      bool      // Inventory and Reconcile are complete on this session, and no lease has expired since
-	generation uint64    // incremented when ready is reset; a Reconcile of an earlier generation is void
+	generation uint64    // incremented when ready is reset; an Inventory or Reconcile of an earlier generation is void
 	lastGrant  time.Time // zero if this owner has granted nothing
 	adoptSent  time.Time // when Adopt was last sent
 }
@@ -143,7 +143,8 @@
 	}
 }
 
-// expectedInventory returns the generation to which an Inventory from the session belongs, and whether one is expected.
+// expectedInventory returns the generation to which an Inventory from the session must belong, and whether one is
+// expected.
 func (t *leaseTable) expectedInventory(s *session) (uint64, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -164,15 +165,15 @@
 	return true
 }
 
-// toAdopt returns the sessions that are due for an Adopt message and marks it as sent to them.
-func (t *leaseTable) toAdopt() []*session {
+// toAdopt returns the sessions that are due for an Adopt message, with their generations, and marks it as sent to them.
+func (t *leaseTable) toAdopt() map[*session]uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var list []*session
+	list := map[*session]uint64{}
 	for _, l := range t.workers {
 		if l.session != nil && !l.ready && (l.adoptSent.IsZero() || time.Since(l.adoptSent) >= repeatAfter) {
 			l.adoptSent = time.Now()
-			list = append(list, l.session)
+			list[l.session] = l.generation
 		}
 	}
 	return list
--- a/internal/host/runner/control.go
+++ b/internal/host/runner/control.go
@@ -73,7 +73,7 @@
 		return // a late message of a session that the owner has replaced
 	}
 	p.epoch, p.owner, p.reconciled = m.Epoch, o, false
-	inventory := &wire.Inventory{Partition: m.Partition, Epoch: m.Epoch}
+	inventory := &wire.Inventory{Partition: m.Partition, Epoch: m.Epoch, Generation: m.Generation}
 	for _, t := range r.tasks {
 		if t.partition == m.Partition {
 			inventory.Attempts = append(inventory.Attempts, t.inventoryItem())
--- a/internal/link/wire/batch.go
+++ b/internal/link/wire/batch.go
@@ -84,8 +84,9 @@
 
 // Adopt announces a new epoch of a partition to an agent, which rejects lower epochs from then on.
 type Adopt struct {
-	Partition ident.Partition
-	Epoch     ident.Epoch
+	Partition  ident.Partition
+	Epoch      ident.Epoch
+	Generation uint64 // of the owner's state of the agent, from 1; returned in the Inventory
 }
 
 // AttemptState is an attempt that is still present on an agent.
@@ -98,9 +99,10 @@
 
 // Inventory is an agent's response to Adopt: all attempts of the partition that are present on the agent.
 type Inventory struct {
-	Partition ident.Partition
-	Epoch     ident.Epoch
-	Attempts  []AttemptState `msgpack:"Held"`
+	Partition  ident.Partition
+	Epoch      ident.Epoch
+	Attempts   []AttemptState `msgpack:"Held"`
+	Generation uint64         // as in Adopt; 0 from an agent that does not know the field
 }
 
 // Reconcile is the response to Inventory: attempts in Drop are stopped, the others continue and may be renewed.
