Ignore throttles of a deposed owner

A deposed owner could slow a task that its successor has adopted: the agent applied a throttle without a look at its sender, since the message has no epoch.

Change: the throttle counts only on the session that adopted the task's partition last. An acknowledgement needs no such check: it says that the end of an attempt is durable, and a deposed owner sends it only for what its successor has replayed.

Evidence: TestThrottleOfDeposedOwnerIsIgnored, on the code before: "the deposed owner limits the task to 100".

--- a/internal/host/runner/control.go
+++ b/internal/host/runner/control.go
@@ -27,7 +27,7 @@
 	case *wire.StopTask:
 		r.stopTask(in.owner, m)
 	case *wire.ThrottleTask:
-		r.throttleTask(m)
+		r.throttleTask(in.owner, m)
 	case *wire.TaskReportAck:
 		r.acknowledge(m)
 	case *wire.HeartbeatAck:
@@ -213,14 +213,18 @@
 	r.advance(t)
 }
 
-func (r *Runner) throttleTask(m *wire.ThrottleTask) {
+// throttleTask limits an attempt. The message has no epoch; a session that has not adopted the partition last is that of
+// a deposed owner.
+func (r *Runner) throttleTask(o Owner, m *wire.ThrottleTask) {
 	t, ok := r.tasks[m.Task]
-	if !ok || t.ref.Attempt != m.Attempt || t.final != nil {
+	if !ok || t.ref.Attempt != m.Attempt || t.final != nil || r.partition(t.partition).owner != o {
 		return
 	}
 	r.calls.TryPut(call{kind: callThrottle, ref: t.ref, processors: m.Processors})
 }
 
+// acknowledge forgets an attempt whose final report is durable. That holds whoever says so: a deposed owner acknowledges
+// only what its successor has replayed.
 func (r *Runner) acknowledge(m *wire.TaskReportAck) {
 	t, ok := r.tasks[m.Task]
 	if !ok || t.ref.Attempt != m.Attempt || t.final == nil {
--- a/internal/host/runner/late_test.go
+++ b/internal/host/runner/late_test.go
@@ -127,3 +127,29 @@
 		}
 	})
 }
+
+// Guards against a throttle of a deposed owner, which would slow a task that another owner has adopted.
+func TestThrottleOfDeposedOwnerIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, deposed, current := newFixture(t), &owner{}, &owner{}
+		f.adopt(deposed)
+		f.startTask(deposed, "run=60s")
+		f.send(current, &wire.Adopt{Partition: partition, Epoch: 2})
+		limit := func() int64 {
+			time.Sleep(time.Second)
+			list, err := f.worker.Tasks(t.Context())
+			if err != nil || len(list) != 1 {
+				t.Fatalf("the worker has %+v, %v", list, err)
+			}
+			return list[0].Limit
+		}
+		f.send(deposed, &wire.ThrottleTask{Task: task1, Attempt: 1, Processors: 100})
+		if got := limit(); got != 0 {
+			t.Errorf("the deposed owner limits the task to %d", got)
+		}
+		f.send(current, &wire.ThrottleTask{Task: task1, Attempt: 1, Processors: 200})
+		if got := limit(); got != 200 {
+			t.Errorf("the limit is %d, want the 200 of the current owner", got)
+		}
+	})
+}
