Test late starts beside refusals, and attempts that are left behind

The faults of batch work had late starts and refused calls, but not both at once, and no check that workers are empty after the last job.

Change: the fault scripts of the stand-ins know Reject, an error of the call's kind from a stand-in that is up. The fault matrix adds a worker that rejects the repetition of an unanswered start, refuses stops and executes the start later, and a start that is late by 16 s under a replaced agent. Each cell ends with the check that no worker has an attempt that has not ended.

--- a/internal/batch/commit/commit_test.go
+++ b/internal/batch/commit/commit_test.go
@@ -113,7 +113,7 @@
 				s := store.New(store.Options{Latency: 3 * time.Millisecond, WritesPerSecond: 60})
 				o := takeOver(t, s, "a")
 				stop := o.run()
-				actions := []script.Action{script.Down, script.LoseBefore, script.LoseAfter, script.LoseLate, script.Slow}
+				actions := []script.Action{script.Down, script.LoseBefore, script.LoseAfter, script.LoseLate, script.Slow, script.Reject}
 				for i := range 700 {
 					if i%20 == 0 {
 						err := s.Faults().Set(script.Rule{Action: actions[rnd.IntN(len(actions))], Count: rnd.Int64N(4) + 1,
--- a/internal/batch/owner/fault_test.go
+++ b/internal/batch/owner/fault_test.go
@@ -63,6 +63,29 @@
 	}}
 }
 
+// workerFault returns a fault of the worker's calls.
+func workerFault(name string, rules ...script.Rule) fault {
+	return fault{name, func(c *cell, _ *entry, a *agent) {
+		if err := a.worker.Faults().Set(rules...); err != nil {
+			c.t.Error(err)
+		}
+	}}
+}
+
+// lateStartFault returns a fault with which starts from the previous agent reach the worker after the agent was replaced;
+// it affects starts for the time d.
+func lateStartFault(name string, delay, d time.Duration) fault {
+	slow := workerFault(name, script.Rule{Action: script.Slow, Kind: standin.KindStart, Delay: script.Duration(delay),
+		For: script.Duration(d)})
+	return fault{name, func(c *cell, e *entry, a *agent) {
+		slow.start(c, e, a)
+		time.AfterFunc(time.Second, func() {
+			a.kill()
+			a.restart()
+		})
+	}}
+}
+
 // messageFault returns a fault that affects the next messages of the step.
 func messageFault(name string, v delivery) fault {
 	return fault{name, func(c *cell, _ *entry, _ *agent) {
@@ -99,18 +122,13 @@
 		a.kill()
 		go a.worker.Close()
 	}},
-	{"start late", func(_ *cell, _ *entry, a *agent) {
-		// A start from the previous agent reaches the worker after the agent was replaced.
-		err := a.worker.Faults().Set(script.Rule{Action: script.Slow, Kind: standin.KindStart,
-			Delay: script.Duration(10 * time.Second), For: script.Duration(20 * time.Second)})
-		if err != nil {
-			a.cluster.t.Error(err)
-		}
-		time.AfterFunc(time.Second, func() {
-			a.kill()
-			a.restart()
-		})
-	}},
+	workerFault("start late, repetition and stop refused",
+		script.Rule{Action: script.LoseLate, Kind: standin.KindStart, For: script.Duration(400 * time.Millisecond),
+			Delay: script.Duration(6 * time.Second)},
+		script.Rule{Action: script.Reject, Kind: standin.KindStart, For: script.Duration(10 * time.Second)},
+		script.Rule{Action: script.Down, Kind: standin.KindStop, For: script.Duration(10 * time.Second)}),
+	lateStartFault("start late", 10*time.Second, 20*time.Second),
+	lateStartFault("start late, after the stop", 16*time.Second, time.Second),
 	{storeCut, func(c *cell, e *entry, a *agent) {
 		// The owner cannot reach the store and is deposed, but is connected to an agent that its successor cannot reach.
 		err := c.store.Faults().Set(script.Rule{Action: script.Down, Client: string(e.self.Name),
@@ -197,6 +215,7 @@
 	c.checkIntervals()
 	c.checkAttempts()
 	c.checkJournal()
+	c.checkLeftovers()
 	checkLifecycle(t, c.intervals(), log)
 	return reached.Load() >= int64(1+4*seed)
 }
@@ -246,6 +265,22 @@
 	return log
 }
 
+// checkLeftovers fails the test if a worker still has an attempt that has not ended, although all jobs are finished.
+func (c *cell) checkLeftovers() {
+	time.Sleep(3 * time.Minute) // an agent may be paused for 2 min, and then stops what was moved elsewhere
+	for _, s := range c.workers {
+		list, err := s.Tasks(c.ctx)
+		if err != nil {
+			continue // the worker was lost
+		}
+		for _, a := range list {
+			if !a.State.HasEnded() {
+				c.t.Errorf("attempt %d of %s is left in state %v", a.Attempt, a.Task, a.State)
+			}
+		}
+	}
+}
+
 // checkAttempts fails the test if an attempt ran on two workers or resumed from progress that no attempt had reached.
 func (c *cell) checkAttempts() {
 	type key struct {
--- a/internal/stand/script/action.go
+++ b/internal/stand/script/action.go
@@ -15,6 +15,7 @@
 	LoseBefore        // the call has no effect and its response is lost after the delay
 	LoseAfter         // the call takes effect immediately and its response is lost after the delay
 	LoseLate          // the response is lost immediately and the call takes effect after the delay
+	Reject            // the call gets an error of its kind from a stand-in that is up, and has no effect
 )
 
 // MarshalText implements encoding.TextMarshaler with the name of the action.
@@ -22,7 +23,7 @@
 
 // UnmarshalText implements encoding.TextUnmarshaler; it returns an error for an unknown name.
 func (a *Action) UnmarshalText(b []byte) error {
-	for c := None; c <= LoseLate; c++ {
+	for c := None; c <= Reject; c++ {
 		if c.String() == string(b) {
 			*a = c
 			return nil
@@ -32,4 +33,4 @@
 }
 
 // Allowed implements strict.AllowedDescriber.
-func (*Action) Allowed() string { return "Down, Slow, LoseBefore, LoseAfter or LoseLate" }
+func (*Action) Allowed() string { return "Down, Slow, LoseBefore, LoseAfter, LoseLate or Reject" }
--- a/internal/stand/script/action_string.go
+++ b/internal/stand/script/action_string.go
@@ -14,11 +14,12 @@
 	_ = x[LoseBefore-3]
 	_ = x[LoseAfter-4]
 	_ = x[LoseLate-5]
+	_ = x[Reject-6]
 }
 
-const _Action_name = "NoneDownSlowLoseBeforeLoseAfterLoseLate"
+const _Action_name = "NoneDownSlowLoseBeforeLoseAfterLoseLateReject"
 
-var _Action_index = [...]uint8{0, 4, 8, 12, 22, 31, 39}
+var _Action_index = [...]uint8{0, 4, 8, 12, 22, 31, 39, 45}
 
 func (i Action) String() string {
 	idx := int(i) - 0
--- a/internal/stand/script/script.go
+++ b/internal/stand/script/script.go
@@ -35,7 +35,7 @@
 }
 
 func (r Rule) check(c strict.Check) {
-	if r.Action <= None || r.Action > LoseLate {
+	if r.Action <= None || r.Action > Reject {
 		c.Field("Action").Fail(r.Action, "%s", (*Action)(nil).Allowed())
 	}
 	strict.Between(c.Field("First"), r.First, 0, math.MaxInt64)
@@ -129,16 +129,21 @@
 // ErrLost is returned for a call whose response is lost; the server closes the connection.
 var ErrLost = errors.New("response is lost")
 
-// ErrRefused is returned for a call that was refused without effect.
-var ErrRefused = errors.New("call is refused")
+// Errors of calls without effect.
+var (
+	ErrRefused  = errors.New("call is refused")
+	ErrRejected = errors.New("call is rejected")
+)
 
-// Run executes effect under the fault f. It returns ErrRefused, ErrLost, or the error of ctx if ctx ends before the
+// Run executes effect under the fault f. It returns ErrRefused, ErrRejected, ErrLost, or the error of ctx if ctx ends before the
 // response. In the last case effect still runs unless the action is LoseBefore, since the request had already arrived.
 func Run[T any](ctx context.Context, f Fault, effect func() (T, error)) (T, error) {
 	var zero T
 	switch f.Action {
 	case Down:
 		return zero, ErrRefused
+	case Reject:
+		return zero, ErrRejected
 	case LoseBefore:
 		return zero, loseResponse(ctx, f.Delay)
 	case LoseAfter:
--- a/internal/stand/store/property_test.go
+++ b/internal/stand/store/property_test.go
@@ -27,7 +27,7 @@
 func drawRules(t *rapid.T) []script.Rule {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) script.Rule {
 		return script.Rule{
-			Action: script.Action(rapid.IntRange(int(script.Down), int(script.LoseLate)).Draw(t, "action")),
+			Action: script.Action(rapid.IntRange(int(script.Down), int(script.Reject)).Draw(t, "action")),
 			Kind:   rapid.SampledFrom([]string{"", store.KindTransact}).Draw(t, "kind"),
 			Client: rapid.SampledFrom([]string{"", "0", "1", "2"}).Draw(t, "client"),
 			First:  int64(rapid.IntRange(1, 60).Draw(t, "first")),
--- a/internal/stand/store/store.go
+++ b/internal/stand/store/store.go
@@ -159,6 +159,8 @@
 		return res, nil
 	case errors.Is(err, script.ErrRefused):
 		return zero, fmt.Errorf("%s: %w", kind, table.ErrUnavailable)
+	case errors.Is(err, script.ErrRejected):
+		return zero, fmt.Errorf("%s: %w", kind, table.ErrRateLimited)
 	case errors.Is(err, script.ErrLost), ctx.Err() != nil:
 		return zero, fmt.Errorf("%s: %w: %w", kind, lostErr, err)
 	}
--- a/internal/stand/target/handler.go
+++ b/internal/stand/target/handler.go
@@ -106,6 +106,9 @@
 		panic(http.ErrAbortHandler)
 	case script.Slow:
 		sleep(r.Context(), f.Delay)
+	case script.Reject:
+		http.Error(w, script.ErrRejected.Error(), http.StatusServiceUnavailable)
+		return
 	}
 	t.run(w, r)
 }
--- a/internal/stand/worker/calls.go
+++ b/internal/stand/worker/calls.go
@@ -42,12 +42,26 @@
 		return res, nil
 	case errors.Is(err, script.ErrRefused):
 		err = worker.ErrUnavailable
+	case errors.Is(err, script.ErrRejected):
+		err = rejection(kind)
 	case errors.Is(err, script.ErrLost), ctx.Err() != nil:
 		err = fmt.Errorf("%w: %w", lostErr, err)
 	}
 	return res, fmt.Errorf("%s: %w", kind, err)
 }
 
+// rejection returns the error with which a worker that is up rejects a valid call.
+func rejection(kind string) error {
+	switch kind {
+	case KindStart:
+		return worker.ErrTooLarge
+	case KindCheckpoint:
+		return worker.ErrStore
+	default:
+		return worker.ErrUnavailable
+	}
+}
+
 // Describe implements worker.Platform.
 func (w *Worker) Describe(ctx context.Context) (worker.Info, error) {
 	return call(ctx, w, KindMeans, worker.ErrUnavailable, func() (worker.Info, error) { return w.info, nil })
