Acknowledge the end of attempts whose job is closed

Users would see an agent that never finishes draining, and one that polls its worker and repeats reports for good: the end of an attempt that was moved elsewhere, for example by an agent that was paused for 2 min, is reported after the job has ended and its share is closed. The owner no longer knows the task, took the attempt for one of a later owner and never acknowledged it.

Change: once the store has confirmed, after the report, that the owner is not deposed, a final report on a task that its state does not contain is acknowledged. No later owner can need it.

Evidence: TestFaultMatrix now checks that no agent has attempts whose end is not acknowledged.

--- a/internal/batch/owner/fault_test.go
+++ b/internal/batch/owner/fault_test.go
@@ -265,7 +265,8 @@
 	return log
 }
 
-// checkLeftovers fails the test if a worker still has an attempt that has not ended, although all jobs are finished.
+// checkLeftovers fails the test if a worker still has an attempt that has not ended, or an agent one whose end is not
+// acknowledged, although all jobs are finished.
 func (c *cell) checkLeftovers() {
 	time.Sleep(3 * time.Minute) // an agent may be paused for 2 min, and then stops what was moved elsewhere
 	for _, s := range c.workers {
@@ -279,6 +280,11 @@
 			}
 		}
 	}
+	for _, a := range c.allAgents() {
+		if n := a.runner.Unreported(); n > 0 && a.gate.silentFor() == 0 {
+			c.t.Errorf("%d attempts are left on the agent of %s", n, a.info.Worker)
+		}
+	}
 }
 
 // checkAttempts fails the test if an attempt ran on two workers or resumed from progress that no attempt had reached.
--- a/internal/batch/owner/finish.go
+++ b/internal/batch/owner/finish.go
@@ -17,7 +17,7 @@
 	if !ok || r.Attempt > t.Attempt {
 		// The attempt is not in the journal, so another owner may have deposed this one and started the attempt. That
 		// owner handles the report; the store confirms whether this one was deposed.
-		p.journal.Confirm()
+		p.afterConfirmation(func(confirmed bool) { p.acknowledgeClosed(s, r, confirmed) })
 		return
 	}
 	if t.State != part.Starting || t.Attempt != r.Attempt {
@@ -124,6 +124,13 @@
 	}
 }
 
+// acknowledgeClosed acknowledges a final report on a task whose share is closed, which no owner needs any more.
+func (p *partition) acknowledgeClosed(s *session, r *wire.TaskReport, confirmed bool) {
+	if _, ok := p.state.Task(r.Task); confirmed && !ok && r.State > wire.TaskPaused {
+		p.acknowledge(s, r)
+	}
+}
+
 // acknowledge acknowledges a report on an attempt whose end is recorded, once the record is durable.
 func (p *partition) acknowledge(s *session, r *wire.TaskReport) {
 	p.afterDurable(func() { p.o.sendAgent(s, &wire.TaskReportAck{Task: r.Task, Attempt: r.Attempt}) })
