Repeat a call although the runner's queue was full

Users would see a task that is neither stopped nor started, with its resources reserved until the agent is restarted: the repetition of a failed call to the worker is queued after 0.5 s, and was dropped when the queue of the runner was full at that moment. Nothing else advances such a task.

Change: the repetition is scheduled again until the queue takes it.

Evidence: TestFullQueueDelaysRepetition, on the code before: "{1000 400 0 0 0} still reserved" 5 s after the queue was empty again. Found by reading; no run outside the test has shown it.

--- a/internal/host/runner/calls.go
+++ b/internal/host/runner/calls.go
@@ -150,7 +150,16 @@
 // retry schedules the next call of a task after retryInterval.
 func (r *Runner) retry(t *task, err error) {
 	r.cfg.Log.Warn("call to the worker failed, retrying", zap.Stringer("Task", t.ref.Task), zap.Error(err))
-	time.AfterFunc(retryInterval, func() { r.inbox.TryPut(retryDue{t}) })
+	r.scheduleRetry(t)
+}
+
+// scheduleRetry queues the next call of a task after retryInterval, or later while the queue is full.
+func (r *Runner) scheduleRetry(t *task) {
+	time.AfterFunc(retryInterval, func() {
+		if !r.inbox.TryPut(retryDue{t}) {
+			r.scheduleRetry(t)
+		}
+	})
 }
 
 // retryDue requests the next call of a task.
--- a/internal/host/runner/late_test.go
+++ b/internal/host/runner/late_test.go
@@ -153,3 +153,26 @@
 		}
 	})
 }
+
+// Guards against a task that stays reserved for good: its stop fails once, and the repetition is due while the queue of
+// the runner is full.
+func TestFullQueueDelaysRepetition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, o := newFixture(t), &owner{}
+		f.adopt(o)
+		f.startTask(o, "run=60s")
+		if err := f.worker.Faults().Set(script.Rule{Action: script.Down, Kind: standin.KindStop, Count: 1}); err != nil {
+			t.Fatal(err)
+		}
+		f.send(o, &wire.StopTask{Partition: partition, Epoch: 1, Task: task1, Attempt: 1, Reason: wire.StopCancel})
+		f.stop()
+		for f.runner.HandleMessage(o, &wire.HeartbeatAck{}) {
+		}
+		time.Sleep(time.Second)
+		f.run()
+		time.Sleep(5 * time.Second)
+		if got := f.ledger.Reserved(); got != (sizes.Resources{}) {
+			t.Errorf("%v still reserved", got)
+		}
+	})
+}
--- a/internal/host/runner/runner_test.go
+++ b/internal/host/runner/runner_test.go
@@ -89,13 +89,17 @@
 	if f.stop != nil {
 		f.stop()
 	}
-	ctx, cancel := context.WithCancel(context.Background())
 	f.self = self
 	f.ledger = ledger.New(capacity)
 	f.runner = runner.New(runner.Config{Incarnation: self, Worker: f.client, Ledger: f.ledger, Log: zap.NewNop()})
-	if err := f.runner.Restore(ctx); err != nil {
+	if err := f.runner.Restore(context.Background()); err != nil {
 		f.t.Fatal(err)
 	}
+	f.run()
+}
+
+func (f *fixture) run() {
+	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
 		f.runner.Run(ctx)
