--- a/internal/host/runner/calls.go
+++ b/internal/host/runner/calls.go
@@ -97,7 +97,7 @@
 		r.checkpointed(t, in.status, in.err)
 	case callForget:
 		if in.err == nil {
-			delete(r.tasks, t.ref.Task)
+			r.forget(t)
 			return
 		}
 		r.retry(t, in.err)
@@ -114,7 +114,7 @@
 	case t.final != nil && t.acked && t.startSent:
 		c.kind = callForget
 	case t.final != nil && t.acked:
-		delete(r.tasks, t.ref.Task)
+		r.forget(t)
 		return
 	case t.final != nil:
 		return
@@ -136,6 +136,12 @@
 	}
 }
 
+// forget removes an attempt whose final report is acknowledged and that the worker no longer lists.
+func (r *Runner) forget(t *task) {
+	delete(r.tasks, t.ref.Task)
+	r.forgottenAt = time.Now()
+}
+
 // deadline returns the lease deadline of a task on the wall clock, which the worker shares since it is on this machine.
 func (r *Runner) deadline(t *task) time.Time {
 	return time.Now().Add(time.Duration(r.partition(t.partition).deadline - r.Now()))
@@ -144,7 +150,16 @@
 // retry schedules the next call of a task after retryInterval.
 func (r *Runner) retry(t *task, err error) {
 	r.cfg.Log.Warn("call to the worker failed, retrying", zap.Stringer("Task", t.ref.Task), zap.Error(err))
-	time.AfterFunc(retryInterval, func() { r.inbox.TryPut(retryDue{t}) })
+	r.scheduleRetry(t)
+}
+
+// scheduleRetry queues the next call of a task after retryInterval, or later while the queue is full.
+func (r *Runner) scheduleRetry(t *task) {
+	time.AfterFunc(retryInterval, func() {
+		if !r.inbox.TryPut(retryDue{t}) {
+			r.scheduleRetry(t)
+		}
+	})
 }
 
 // retryDue requests the next call of a task.
@@ -167,10 +182,16 @@
 		}
 		r.advance(t)
 	case errors.Is(err, worker.ErrUnknown), errors.Is(err, worker.ErrUnavailable):
+		t.unanswered = t.unanswered || errors.Is(err, worker.ErrUnknown)
 		if r.partition(t.partition).deadline <= r.Now() {
 			t.fence = true // Stop makes the worker refuse a start that arrives later
 		}
 		r.retry(t, err)
+	case t.unanswered:
+		// The refusal is the outcome of this call only; the worker may still execute an earlier one.
+		r.cfg.Log.Warn("worker refused a repeated start, stopping the attempt", zap.Stringer("Task", t.ref.Task), zap.Error(err))
+		t.fence = true
+		r.advance(t)
 	default:
 		r.finish(t, t.report(wire.TaskRefused, err.Error()))
 	}
--- a/internal/host/runner/control.go
+++ b/internal/host/runner/control.go
@@ -27,7 +27,7 @@
 	case *wire.StopTask:
 		r.stopTask(in.owner, m)
 	case *wire.ThrottleTask:
-		r.throttleTask(m)
+		r.throttleTask(in.owner, m)
 	case *wire.TaskReportAck:
 		r.acknowledge(m)
 	case *wire.HeartbeatAck:
@@ -73,7 +73,7 @@
 		return // a late message of a session that the owner has replaced
 	}
 	p.epoch, p.owner, p.reconciled = m.Epoch, o, false
-	inventory := &wire.Inventory{Partition: m.Partition, Epoch: m.Epoch}
+	inventory := &wire.Inventory{Partition: m.Partition, Epoch: m.Epoch, Generation: m.Generation}
 	for _, t := range r.tasks {
 		if t.partition == m.Partition {
 			inventory.Attempts = append(inventory.Attempts, t.inventoryItem())
@@ -179,16 +179,27 @@
 		return
 	}
 	t, ok := r.tasks[m.Task]
-	if !ok || t.ref.Attempt != m.Attempt {
-		absent := task{partition: m.Partition, ref: worker.Ref{Task: m.Task, Attempt: m.Attempt}}
-		r.send(o, absent.report(wire.TaskStopped, "agent does not hold the attempt"))
-		return
-	}
-	if t.final != nil {
+	switch {
+	case !ok:
+		r.stopUnknown(m.Partition, worker.Ref{Task: m.Task, Attempt: m.Attempt})
+	case t.ref.Attempt != m.Attempt:
+		// The owner repeats the stop until the other attempt has been forgotten.
+	case t.final != nil:
 		r.sendReport(t)
-		return
+	default:
+		r.stop(t, m.Reason)
 	}
-	r.stop(t, m.Reason)
+}
+
+// stopUnknown stops an attempt that this agent does not hold. Its predecessor may have sent a start that the worker
+// executes later, so the stop is confirmed only by the worker.
+func (r *Runner) stopUnknown(p ident.Partition, ref worker.Ref) {
+	if len(r.tasks) >= maxTasks {
+		return // the owner repeats the stop
+	}
+	t := &task{partition: p, ref: ref, phase: phaseRunning, startSent: true, stopping: wire.StopSuperseded}
+	r.tasks[ref.Task] = t
+	r.advance(t)
 }
 
 // stop initiates the end of an attempt; cancellation and supersession override eviction, which waits for a checkpoint.
@@ -202,14 +213,18 @@
 	r.advance(t)
 }
 
-func (r *Runner) throttleTask(m *wire.ThrottleTask) {
+// throttleTask limits an attempt. The message has no epoch; a session that has not adopted the partition last is that of
+// a deposed owner.
+func (r *Runner) throttleTask(o Owner, m *wire.ThrottleTask) {
 	t, ok := r.tasks[m.Task]
-	if !ok || t.ref.Attempt != m.Attempt || t.final != nil {
+	if !ok || t.ref.Attempt != m.Attempt || t.final != nil || r.partition(t.partition).owner != o {
 		return
 	}
 	r.calls.TryPut(call{kind: callThrottle, ref: t.ref, processors: m.Processors})
 }
 
+// acknowledge forgets an attempt whose final report is durable. That holds whoever says so: a deposed owner acknowledges
+// only what its successor has replayed.
 func (r *Runner) acknowledge(m *wire.TaskReportAck) {
 	t, ok := r.tasks[m.Task]
 	if !ok || t.ref.Attempt != m.Attempt || t.final == nil {
