Report a worker that returns after it counted as ended

Operators would see a worker that responds and gets no runs until its agent's session is opened again.

Cause: three refused connections make a worker count as ended, which the leader is told. When the same incarnation announced itself again in the same phase, the agent polled it again but sent the leader no state, and the leader ignores reports of a worker that has ended.

Change: Announce sends the state also when the worker no longer counts as ended.

Evidence: TestReturnedWorkerIsReported, on the code before: the last state reported has the phase WorkerGone, want WorkerReady

--- a/internal/host/driver/agent.go
+++ b/internal/host/driver/agent.go
@@ -79,7 +79,7 @@
 func (a *Agent) Announce(s wire.WorkerState, sequence uint64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	old := a.state
+	old, wasGone := a.state, a.gone
 	switch {
 	case s.Incarnation.StartedAt < old.Incarnation.StartedAt:
 		return false
@@ -96,7 +96,7 @@
 	a.sequence = sequence
 	s.Healthy = old.Healthy || s.Incarnation != old.Incarnation
 	a.state = s
-	if s.Incarnation != old.Incarnation || s.Phase != old.Phase {
+	if s.Incarnation != old.Incarnation || s.Phase != old.Phase || a.gone != wasGone {
 		event.Log(a.cfg.Log, event.WorkerAnnounced, zap.String("Worker", s.Incarnation.ID),
 			zap.Int64("Born", s.Incarnation.StartedAt), zap.Stringer("Phase", s.Phase),
 			zap.Int64("RemainingMilliseconds", s.Remaining))
--- a/internal/host/driver/outcome_test.go
+++ b/internal/host/driver/outcome_test.go
@@ -150,3 +150,29 @@
 		}
 	})
 }
+
+// Guards against a worker that gets no runs any more: it was heard of again after it had refused connections, but the
+// leader was not told.
+func TestReturnedWorkerIsReported(t *testing.T) {
+	withAgent(t, func(_ context.Context, a *driver.Agent, w *countingWorker, l *leader) {
+		w.Crash()
+		time.Sleep(time.Second)
+		if !l.receivedGone() {
+			t.Fatal("the end of the worker was not reported")
+		}
+		w.Restart(wire.WorkerIncarnation{ID: "w-1", StartedAt: 1})
+		a.Announce(w.State(), 2)
+		time.Sleep(time.Second)
+		var last *wire.WorkerState
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for _, m := range l.messages {
+			if s, ok := m.(*wire.WorkerState); ok {
+				last = s
+			}
+		}
+		if last.Phase != wire.WorkerReady {
+			t.Errorf("the last state reported has the phase %v, want %v", last.Phase, wire.WorkerReady)
+		}
+	})
+}
