Leave calls to workers unanswered and refuse others in the soak of real processes

Callers saw two runs of a task at the same time and workers over their capacity. TestCellFaults could not: its workers executed almost every call at once, none refused one, and a crashed worker went on announcing itself.

Change: workers leave a share of all calls (polls in one of three faults) unanswered and execute them 1 to 12 s later, and refuse another share with 429, 503 or, for starts, room; they crash and restart under the same ID, two of the four without a relay, so that they refuse connections meanwhile, and announce nothing until then. Series of three rounds of faults aim at the leader. Callers keep connections open until the entry closes them: without a request, with one, and with an incomplete one. A job of six long-running tasks must run within 9 s of the last fault of each of two phases (6 s lease and 3 s) and at the end. -cell.logs DIR keeps the logs of failed seeds.

The load is another: 32 rounds instead of 25, tasks of 100 to 500 ms instead of 0.8 s, and a job of each caller every 500 ms instead of 400, so that more starts meet a fault and the backlog still ends within 40 s. The calls executed late replace the 1 to 4 s of the earlier fault, which left polls out. The links of two workers have no relay any more.

--- a/cmd/trefoilramp/cell_soak_test.go
+++ b/cmd/trefoilramp/cell_soak_test.go
@@ -1,11 +1,15 @@
 package main_test
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -14,6 +18,7 @@
 	"time"
 
 	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/jobs/lead"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/netsim"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -22,20 +27,26 @@
 )
 
 const (
-	cellRounds         = 25
+	cellPhases         = 2  // each ends with the recovery from all faults
+	cellRounds         = 16 // of a phase
+	cellSeries         = 3  // rounds of a series of faults of the leader
 	cellRoundTime      = 600 * time.Millisecond
 	cellLeaderLease    = 4 * time.Second  // for which a deposed leader may report outdated states
-	cellSettleTime     = 12 * time.Second // covers the leases of the leader and worker that failed last
+	cellSettleTime     = 14 * time.Second // covers the leases of the leader and worker that failed last, and late calls
 	cellRecoverTimeout = 40 * time.Second
 	cellCallers        = 4
-	cellSubmitInterval = 400 * time.Millisecond // between the jobs of a caller
+	cellSubmitInterval = 500 * time.Millisecond // between the jobs of a caller
 	cellStoreRate      = 10_000_000 / 8         // of the links from the store to the entries, bytes per second
 	cellQueues         = 4200                   // of the largest configuration, which such a link transfers in 0.8 s
 	cellConfigTarget   = 3 * time.Second        // until a configuration is in force once no fault is left
+	cellRestartTarget  = 9 * time.Second        // until long-running tasks run once no fault is left
+	cellLongRunning    = spec.ID("00000000000fffff")
+	cellLongTasks      = 6
 )
 
 var (
 	cellSeed  = flag.Uint64("cell.seed", 20261204, "first seed of TestCellFaults")
+	cellLogs  = flag.String("cell.logs", "", "directory that receives the logs of failed seeds of TestCellFaults")
 	cellSeeds = flag.Uint64("cell.seeds", 1, "number of seeds of TestCellFaults, run in parallel within -parallel")
 )
 
@@ -54,11 +65,13 @@
 type cellInjector struct {
 	*cell
 	*outages
-	rng *rand.Rand
+	rng    *rand.Rand
+	series int // remaining rounds of a series of faults of the leader
 }
 
 // Guards against violated guarantees while processes, links, the store and workers fail: runs of a task that overlap or
-// follow its acknowledged success, workers beyond their capacity, lost jobs, refused jobs that run, and wrong states.
+// follow its acknowledged success, workers beyond their capacity, lost jobs, long-running tasks that are not started again,
+// refused jobs that run, and wrong states.
 func TestCellFaults(t *testing.T) {
 	for i := range *cellSeeds {
 		seed := *cellSeed + i
@@ -74,9 +87,20 @@
 	defer cancel()
 	s := &cellInjector{cell: newCell(ctx, t, 3, 4), outages: newOutages(t), rng: rand.New(rand.NewPCG(seed, 0))}
 	first := &trackedJob{job: cellJob(0, 1, 2)}
-	if a := s.caller(seed); !a.submitFor(ctx, first, startTimeout) {
+	long := &trackedJob{job: cellJob(0, 1, cellLongTasks)}
+	long.job.ID, long.job.Steps[0].LongRunning = cellLongRunning, true
+	a := s.caller(seed)
+	if !a.submitFor(ctx, first, startTimeout) || !a.submitFor(ctx, long, startTimeout) {
 		t.Fatal("no job is accepted before the first fault")
 	}
+	for _, p := range s.entries {
+		s.holdConnections(ctx, p)
+	}
+	defer func() {
+		if t.Failed() && *cellLogs != "" {
+			s.keepLogs(filepath.Join(*cellLogs, fmt.Sprint(seed)))
+		}
+	}()
 	jobs := []*trackedJob{first}
 	loadCtx, stop := context.WithCancel(ctx)
 	var wg sync.WaitGroup
@@ -93,29 +117,54 @@
 		s.relays["store of "+p.name].SetRate(netsim.Backward, cellStoreRate)
 	}
 	version := uint64(1)
-	for round := range cellRounds {
+	for round := range cellPhases * cellRounds {
 		end := time.Now().Add(cellRoundTime)
 		if round%3 == 0 { // no more often than such a link can follow
 			version++
 			s.configure(version, min(cellQueues, 700*int(version)))
 		}
+		if s.series = max(0, s.series-1); s.series == 0 && s.rng.IntN(16) == 0 {
+			s.series = cellSeries
+		}
 		for range 1 + s.rng.IntN(2) {
 			s.inject()
 		}
 		s.healUntil(end)
 		s.checkAlive()
+		if round%cellRounds == cellRounds-1 {
+			s.heal(time.Now().Add(time.Hour))
+			s.awaitLongRunning(long.job)
+		}
 	}
-	s.heal(time.Now().Add(time.Hour))
 	s.checkConfiguration(ctx, version)
 	stop()
 	wg.Wait()
 	time.Sleep(cellSettleTime)
 	s.awaitJobs(ctx, jobs, seed)
+	s.awaitLongRunning(long.job)
+	s.checkState(ctx, a, long)
 	s.checkJobs(jobs)
 	s.checkRuns()
 	s.checkLogs()
 }
 
+// awaitLongRunning fails the test for each task of a long-running job that does not run soon.
+func (s *cellInjector) awaitLongRunning(j *spec.Job) {
+	start := time.Now()
+	for {
+		missing := s.missing(j, func(r runs.Record) bool { return r.Ended.IsZero() })
+		if len(missing) == 0 {
+			s.t.Logf("%s all long-running tasks run after %v", start.Format("05.000"), time.Since(start))
+			return
+		}
+		if time.Since(start) > cellRestartTarget {
+			s.t.Errorf("%s long-running tasks do not run within %v: %v", start.Format("05.000"), cellRestartTarget, missing)
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // checkConfiguration fails the test unless all entries have a version in force soon.
 func (s *cellInjector) checkConfiguration(ctx context.Context, version uint64) {
 	a, end := s.caller(version), time.Now().Add(cellConfigTarget)
@@ -174,26 +223,28 @@
 	}
 	if state == "done" && !j.done {
 		j.done, j.doneAt = true, time.Now()
-		for _, w := range s.missing(j.job) {
+		for _, w := range s.missing(j.job, isDone) {
 			s.t.Errorf("job %s is reported as done, but task %s is not", j.job.ID, w)
 		}
 	}
 }
 
-// missing returns the tasks of a job that no worker has completed.
-func (s *cellInjector) missing(j *spec.Job) []string {
-	done := make(map[string]bool)
+func isDone(r runs.Record) bool { return r.Cause == wire.EndDone }
+
+// missing returns the tasks of a job for which no worker has a matching run.
+func (s *cellInjector) missing(j *spec.Job, matches func(runs.Record) bool) []string {
+	found := make(map[string]bool)
 	for _, w := range s.workers {
 		for _, r := range w.Records() {
-			if r.Cause == wire.EndDone {
-				done[r.Run.Task] = true
+			if matches(r) {
+				found[r.Run.Task] = true
 			}
 		}
 	}
 	var list []string
 	for i := range j.Steps {
 		for k := range j.Steps[i].Count {
-			if name := (spec.Task{Job: j.ID, Step: i, Index: k}).String(); !done[name] {
+			if name := (spec.Task{Job: j.ID, Step: i, Index: k}).String(); !found[name] {
 				list = append(list, name)
 			}
 		}
@@ -207,8 +258,11 @@
 	if s.rng.IntN(6) == 0 {
 		duration += 4 * time.Second // longer than the leadership lease
 	}
-	p := slices.Concat(s.entries, s.agents)[s.rng.IntN(len(s.entries)+len(s.agents))]
-	switch s.rng.IntN(9) {
+	p, kind := slices.Concat(s.entries, s.agents)[s.rng.IntN(len(s.entries)+len(s.agents))], s.rng.IntN(13)
+	if s.series > 0 {
+		p, kind = s.leader(), s.rng.IntN(5)
+	}
+	switch kind {
 	case 0, 1:
 		s.add("kill", p.name, duration, func() { s.end(p) }, func() { s.launch(p) })
 	case 2, 3:
@@ -228,11 +282,22 @@
 		s.injectLinkFault(duration)
 	case 7:
 		s.injectStoreFault(duration)
-	case 8:
-		s.injectWorkerFault(duration)
+	case 8, 9:
+		s.injectCrash(duration)
+	default:
+		s.injectCallFault()
 	}
 }
 
+// leader returns the entry that leads the cell or led it last.
+func (s *cellInjector) leader() *cellMember {
+	h, _, err := lead.ReadHead(s.t.Context(), s.rows.Operator(), "main")
+	if err != nil {
+		s.t.Error(err)
+	}
+	return s.entries[max(0, slices.IndexFunc(s.entries, func(p *cellMember) bool { return p.name == h.Leader }))]
+}
+
 func (s *cellInjector) checkSignal(err error) {
 	if err != nil {
 		s.t.Errorf("signal: %v", err)
@@ -284,28 +349,27 @@
 	}
 }
 
-// injectWorkerFault crashes a worker, which returns as a new incarnation, or delays the execution of its commands.
-func (s *cellInjector) injectWorkerFault(duration time.Duration) {
+// injectCrash crashes a worker, which returns as a new incarnation of the same ID.
+func (s *cellInjector) injectCrash(duration time.Duration) {
 	w := s.workers[s.rng.IntN(len(s.workers))]
-	if s.rng.IntN(2) == 0 {
-		s.add("crash", w.Name, duration, w.Crash, func() {
-			l := w.Incarnation()
-			l.StartedAt++
-			w.Restart(l)
-		})
-		return
+	s.add("crash", w.Name, duration, w.crash, func() { w.launch(s.t, w.Incarnation().StartedAt+1) })
+}
+
+// injectCallFault makes calls to a worker go unanswered, and executes them later, or refuses them, or both.
+func (s *cellInjector) injectCallFault() {
+	w := s.workers[s.rng.IntN(len(s.workers))]
+	duration := time.Duration(2000+s.rng.IntN(8000)) * time.Millisecond
+	kinds, polls := 1+s.rng.IntN(3), s.rng.IntN(3) == 0
+	inject := func(kind string, percent int, share *int) {
+		s.add(fmt.Sprintf("%d%% %s (polls: %t)", percent, kind, polls), kind+" calls of "+w.Name, duration,
+			func() { w.update(func() { *share, w.polls = percent, polls }) }, func() { w.update(func() { *share = 0 }) })
+	}
+	if percent := 10 + s.rng.IntN(91); kinds&1 != 0 {
+		inject("unanswered", percent, &w.unanswered)
+	}
+	if percent := 10 + s.rng.IntN(50); kinds&2 != 0 {
+		inject("refused", percent, &w.refused)
 	}
-	rng, mu := rand.New(rand.NewPCG(s.rng.Uint64(), 1)), sync.Mutex{}
-	s.add("late commands", w.Name, duration, func() {
-		w.SetFaults(func() runs.Fault {
-			mu.Lock()
-			defer mu.Unlock()
-			if rng.IntN(3) > 0 {
-				return runs.Fault{}
-			}
-			return runs.Fault{LoseLate: time.Duration(1+rng.IntN(4)) * time.Second}
-		})
-	}, func() { w.SetFaults(nil) })
 }
 
 // checkAlive fails the test for processes that exited without a fault, and restarts them.
@@ -329,7 +393,7 @@
 				break
 			}
 			if gone || time.Now().After(end) {
-				s.t.Errorf("job %s is %q (unknown: %t) after the last fault; missing: %v", j.job.ID, state, gone, s.missing(j.job))
+				s.t.Errorf("job %s is %q (unknown: %t) after the last fault; missing: %v", j.job.ID, state, gone, s.missing(j.job, isDone))
 				break
 			}
 			time.Sleep(50 * time.Millisecond)
@@ -380,7 +444,8 @@
 		for i, a := range list {
 			for _, b := range list[i+1:] {
 				if a.Ended.IsZero() || b.Began.Before(a.Ended) {
-					s.t.Errorf("%s: run %d on %s and run %d on %s overlap", task, a.Run.Number, a.Worker, b.Run.Number, b.Worker)
+					s.t.Errorf("%s: run %d on %s and run %d on %s, from %s, overlap", task, a.Run.Number, a.Worker, b.Run.Number,
+						b.Worker, b.Began.Format("05.000"))
 				}
 				if a.Cause == wire.EndDone && !a.Acknowledged.IsZero() {
 					s.t.Errorf("%s: run %d succeeded and was acknowledged on %s, but run %d started on %s", task,
@@ -391,6 +456,23 @@
 	}
 }
 
+// keepLogs writes the logs of all processes and the runs of all workers to a directory.
+func (s *cellInjector) keepLogs(dir string) {
+	var b bytes.Buffer
+	for _, w := range s.workers {
+		for _, r := range w.Records() {
+			fmt.Fprintf(&b, "%s %+v\n", r.Began.Format(time.RFC3339Nano), r)
+		}
+	}
+	err := os.CopyFS(dir, os.DirFS(s.dir))
+	if err == nil {
+		err = errors.Join(os.Remove(filepath.Join(dir, "trefoilramp")), os.WriteFile(filepath.Join(dir, "runs.txt"), b.Bytes(), 0o600))
+	}
+	if err != nil {
+		s.t.Error(err)
+	}
+}
+
 // cellJob returns a job with a chain of steps.
 func cellJob(n, steps, count int) *spec.Job {
 	j := &spec.Job{ID: spec.ID(fmt.Sprintf("%016x", n+1)), Payload: "pack"}
--- a/cmd/trefoilramp/cell_test.go
+++ b/cmd/trefoilramp/cell_test.go
@@ -59,7 +59,7 @@
 	rows    *memory.Store
 	entries []*cellMember
 	agents  []*cellMember
-	workers []*runs.Worker
+	workers []*cellWorker
 	relays  map[string]*netsim.Relay
 
 	mu     sync.Mutex
@@ -181,20 +181,26 @@
 
 // addAgent starts a stand-in worker, its agent, and the announcements of the worker to the agent until ctx ends.
 func (c *cell) addAgent(ctx context.Context, name string) {
-	w := &runs.Worker{
+	w := c.newCellWorker(&runs.Worker{
 		Name: name, Capacity: sizes.Resources{Processors: cellWorkerProcessors, Memory: 1 << 40},
 		StopTime: 300 * time.Millisecond, MaxLease: cellLease,
 		Plan: func(r wire.Run) runs.Plan {
-			runTime := 300*time.Millisecond + time.Duration(len(r.Task)*7919%900)*time.Millisecond
+			runTime := 100*time.Millisecond + time.Duration(r.Number*7919%400)*time.Millisecond
+			if strings.HasPrefix(r.Task, string(cellLongRunning)) {
+				runTime = 0
+			}
 			return runs.Plan{Size: sizes.Resources{Processors: cellTaskProcessors}, RunTime: runTime}
 		},
-	}
-	w.Restart(wire.WorkerIncarnation{ID: name + "-1", StartedAt: 1})
+	})
 	c.workers = append(c.workers, w)
+	address := w.address
+	if len(c.workers)%2 == 0 { // the others refuse connections after a crash, which a relay does not
+		address = c.addRelay("worker "+name, address)
+	}
 	announcements := c.freeAddress()
 	p := &cellMember{name: "agent-" + name, role: "agent", settings: object{
 		"Process": c.processSettings("agent-" + name), "Announcements": announcements, "Service": "packing",
-		"Worker": c.addRelay("worker "+name, c.serve(adapter.WorkerHandler(w, w.Incarnation))),
+		"Worker": address,
 	}}
 	c.agents = append(c.agents, p)
 	c.launch(p)
@@ -202,7 +208,9 @@
 	go func() {
 		for n := uint64(1); ctx.Err() == nil; n++ {
 			callCtx, cancel := context.WithTimeout(ctx, time.Second)
-			_ = announcer.Announce(callCtx, w.State(), n) // the agent may be down; the next announcement follows
+			if !w.hasCrashed() {
+				_ = announcer.Announce(callCtx, w.State(), n) // the agent may be down; the next announcement follows
+			}
 			cancel()
 			time.Sleep(500 * time.Millisecond)
 		}
