Count the success of a run that was released

Callers could see a task run again after its success.

Cause: the leader ignored the end of a run that it had released for an expired lease, acknowledged it, and started the task again.

Change: a reported success of a task that is not done counts, whatever run it was, and other runs of the task are stopped. Gangs and long-running steps are left as they were.

Evidence: TestSuccessOfReleasedRunCounts: "2 starts after the success of the released run was reported" before.

--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -296,6 +296,7 @@
 		if e.Cause != wire.EndLapsed { // expected after a release for an expired lease
 			t.reportIfReleased(w, e.Run)
 		}
+		t.applyReleasedEnd(e, now)
 		t.addUnmatchedEnd(w, e)
 		return // already released or no longer needed, or its job is not known yet
 	}
@@ -325,6 +326,22 @@
 	}
 }
 
+// applyReleasedEnd counts the success of a run that was released, for example because its worker had been out of reach for
+// longer than its lease. Members of a gang do not count, as the others may have failed.
+func (t *Term) applyReleasedEnd(e wire.RunEnd, now time.Time) {
+	if e.Cause != wire.EndDone {
+		return
+	}
+	j, ordinal, ok := t.findTask(e.Task)
+	if !ok || j.state.IsFinal() || j.tasks[ordinal].done {
+		return
+	}
+	_, step := j.locate(ordinal)
+	if s := &j.spec.Steps[step]; !s.Gang && !s.LongRunning {
+		t.taskDone(j, &run{job: j, ordinal: ordinal, step: s, key: e.Run}, now)
+	}
+}
+
 // taskDone marks the task of a finished run, or all tasks of its gang, as done and stops the other runs of the task.
 func (t *Term) taskDone(j *job, r *run, now time.Time) {
 	t.markDirty(j)
--- a/internal/jobs/lead/expired_test.go
+++ b/internal/jobs/lead/expired_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/jobs/lead"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/stand/runs"
 )
@@ -57,3 +58,19 @@
 		})
 	}
 }
+
+// Guards against a task that runs again after its success: the leader had released the run for an expired lease, ignored
+// its end, and acknowledged it.
+func TestSuccessOfReleasedRunCounts(t *testing.T) {
+	withRun(t, func(term *lead.Term, l *sent, r wire.Run) {
+		time.Sleep(70 * time.Second) // the lease has expired
+		term.Message("host", l, &wire.RunReport{
+			Incarnation: incarnation1, Complete: true, RequestLease: true, LastOrders: 1,
+			Ended: []wire.RunEnd{{Number: 1, Run: r, Cause: wire.EndDone}},
+		})
+		time.Sleep(2 * time.Second)
+		if n := len(l.starts()); n != 1 {
+			t.Errorf("%d starts after the success of the released run was reported, want none but its own", n)
+		}
+	})
+}
