Acknowledge no ends by the poll after one that failed

Callers could see a task run again after its success.

Cause: a worker that restarts under the same ID while a poll has no response, for example behind a cut, got the number of the last end of its earlier incarnation with the next poll, and dropped ends of its own up to it. Only a broken connection kept the number back.

Change: after any failed poll the next one acknowledges nothing; its lease goes on.

Evidence: TestEndOfRestartedWorkerIsReported, new case without a response: no end was reported before.

--- a/internal/host/driver/agent.go
+++ b/internal/host/driver/agent.go
@@ -61,6 +61,7 @@
 	stopping         map[wire.Run]uint64     // runs with a stop in progress, with its fencing token
 	startCalls       int                     // starts in flight to the worker
 	mayBeOther       bool                    // the worker may have restarted under the same ID since the last response
+	hasPollFailed    bool                    // the last poll failed
 	pacer            pacer
 	commands         sync.WaitGroup
 	hasEnded         bool // Run waits for commands, so that none may begin
@@ -122,7 +123,7 @@
 // reset clears the state of an earlier incarnation of the worker.
 func (a *Agent) reset() {
 	a.gone, a.clock, a.deadline, a.acked, a.reported = false, 0, 0, 0, 0
-	a.synced, a.refused, a.mayBeOther = false, nil, false
+	a.synced, a.refused, a.mayBeOther, a.hasPollFailed = false, nil, false, false
 	clear(a.pending)
 	clear(a.stopping)
 	a.pacer = newPacer()
@@ -331,9 +332,13 @@
 		Incarnation: a.state.Incarnation, Token: a.token, DurableEnds: a.acked, Deadline: a.deadline,
 		Wait: wait.Milliseconds(),
 	}
+	// Another incarnation would drop ends of its own, and take the deadline for one on its clock. A worker that only does not
+	// respond keeps its lease.
+	if a.hasPollFailed {
+		request.DurableEnds = 0
+	}
 	if a.mayBeOther {
-		// Another incarnation would drop ends of its own, and take the deadline for one on its clock.
-		request.DurableEnds, request.Deadline, request.Wait = 0, 0, 0
+		request.Deadline, request.Wait = 0, 0
 	}
 	return request, pollContext{ctx: pollCtx, cancel: cancel, commandNumber: a.commandNumber}, true
 }
@@ -346,6 +351,7 @@
 	if request.Incarnation != a.state.Incarnation || request.Token != a.token {
 		return 0
 	}
+	a.hasPollFailed = true
 	isRefused := errors.HasType(err, (*RefusedError)(nil))
 	a.mayBeOther = a.mayBeOther || !isRefused && !errors.Is(err, context.DeadlineExceeded)
 	switch {
@@ -383,7 +389,7 @@
 	if request.Incarnation != a.state.Incarnation || request.Token != a.token {
 		return true
 	}
-	a.mayBeOther = false
+	a.mayBeOther, a.hasPollFailed = false, false
 	a.clock = max(a.clock, response.Clock)
 	a.runCount = len(response.Running)
 	if !a.confirmed || !a.state.Healthy {
--- a/internal/host/driver/driver_test.go
+++ b/internal/host/driver/driver_test.go
@@ -77,17 +77,23 @@
 	return false
 }
 
-// countingWorker counts the polls of a worker.
+// countingWorker counts the polls of a worker and may leave them without a response.
 type countingWorker struct {
 	*runs.Worker
 	mu    sync.Mutex
 	polls int
+	mute  bool // polls get no response
 }
 
 func (w *countingWorker) Poll(ctx context.Context, request driver.PollRequest) (driver.PollResponse, error) {
 	w.mu.Lock()
 	w.polls++
+	mute := w.mute
 	w.mu.Unlock()
+	if mute {
+		<-ctx.Done()
+		return driver.PollResponse{}, ctx.Err()
+	}
 	return w.Worker.Poll(ctx, request)
 }
 
--- a/internal/host/driver/outcome_test.go
+++ b/internal/host/driver/outcome_test.go
@@ -127,28 +127,49 @@
 // Guards against a task that runs again after its success: the number of an end acknowledged for one incarnation of a worker
 // made the next one, under the same ID, drop an end that nobody had stored.
 func TestEndOfRestartedWorkerIsReported(t *testing.T) {
-	withAgent(t, func(ctx context.Context, a *driver.Agent, w *countingWorker, l *leader) {
-		a.Execute(ctx, l, commands(1, w, run1))
-		time.Sleep(1200 * time.Millisecond)
-		a.Execute(ctx, l, &wire.TaskOrders{Incarnation: w.Incarnation(), Number: 2, DurableEnds: 1})
-		time.Sleep(1200 * time.Millisecond)
-		w.Crash()
-		w.Restart(wire.WorkerIncarnation{ID: "w-1", StartedAt: 2})
-		run2 := wire.Run{Task: run1.Task, Number: 2}
-		start := driver.Start{Incarnation: w.Incarnation(), Token: 5, Deadline: lease.Milliseconds()}
-		start.Command.Run = run2
-		if err := w.Start(ctx, start); err != nil {
-			t.Fatal(err)
-		}
-		time.Sleep(2 * time.Second)
-		a.Announce(w.State(), 1)
-		time.Sleep(200 * time.Millisecond)
-		reports := l.reports()
-		last := reports[len(reports)-1]
-		if len(last.Ended) != 1 || last.Ended[0].Run != run2 {
-			t.Errorf("ended runs %+v; want that of %v", last.Ended, run2)
-		}
-	})
+	for _, test := range []struct {
+		name string
+		mute bool
+	}{
+		{"connection is broken", false},
+		{"poll has no response", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withAgent(t, func(ctx context.Context, a *driver.Agent, w *countingWorker, l *leader) {
+				setMute := func(mute bool) {
+					w.mu.Lock()
+					w.mute = mute
+					w.mu.Unlock()
+				}
+				a.Execute(ctx, l, commands(1, w, run1))
+				time.Sleep(1200 * time.Millisecond)
+				a.Execute(ctx, l, &wire.TaskOrders{Incarnation: w.Incarnation(), Number: 2, DurableEnds: 1})
+				time.Sleep(1200 * time.Millisecond)
+				setMute(test.mute)
+				time.Sleep(2 * time.Second)
+				if !test.mute {
+					w.Crash()
+				}
+				w.Restart(wire.WorkerIncarnation{ID: "w-1", StartedAt: 2})
+				run2 := wire.Run{Task: run1.Task, Number: 2}
+				start := driver.Start{Incarnation: w.Incarnation(), Token: 5, Deadline: lease.Milliseconds()}
+				start.Command.Run = run2
+				if err := w.Start(ctx, start); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(1100 * time.Millisecond)
+				setMute(false)
+				time.Sleep(2 * time.Second)
+				a.Announce(w.State(), 1)
+				time.Sleep(200 * time.Millisecond)
+				reports := l.reports()
+				last := reports[len(reports)-1]
+				if len(last.Ended) != 1 || last.Ended[0].Run != run2 {
+					t.Errorf("ended runs %+v; want that of %v", last.Ended, run2)
+				}
+			})
+		})
+	}
 }
 
 // Guards against a worker that gets no runs any more: it was heard of again after it had refused connections, but the
