Drop the response to a poll that began in an earlier session

Callers could see a run that is released or cancelled although it is well, or two runs of a task.

Cause: a poll that began before the same leader connected again has the number of the last commands of the earlier session. Only the token was compared, which is the same, so that the first report of the new session could name commands that it had not sent.

Change: a poll belongs to the session in which it began.

Evidence: TestReportOfEarlierSessionIsDropped: "a report names commands 7, but the session has sent none" before.

--- a/internal/host/driver/agent.go
+++ b/internal/host/driver/agent.go
@@ -54,6 +54,7 @@
 	acked            uint64 // highest number of an ended run that the leader has acknowledged
 	reported         uint64 // highest number of an ended run reported in this session
 	commandNumber    uint64 // of the last commands received
+	adoptions        uint64 // sessions that have adopted the agent
 	leaseRequestedAt time.Time
 	runCount         int // number of runs in the last poll response
 	refused          []wire.RunRefused
@@ -179,6 +180,7 @@
 		a.leader.Close(ErrSuperseded)
 	}
 	a.token, a.leader, a.synced, a.reported, a.commandNumber = m.Token, l, false, a.acked, 0
+	a.adoptions++
 	if a.cancelPoll != nil {
 		a.cancelPoll()
 	}
@@ -290,7 +292,7 @@
 			continue
 		}
 		failures = 0
-		if a.pollDone(ctx, request, pollCtx.commandNumber, response, pendingBefore) {
+		if a.pollDone(ctx, request, pollCtx, response, pendingBefore) {
 			continue
 		}
 		select { // ended runs are reported but not acknowledged yet, and a poll would return at once
@@ -305,10 +307,11 @@
 	a.commands.Wait()
 }
 
-// pollContext is the context of one poll and the number of the last commands received before it.
+// pollContext is the context of one poll, with the session and the number of the last commands received before it.
 type pollContext struct {
 	ctx           context.Context
 	cancel        context.CancelFunc
+	adoptions     uint64
 	commandNumber uint64
 }
 
@@ -340,7 +343,7 @@
 	if a.mayBeOther {
 		request.Deadline, request.Wait = 0, 0
 	}
-	return request, pollContext{ctx: pollCtx, cancel: cancel, commandNumber: a.commandNumber}, true
+	return request, pollContext{ctx: pollCtx, cancel: cancel, adoptions: a.adoptions, commandNumber: a.commandNumber}, true
 }
 
 // pollFailed handles a failed poll and returns the number of consecutive failures.
@@ -380,13 +383,13 @@
 // pollDone handles a poll response and sends the changes to the leader. It reports whether the next poll would wait
 // at the worker instead of returning at once.
 func (a *Agent) pollDone(
-	ctx context.Context, request PollRequest, commandNumber uint64, response PollResponse,
+	ctx context.Context, request PollRequest, poll pollContext, response PollResponse,
 	pendingBefore map[wire.Run]pendingRun,
 ) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.cancelPoll = nil
-	if request.Incarnation != a.state.Incarnation || request.Token != a.token {
+	if request.Incarnation != a.state.Incarnation || poll.adoptions != a.adoptions {
 		return true
 	}
 	a.mayBeOther, a.hasPollFailed = false, false
@@ -412,7 +415,7 @@
 	if len(ended) == 0 && len(a.refused) == 0 && a.synced && now.Sub(a.leaseRequestedAt) < leaseInterval {
 		return mayWait
 	}
-	m := &wire.RunReport{Ended: ended, LastOrders: commandNumber}
+	m := &wire.RunReport{Ended: ended, LastOrders: poll.commandNumber}
 	if !a.synced || now.Sub(a.leaseRequestedAt) >= leaseInterval {
 		m.Complete, m.Running, m.RequestLease = true, response.Running, true
 		if !a.synced {
--- a/internal/host/driver/driver_test.go
+++ b/internal/host/driver/driver_test.go
@@ -82,14 +82,16 @@
 	*runs.Worker
 	mu    sync.Mutex
 	polls int
-	mute  bool // polls get no response
+	mute  bool          // polls get no response
+	delay time.Duration // of the responses to polls
 }
 
 func (w *countingWorker) Poll(ctx context.Context, request driver.PollRequest) (driver.PollResponse, error) {
 	w.mu.Lock()
 	w.polls++
-	mute := w.mute
+	mute, delay := w.mute, w.delay
 	w.mu.Unlock()
+	defer time.Sleep(delay)
 	if mute {
 		<-ctx.Done()
 		return driver.PollResponse{}, ctx.Err()
--- a/internal/host/driver/outcome_test.go
+++ b/internal/host/driver/outcome_test.go
@@ -172,6 +172,27 @@
 	}
 }
 
+// Guards against a run that is released or cancelled by a report from before the current session: its number of the last
+// commands is that of an earlier session of the same leader.
+func TestReportOfEarlierSessionIsDropped(t *testing.T) {
+	withAgent(t, func(ctx context.Context, a *driver.Agent, w *countingWorker, l *leader) {
+		a.Execute(ctx, l, commands(7, w))
+		time.Sleep(2 * time.Second)
+		w.mu.Lock()
+		w.delay = 300 * time.Millisecond
+		w.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		next := &leader{}
+		a.Adopt(next, &wire.LeadAdopt{Token: 5})
+		time.Sleep(2 * time.Second)
+		for _, r := range next.reports() {
+			if r.LastOrders != 0 {
+				t.Errorf("a report names commands %d, but the session has sent none", r.LastOrders)
+			}
+		}
+	})
+}
+
 // Guards against a worker that gets no runs any more: it was heard of again after it had refused connections, but the
 // leader was not told.
 func TestReturnedWorkerIsReported(t *testing.T) {
