Count the lease of a restarted worker from its restart

Callers could see two runs of one task.

Cause: until a restart under the same ID is announced, the agent sends starts with a deadline on the clock of the earlier incarnation. The clock of the new one begins anew, so that the deadline is far ahead and the lease as long as the worker allows. If the worker is out of reach then, the leader counted the lease from the last grant to the earlier incarnation.

Change: the leader counts from the restart.

--- a/internal/jobs/lead/worker.go
+++ b/internal/jobs/lead/worker.go
@@ -117,6 +117,7 @@
 		r.commandSeq, r.listed, r.cancelling, r.startBlocked = 0, false, false, false
 		r.percent, r.startedAt, r.progressedAt = 0, now, now
 	}
+	w.grantedAt = now // the deadline of a start is a later one on the clock of the new incarnation
 }
 
 // recordSuspects remembers the runs whose start the worker has not confirmed, before they are released for an expired lease.
