Say what refusals and unconfirmed stops mean in events and messages

The texts of E902, E903, E908 and E909 and the comments of RunRefused said that a refused start is never executed, and that stops are given up. No change of the software.

--- a/internal/core/event/jobs.go
+++ b/internal/core/event/jobs.go
@@ -51,14 +51,14 @@
 
 var jobEvents = []Entry{
 	{WorkerAnnounced, zapcore.InfoLevel, "worker announced", "The worker of this agent started or changed its phase.", "None."},
-	{WorkerUnresponsive, zapcore.InfoLevel, "worker does not respond", "Status requests to the worker got no response; its runs continue under their lease.", "Check the worker if this persists."},
-	{WorkerEnded, zapcore.InfoLevel, "worker has ended", "The worker process has exited or restarted; none of its previous runs exists any more.", "None."},
+	{WorkerUnresponsive, zapcore.InfoLevel, "worker does not respond", "Status requests to the worker got no response or that of a restarted process; its runs continue under their lease.", "Check the worker if this persists."},
+	{WorkerEnded, zapcore.InfoLevel, "worker has ended", "The worker process has exited, or another one with another ID has responded; none of its previous runs exists any more.", "None."},
 	{LeaderAdopted, zapcore.InfoLevel, "agent follows a leader", "The leader has the highest fencing token that the agent has seen.", "None."},
 	{LeaderRefused, zapcore.InfoLevel, "agent refuses a leader", "A leader has connected with a lower fencing token than that of the current leader.", "None."},
 	{LeaderUnreachable, zapcore.InfoLevel, "leader unreachable", "A message to the leader could not be queued; the session is closed and the leader reconnects.", "None."},
 	{StartUnanswered, zapcore.InfoLevel, "no response to a start", "The worker did not respond to a start command; it is retried, and the run is stopped after the last attempt.", "Check the worker if this persists."},
-	{StartRefused, zapcore.InfoLevel, "start refused", "The worker refused a start command and did not execute it.", "None."},
-	{StopFailed, zapcore.InfoLevel, "stop failed", "The worker did not confirm a stop command; it is retried unless the command is obsolete.", "Check the worker if this persists."},
+	{StartRefused, zapcore.InfoLevel, "start refused", "The worker refused an attempt to start a run. Unanswered is the number of earlier attempts without a response: if it is not 0, one of them may still be executed, and the run is stopped.", "None."},
+	{StopFailed, zapcore.InfoLevel, "stop failed", "The worker did not confirm a stop command; it is retried until the worker confirms it or lists the end of the run, or the command is obsolete.", "Check the worker if this persists."},
 	{RunPaced, zapcore.InfoLevel, "pace of a run changed", "The share of a best-effort task was adjusted to limit its interference with serving tasks on the worker.", "None."},
 	{PaceFailed, zapcore.InfoLevel, "pace command failed", "The worker did not confirm a pace command; it is sent again.", "None."},
 	{LeaderElected, zapcore.InfoLevel, "cell taken over", "This entry leads the cell under a new epoch.", "None; if it is frequent, entries restart or lose their connection to the store."},
--- a/internal/link/wire/task.go
+++ b/internal/link/wire/task.go
@@ -39,7 +39,7 @@
 	RefusedTicket                    // the ticket is missing or no longer valid
 	RefusedBad                       // the worker does not accept the command
 	RefusedSick                      // the worker is unhealthy
-	RefusedSilent                    // the start got no response, and a stop ensured that the run cannot begin
+	RefusedSilent                    // an attempt to start the run got no response, and the worker has confirmed a stop
 	RefusedLife                      // the worker has restarted
 )
 
@@ -92,11 +92,11 @@
 	Checkpoint string `msgpack:"Saved"`
 }
 
-// RunRefused reports a run that has not started and never will.
+// RunRefused reports a run that the worker will not start any more; after RefusedSilent it may have started it before.
 type RunRefused struct {
 	Run
 	Reason Refusal
-	Cause  Refusal // for RefusedSilent: why the last attempt was refused; 0 if it had no response either
+	Cause  Refusal // for RefusedSilent: why a later attempt was refused; 0 if none was
 }
 
 // RunReport reports the runs of a worker to the leader.
