Cancel released runs again on the next incarnation of their worker

Operators would see a worker that gets neither a lease nor runs any more.

Cause: while a run that was released for an expired lease is being cancelled, the worker gets no runs. If it restarted under the same ID meanwhile, the agent dropped the cancel with all commands for the earlier incarnation, and the leader did not send it again in that session.

Change: a restart under the same ID makes the leader send these cancels again.

Evidence: TestReleasedRunIsCancelledOnRestartedWorker: "cancels map[{host-1 1}:1 {host-1 2}:0]; want one on each incarnation" before.

--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -24,9 +24,7 @@
 	for _, r := range w.runs {
 		r.commandSeq, r.cancelling = 0, false // the start was sent in an earlier session or never
 	}
-	for key := range w.suspectRuns {
-		w.suspectRuns[key] = false
-	}
+	w.resetSuspects()
 	event.Log(t.cfg.Log, event.AgentOpened, zap.String("Agent", w.agent.Name), zap.Uint64("Token", t.token))
 	if err := ev.link.Send(&wire.LeadAdopt{Cell: t.cfg.Cell, Token: t.token}); err != nil {
 		ev.link.Close(err)
@@ -66,6 +64,7 @@
 	if m.Incarnation != w.state.Incarnation {
 		if m.Incarnation.ID == w.state.Incarnation.ID {
 			w.recheckRuns(time.Now())
+			w.resetSuspects()
 		} else {
 			t.releaseAll(w, "worker has restarted")
 			clear(w.suspectRuns)
--- a/internal/jobs/lead/outcome_test.go
+++ b/internal/jobs/lead/outcome_test.go
@@ -144,3 +144,26 @@
 		}
 	})
 }
+
+// Guards against a worker that gets no runs any more: it restarted under the same ID while a released run was being
+// cancelled, and nobody cancelled the run on its next incarnation.
+func TestReleasedRunIsCancelledOnRestartedWorker(t *testing.T) {
+	withRun(t, func(term *lead.Term, l *sent, _ wire.Run) {
+		time.Sleep(70 * time.Second) // the lease has expired
+		report := func(incarnation wire.WorkerIncarnation) {
+			term.Message("host", l, &wire.RunReport{Incarnation: incarnation, Complete: true, LastOrders: 1})
+			time.Sleep(time.Second)
+		}
+		report(incarnation1)
+		incarnation2 := wire.WorkerIncarnation{ID: incarnation1.ID, StartedAt: 2}
+		term.Message("host", l, &wire.WorkerState{Incarnation: incarnation2, Service: "packing", Phase: wire.WorkerReady, Healthy: true})
+		report(incarnation2)
+		cancels := make(map[wire.WorkerIncarnation]int)
+		for _, o := range l.orders() {
+			cancels[o.Incarnation] += len(o.Cancels)
+		}
+		if cancels[incarnation1] != 1 || cancels[incarnation2] != 1 {
+			t.Errorf("cancels %v; want one on each incarnation", cancels)
+		}
+	})
+}
--- a/internal/jobs/lead/worker.go
+++ b/internal/jobs/lead/worker.go
@@ -141,7 +141,14 @@
 	}
 }
 
-// cancelSuspects sends the cancels of suspect runs that were not sent in this session.
+// resetSuspects makes the next complete report send the cancels of suspect runs again, since earlier ones may be lost.
+func (w *worker) resetSuspects() {
+	for key := range w.suspectRuns {
+		w.suspectRuns[key] = false
+	}
+}
+
+// cancelSuspects sends the cancels of suspect runs that were not sent in this session to this incarnation.
 func (w *worker) cancelSuspects() {
 	for key, isSent := range w.suspectRuns {
 		if !isSent {
