Show that a task runs twice after its worker restarted behind a cut

The first poll after the cut gives the new incarnation a deadline on the clock of the former one, so that its lease lasts holdMaxMs (10 s), while the leader counts 6.45 s. When the machine of the worker is lost then, its tasks start elsewhere while they are still at work.

--- a/review/stand/bench.go
+++ b/review/stand/bench.go
@@ -43,13 +43,15 @@
 
 // bench runs a small deployment and checks what its workers and clients see.
 type bench struct {
-	dir      string // temporary
-	commands map[string][]string
-	record   *os.File
-	store    *store
-	entries  []*process
-	agents   []*process
-	workers  []*worker
+	dir       string // temporary
+	commands  map[string][]string
+	record    *os.File
+	store     *store
+	entries   []*process
+	agents    []*process
+	workers   []*worker
+	proxies   []*proxy // between the agents and their workers, if isProxied
+	isProxied bool
 
 	mu       sync.Mutex
 	lines    int
@@ -348,7 +350,16 @@
 		w := &worker{b: b, name: fmt.Sprintf("worker-%d", i+1), id: fmt.Sprintf("i-%08x", 0x7f3a9100+i), zone: zone,
 			machine: fmt.Sprintf("m-%d", i+1), service: "dafi-booking", cpu: 16000, mem: 64000, address: freeAddress(ip)}
 		b.workers = append(b.workers, w)
-		p, err := b.addProcess("agent", fmt.Sprintf("side-%s-%d", zone, i/len(zones)+1), zone, 100+i, w.address, w.service, storeAddress)
+		app := w.address
+		if b.isProxied {
+			x, err := newProxy(ip+":0", w.address)
+			if err != nil {
+				return err
+			}
+			b.proxies = append(b.proxies, x)
+			app = x.listener.Addr().String()
+		}
+		p, err := b.addProcess("agent", fmt.Sprintf("side-%s-%d", zone, i/len(zones)+1), zone, 100+i, app, w.service, storeAddress)
 		if err != nil {
 			return err
 		}
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -81,7 +81,8 @@
 	changed  chan struct{}
 	life     chan struct{} // closed at the end of an incarnation
 	server   *http.Server
-	maxEnds  int // most ends that waited for an acknowledgement
+	cut      bool // its heartbeats are lost
+	maxEnds  int  // most ends that waited for an acknowledgement
 }
 
 func (w *worker) clock() int64 { return time.Since(w.born).Milliseconds() }
@@ -133,9 +134,9 @@
 			"coldLeftMs": 0, "capacity": object{"cpu": w.cpu, "memMb": w.mem, "gpu": 0}, "labels": []string{"a", "r1-1"},
 			"clockMs": w.clock(), "seq": w.seq, "born": w.born.UnixMilli(), "machine": w.machine,
 		})
-		control := w.control
+		control, cut := w.control, w.cut
 		w.mu.Unlock()
-		if r, err := http.NewRequest(http.MethodPut, "http://"+control+"/v1/instances/"+w.id, bytes.NewReader(body)); err == nil {
+		if r, err := http.NewRequest(http.MethodPut, "http://"+control+"/v1/instances/"+w.id, bytes.NewReader(body)); err == nil && !cut {
 			r.Header.Set("Content-Type", "application/json")
 			if resp, err := client.Do(r); err == nil {
 				_ = resp.Body.Close()
