--- a/review/stand/bench.go
+++ b/review/stand/bench.go
@@ -202,13 +202,22 @@
 	return out, missing
 }
 
+var usedAddresses = make(map[string]bool)
+
+// freeAddress returns an address that is free and that it hasn't returned before.
 func freeAddress(ip string) string {
-	ln, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		panic(err)
+	for {
+		ln, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			panic(err)
+		}
+		address := ln.Addr().String()
+		_ = ln.Close()
+		if !usedAddresses[address] {
+			usedAddresses[address] = true
+			return address
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
 }
 
 func port(address string) string { _, p, _ := net.SplitHostPort(address); return p }
@@ -495,10 +504,10 @@
 
 var errNotReady = errors.New("the deployment does not run jobs")
 
-// warmUp waits until a first job is done.
+// warmUp waits until a first job is done, which runs on all workers.
 func (b *bench) warmUp() error {
 	time.Sleep(2 * time.Second)
-	if !b.submit("00000000000000aa", "warm up", []stepSpec{{Count: len(b.workers), CPU: 100, MemMb: 64, Estimate: 200, runTime: 200 * time.Millisecond}}) {
+	if !b.submit("00000000000000aa", "warm up", []stepSpec{{Count: len(b.workers), AntiAffinity: 1, CPU: 100, MemMb: 64, Estimate: 200, runTime: 200 * time.Millisecond}}) {
 		return errNotReady
 	}
 	if _, ok := b.awaitState("00000000000000aa", "done", 20*time.Second); !ok {
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -97,10 +97,9 @@
 
 type object = map[string]any
 
-func (s *store) reply(w http.ResponseWriter, status int, fields object) {
-	s.mu.Lock()
-	fields["ver"] = s.ver
-	s.mu.Unlock()
+// reply answers a call whose rows are as of the given version.
+func (s *store) reply(w http.ResponseWriter, status int, ver uint64, fields object) {
+	fields["ver"] = ver
 	fields["nowMs"] = time.Since(begun).Milliseconds()
 	answer(w, status, fields)
 }
@@ -164,7 +163,7 @@
 			part = e.Part
 			if e.Table == "op" || e.Table == "servers" {
 				if len(in.Writes)+len(in.Remove) > 0 {
-					s.reply(w, http.StatusForbidden, object{})
+					answer(w, http.StatusForbidden, object{})
 					return
 				}
 			}
@@ -207,21 +206,22 @@
 			}
 		}
 	}
+	ver := s.ver
 	s.mu.Unlock()
 	m.Unlock()
 	time.Sleep(storeAnswer)
 	if !applied {
-		s.reply(w, http.StatusPreconditionFailed, object{"rows": conflicts})
+		s.reply(w, http.StatusPreconditionFailed, ver, object{"rows": conflicts})
 		return
 	}
-	s.reply(w, http.StatusOK, object{})
+	s.reply(w, http.StatusOK, ver, object{})
 }
 
 func (s *store) refuse(w http.ResponseWriter, reason string) {
 	if s.refused != nil {
 		s.refused(reason)
 	}
-	s.reply(w, http.StatusBadRequest, object{"error": reason})
+	answer(w, http.StatusBadRequest, object{"error": reason})
 }
 
 func (s *store) get(w http.ResponseWriter, r *http.Request) {
@@ -233,6 +233,7 @@
 		limit = n
 	}
 	s.mu.Lock()
+	ver := s.ver
 	var list []*storedRow
 	for ref, row := range s.rows {
 		if ref.table == q.Get("table") && ref.part == q.Get("part") && ref.key >= q.Get("from") &&
@@ -253,7 +254,7 @@
 		size += len(row.value)
 		out = append(out, row.json())
 	}
-	s.reply(w, http.StatusOK, object{"rows": out, "hasMore": more})
+	s.reply(w, http.StatusOK, ver, object{"rows": out, "hasMore": more})
 }
 
 func (s *store) feed(w http.ResponseWriter, r *http.Request) {
@@ -265,7 +266,7 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		changed := s.changed
+		changed, ver := s.changed, s.ver
 		out := []rowJSON{}
 		first := sort.Search(len(s.history), func(i int) bool { return s.history[i].ver > after })
 		for i := first; i < len(s.history); i++ {
@@ -288,12 +289,7 @@
 		s.awaitUp(r)
 		if len(out) > 0 || ended {
 			time.Sleep(storeAnswer)
-			if len(out) == 0 {
-				s.reply(w, http.StatusOK, object{"rows": out})
-				return
-			}
-			fields := object{"rows": out, "nowMs": time.Since(begun).Milliseconds(), "ver": *out[len(out)-1].Ver}
-			answer(w, http.StatusOK, fields)
+			s.reply(w, http.StatusOK, ver, object{"rows": out})
 			return
 		}
 	}
