--- a/review/stand/paging.go
+++ b/review/stand/paging.go
@@ -15,7 +15,7 @@
 
 // runPaging lets the store be down while short tasks end, so that more than 500 ends wait on a worker.
 func runPaging(b *bench, trouble bool) error {
-	const jobs, width, outage = 60, 36, 4200 * time.Millisecond
+	const jobs, width, outage = 40, 36, 4200 * time.Millisecond
 	if err := b.deploy(3, 2); err != nil {
 		return err
 	}
