--- a/review/stand/paging.go
+++ b/review/stand/paging.go
@@ -27,7 +27,7 @@
 	for i := range jobs {
 		wg.Go(func() {
 			accepted[i] = b.submit(fmt.Sprintf("%016x", 0xb0000+i), "fault lookup", []stepSpec{{
-				Count: width, CPU: 240, MemMb: 480, Estimate: 300, runTime: 300 * time.Millisecond,
+				Count: width, CPU: 120, MemMb: 480, Estimate: 300, runTime: 300 * time.Millisecond,
 			}})
 		})
 	}
