Show that a step with advice never starts among more than 30 workers

After 7 empty workers were added to 28, the leader asks the policy service about the same 30 workers again and again, and an accepted job of a queue with advice never starts.

--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -3,15 +3,16 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
-	"os"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
 )
 
 var cases = map[string]func(*stage){
-	"hopeless": hopelessJob, "hang": hang, "silentstore": silentStore, "silentsessions": silentSessions,
+	"hopeless": hopelessJob, "large": largeJob, "advice": addedWorkers, "silentstore": silentStore, "silentsessions": silentSessions,
 }
 
 type step struct {
@@ -21,6 +22,7 @@
 	Est         int    `json:"estRuntimeMs"`
 	After       []int  `json:"after,omitempty"`
 	LongRunning bool   `json:"longRunning,omitempty"`
+	PerWorker   int    `json:"antiAffinity,omitempty"`
 	Image       string `json:"image,omitempty"`
 	MayMiss     int    `json:"mayMiss,omitempty"`
 }
@@ -149,8 +151,14 @@
 	return fmt.Sprintf("runs %v, %d ends taken note of", n, seen)
 }
 
-// hang: a job with many tasks that run side by side must not keep others from being carried out.
-func hang(s *stage) {
+const (
+	lastsBound = 9 * time.Second // LOST: 3 s without a run, from 6 s after the last one
+	largeTasks = 20_000
+)
+
+// largeJob: one large job comes, whose tasks run side by side in an eighth of the capacity. The tasks of others that last must
+// go on, and small jobs must be carried out.
+func largeJob(s *stage) {
 	s.rec.tasks = func(task string) bool { return strings.HasPrefix(task, "00000000000000") }
 	s.configure(1, batch)
 	s.addEntry("entry-1")
@@ -159,27 +167,60 @@
 		s.addAgent(fmt.Sprintf("w%d", n+1), nil)
 	}
 	s.awaitReady()
-	s.submit("0000000000000001", "/batch/", job{"lasts", []step{{Count: 4, CPU: 1000, MemMb: 10, LongRunning: true, MayMiss: 1}}}, 20*time.Second)
-	time.Sleep(3 * time.Second)
-	n := 8000
-	fmt.Sscanf(os.Getenv("N"), "%d", &n)
-	ms := 30000
-	fmt.Sscanf(os.Getenv("MS"), "%d", &ms)
-	if s.trouble && !s.submit("aaaaaaaaaaaaaaaa", "/batch/", job{fmt.Sprintf("ms=%d", ms), []step{{Count: n, CPU: 1, MemMb: 1, Est: ms}}}, 10*time.Second) {
+	const lasting = "00000000000000ff"
+	if !s.submit(lasting, "/batch/", job{"lasts", []step{{Count: 4, CPU: 1000, MemMb: 10, LongRunning: true, MayMiss: 1}}}, 10*time.Second) {
+		s.cannotRun("the lasting job isn't accepted")
+	}
+	time.Sleep(5 * time.Second)
+	large := job{"ms=30000", []step{{Count: largeTasks, CPU: 1, MemMb: 1, Est: 30000}}}
+	if s.trouble && !s.submit("aaaaaaaaaaaaaaaa", "/batch/", large, 10*time.Second) {
 		s.cannotRun("the large job isn't accepted")
 	}
-	for n := range 60 {
+	var small []string
+	for n := range 30 {
 		time.Sleep(time.Second)
+		id := fmt.Sprintf("00000000000000%02d", n)
+		if n%2 == 0 && s.submit(id, "/batch/", twoSteps, 5*time.Second) {
+			small = append(small, id)
+		}
 		if n%5 == 0 {
 			s.rec.note("large job: %s; %s", s.state("aaaaaaaaaaaaaaaa", "/batch/"), s.summary())
 		}
-		if n == 10 {
-			if !s.submit("0000000000000002", "/batch/", job{"ms=500", []step{{Count: 2, CPU: 100, MemMb: 10, Est: 500}, {Count: 2, CPU: 100, MemMb: 10, Est: 500, After: []int{0}}}}, 20*time.Second) {
-				s.broken("a small job isn't accepted within 20 s")
+	}
+	time.Sleep(finishTime + idleBound)
+	s.rec.note("large job: %s; %s", s.state("aaaaaaaaaaaaaaaa", "/batch/"), s.summary())
+	s.checkFinished(small, "/batch/", 2)
+	s.checkLasting(lasting, 4)
+}
+
+// checkLasting applies LOST to tasks that last: none may be without a run for lastsBound. It also counts the leases that lapsed.
+func (s *stage) checkLasting(id string, count int) {
+	lapsed := 0
+	for n := range count {
+		var end time.Time
+		longest := time.Duration(0)
+		running := false
+		for _, h := range histories(s.workers) {
+			if h.task != fmt.Sprintf("%s.0.0.%d", id, n) {
+				continue
+			}
+			if !end.IsZero() {
+				longest = max(longest, h.began.Sub(end))
+			}
+			end, running = h.ended, h.how == ""
+			if h.how == "lapsed" {
+				lapsed++
 			}
 		}
+		if !running && !end.IsZero() {
+			longest = max(longest, time.Since(end))
+		}
+		s.rec.note("task %d that lasts: longest time without a run %.1f s", n, longest.Seconds())
+		if longest > lastsBound {
+			s.broken("LOST: a task that lasts had no run for %.1f s, with the workers nearly idle", longest.Seconds())
+		}
 	}
-	s.rec.note("small job is %s", s.state("0000000000000002", "/batch/"))
+	s.rec.note("%d runs of the job that lasts ended because the lease lapsed", lapsed)
 }
 
 // silentStore: the open connections of an entry to the store go silent; three seconds later a route is added.
@@ -206,7 +247,7 @@
 	if s.trouble {
 		s.rec.note("the open connections of entry-2 to the store go silent; %d have been opened", p.silence())
 	}
-	time.Sleep(3200 * time.Millisecond)
+	time.Sleep(contact + 50*time.Millisecond)
 	added := batch
 	added.Name, added.Prefix = "added", "/added/"
 	s.configure(2, batch, added)
@@ -222,7 +263,10 @@
 	}
 }
 
-const configBound = 2 * time.Second // configMs
+const (
+	configBound = 2 * time.Second // configMs
+	contact     = 3 * time.Second // contactMs: an entry is in touch again after that
+)
 
 // silentSessions: the open connections between the leader and the agents go silent.
 func silentSessions(s *stage) {
@@ -246,6 +290,115 @@
 		}
 		s.rec.note("the open connections between the entry and the agents go silent")
 	}
+	silenced := time.Now()
 	time.Sleep(20 * time.Second)
 	s.rec.note("%s", s.summary())
+	s.checkAvailable("0000000000000001", 1, silenced.Add(contact))
+}
+
+// checkAvailable applies AVAIL to a job of one step with mayMiss: the leases that lapse after a time, with no disruption near,
+// may not end a task while mayMiss others of its step are away.
+func (s *stage) checkAvailable(id string, mayMiss int, after time.Time) {
+	list := histories(s.workers)
+	isAway := func(task string, at time.Time) bool {
+		for _, h := range list {
+			if h.task == task && h.began.Before(at) && (h.how == "" || h.ended.After(at)) {
+				return false
+			}
+		}
+		return true
+	}
+	tasks := make(map[string]bool)
+	for _, h := range list {
+		if strings.HasPrefix(h.task, id) {
+			tasks[h.task] = true
+		}
+	}
+	for _, h := range list {
+		if !tasks[h.task] || h.how != "lapsed" || h.ended.Before(after) {
+			continue
+		}
+		away := 0
+		for task := range tasks {
+			if task != h.task && isAway(task, h.ended) {
+				away++
+			}
+		}
+		s.rec.note("run %d of %s lapsed %.3f s after its machine was in touch again, while %d others were away", h.run, h.task,
+			h.ended.Sub(after).Seconds(), away)
+		if away >= mayMiss {
+			s.broken("AVAIL: a lease that lapsed ended %s while %d others of its step were away", h.task, away)
+		}
+	}
+}
+
+// addedWorkers: empty workers are added to a service. A queue whose policy allows two of the older workers must go on.
+func addedWorkers(s *stage) {
+	s.rec.tasks = func(task string) bool { return !strings.HasPrefix(task, "00000000000000ff") }
+	s.policies = serve(&policy{rec: s.rec, allowed: map[string]bool{"i-w27": true, "i-w28": true}})
+	chosen := batch
+	chosen.Name, chosen.Prefix = "chosen", "/chosen/"
+	chosen.Advice = &advice{DecideMs: 20, EachMs: 2, ValidMs: 3000}
+	s.configure(1, batch, chosen)
+	s.addEntry("entry-1")
+	s.addEntry("entry-2")
+	for n := range 28 {
+		s.addAgent(fmt.Sprintf("w%02d", n+1), nil)
+	}
+	s.awaitReady()
+	if !s.submit("00000000000000ff", "/batch/", job{"lasts", []step{{Count: 28, CPU: 3200, MemMb: 10, LongRunning: true, PerWorker: 1}}}, 10*time.Second) {
+		s.cannotRun("the lasting job isn't accepted")
+	}
+	time.Sleep(3 * time.Second)
+	if !s.submit("0000000000000001", "/chosen/", twoSteps, 10*time.Second) {
+		s.cannotRun("the first job isn't accepted")
+	}
+	time.Sleep(5 * time.Second)
+	s.rec.note("job 0000000000000001 (before) is %s", s.state("0000000000000001", "/chosen/"))
+	if s.trouble {
+		for n := range 7 {
+			s.addAgent(fmt.Sprintf("w%02d", n+29), nil)
+		}
+		s.rec.note("7 empty workers are added to 28")
+	}
+	time.Sleep(8 * time.Second)
+	if !s.submit("0000000000000002", "/chosen/", twoSteps, 10*time.Second) {
+		s.cannotRun("the second job isn't accepted")
+	}
+	time.Sleep(finishTime + 2*idleBound)
+	s.checkFinished([]string{"0000000000000001", "0000000000000002"}, "/chosen/", 2)
+}
+
+// policy is a stand-in for the service that knows which workers may run a step.
+type policy struct {
+	rec     *record
+	allowed map[string]bool // by worker ID
+	mu      sync.Mutex
+	calls   int
+}
+
+func (p *policy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		Step    string
+		Workers []string
+	}
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil || len(in.Workers) > 100 {
+		reply(w, 400, struct{}{})
+		return
+	}
+	p.mu.Lock() // one call at a time
+	defer p.mu.Unlock()
+	time.Sleep(time.Duration(20+2*len(in.Workers)) * time.Millisecond)
+	good := [][]string{}
+	for _, id := range in.Workers {
+		if p.allowed[id] {
+			good = append(good, []string{id, "ticket-" + in.Step + "-" + id})
+		}
+	}
+	p.calls++
+	if p.calls <= 10 || p.calls%20 == 0 {
+		p.rec.note("POST /v1/advise (call %d) for %s, %d workers (%s): good %v", p.calls, in.Step, len(in.Workers),
+			strings.Join(in.Workers, " "), good)
+	}
+	reply(w, 200, map[string]any{"good": good, "validMs": 3000})
 }
--- a/review/stand-2/stage.go
+++ b/review/stand-2/stage.go
@@ -46,16 +46,17 @@
 
 // stage holds the processes and stand-ins of one case.
 type stage struct {
-	rec     *record
-	trouble bool
-	dir     string // temporary, for settings and logs
-	store   *store
-	workers []*worker
-	entries []*process
-	agents  []*process
-	ctx     context.Context
-	cancel  context.CancelFunc
-	failure string
+	rec      *record
+	trouble  bool
+	dir      string // temporary, for settings and logs
+	store    *store
+	policies string // address of the policy service; empty for none
+	workers  []*worker
+	entries  []*process
+	agents   []*process
+	ctx      context.Context
+	cancel   context.CancelFunc
+	failure  string
 }
 
 // process is a program of the system.
@@ -96,7 +97,7 @@
 }
 
 const (
-	holdMax = 6 * time.Second
+	holdMax = 10 * time.Second // holdMaxMs
 	host    = "jobs.example"
 )
 
@@ -145,7 +146,7 @@
 	p := &process{name: name, callers: freeAddress(), sessions: freeAddress(), ready: freeAddress()}
 	path := s.write(name, map[string]any{
 		"Process": s.processSettings(name, p.sessions, store), "Callers": p.callers, "Readiness": p.ready,
-		"Policies": "", "Retention": "120s", "Processors": 0.4,
+		"Policies": s.policies, "Retention": "120s", "Processors": 0.4,
 	})
 	p.args = s.run("entry", path)
 	s.entries = append(s.entries, p)
@@ -211,6 +212,13 @@
 	MaxAttempts int     `json:"maxAttempts"`
 	Priority    int     `json:"priority"`
 	Stretch     float64 `json:"stretch"`
+	Advice      *advice `json:"advice,omitempty"`
+}
+
+type advice struct {
+	DecideMs int `json:"decideMs"`
+	EachMs   int `json:"eachMs"`
+	ValidMs  int `json:"validMs"`
 }
 
 func (s *stage) configure(version int, routes ...route) {
