Show that tasks start again beside silent sessions

The sessions to four agents of six go silent. The leader counts their leases as expired before it opens new sessions, and starts tasks again that have ended done and whose ends were listed.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/trefoilramp ] && [ -x target/stand-2 ] || exit 2
-exec target/stand-2 advice review/7
+exec target/stand-2 silent review/7
--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -12,7 +13,7 @@
 )
 
 var cases = map[string]func(*stage){
-	"hopeless": hopelessJob, "large": largeJob, "advice": addedWorkers, "silentsessions": silentSessions,
+	"hopeless": hopelessJob, "large": largeJob, "advice": addedWorkers, "cancelled": cancelledJob, "silent": silentSessions,
 }
 
 type step struct {
@@ -223,68 +224,84 @@
 	s.rec.note("%d runs of the job that lasts ended because the lease lapsed", lapsed)
 }
 
-const contact = 3 * time.Second // contactMs: a machine is in touch again after that
+const (
+	contact    = 3 * time.Second        // contactMs: a machine is in touch again after that
+	noted      = 100 * time.Millisecond // after which a listed end counts as taken note of, with no disruption near
+	silences   = 4                      // at most, until a rule is broken
+	silentPart = 4                      // workers whose sessions go silent, of 6
+)
 
-// silentSessions: the open connections between the leader and the agents go silent.
+// silentSessions: the open connections between the leader and some agents go silent, while new ones work. Tasks that have ended
+// must not be started again.
 func silentSessions(s *stage) {
 	s.rec.tasks = func(string) bool { return true }
 	s.configure(1, batch)
 	s.addEntry("entry-1")
 	var proxies []*proxy
-	for n := range 4 {
-		s.addAgent(fmt.Sprintf("w%d", n+1), func(address string) string {
+	for n := range 6 {
+		advertise := func(address string) string {
 			p := newProxy(address)
 			proxies = append(proxies, p)
 			return p.address
-		})
+		}
+		if n >= silentPart {
+			advertise = nil
+		}
+		s.addAgent(fmt.Sprintf("w%d", n+1), advertise)
 	}
 	s.awaitReady()
-	s.submit("0000000000000001", "/batch/", job{"lasts", []step{{Count: 4, CPU: 10000, MemMb: 10, LongRunning: true, MayMiss: 1}}}, 20*time.Second)
-	time.Sleep(8 * time.Second)
-	if s.trouble {
+	for n := range silences {
+		var opened time.Time
 		for _, p := range proxies {
-			p.silence()
-		}
-		s.rec.note("the open connections between the entry and the agents go silent")
-	}
-	silenced := time.Now()
-	time.Sleep(20 * time.Second)
-	s.rec.note("%s", s.summary())
-	s.checkAvailable("0000000000000001", 1, silenced.Add(contact))
-}
-
-// checkAvailable applies AVAIL to a job of one step with mayMiss: the leases that lapse after a time, with no disruption near,
-// may not end a task while mayMiss others of its step are away.
-func (s *stage) checkAvailable(id string, mayMiss int, after time.Time) {
-	list := histories(s.workers)
-	isAway := func(task string, at time.Time) bool {
-		for _, h := range list {
-			if h.task == task && h.began.Before(at) && (h.how == "" || h.ended.After(at)) {
-				return false
+			if t := p.lastOpened(); t.After(opened) {
+				opened = t
 			}
 		}
-		return true
-	}
-	tasks := make(map[string]bool)
-	for _, h := range list {
-		if strings.HasPrefix(h.task, id) {
-			tasks[h.task] = true
+		at := opened.Add(420 * time.Millisecond) // just after one of the seconds that the sessions count
+		for time.Until(at) < 4*time.Second {
+			at = at.Add(time.Second)
 		}
-	}
-	for _, h := range list {
-		if !tasks[h.task] || h.how != "lapsed" || h.ended.Before(after) {
-			continue
+		for k := range 8 { // the usual work, so that the agents report at different moments
+			time.Sleep(200 * time.Millisecond)
+			id := fmt.Sprintf("%016x", 0x1000+16*n+k)
+			ms := fmt.Sprintf("ms=%d", 700+rand.IntN(2000))
+			s.submit(id, "/batch/", job{ms, []step{{Count: 5, CPU: 200, MemMb: 10, Est: 1500}}}, 200*time.Millisecond)
 		}
-		away := 0
-		for task := range tasks {
-			if task != h.task && isAway(task, h.ended) {
-				away++
+		time.Sleep(time.Until(at) - 300*time.Millisecond)
+		for k := range 4 {
+			id := fmt.Sprintf("%016x", 16*n+k)
+			if !s.submit(id, "/batch/", job{"ms=4900", []step{{Count: 12, CPU: 300, MemMb: 10, Est: 4900}}}, 200*time.Millisecond) {
+				s.cannotRun("a job isn't accepted")
 			}
 		}
-		s.rec.note("run %d of %s lapsed %.3f s after its machine was in touch again, while %d others were away", h.run, h.task,
-			h.ended.Sub(after).Seconds(), away)
-		if away >= mayMiss {
-			s.broken("AVAIL: a lease that lapsed ended %s while %d others of its step were away", h.task, away)
+		time.Sleep(time.Until(at))
+		if s.trouble {
+			for _, p := range proxies {
+				p.silence()
+			}
+			s.rec.note("the open connections between the entry and the agents of %d workers go silent", len(proxies))
+		}
+		time.Sleep(12 * time.Second)
+		s.checkTwice(at)
+		if s.failure != "" {
+			break
+		}
+	}
+	s.rec.note("%s", s.summary())
+}
+
+// checkTwice applies TWICE: no task starts after a run has ended done, if that end counts as taken note of. Without a disruption
+// near it does so 100 ms after the worker has listed it; the last disruption was at the given time.
+func (s *stage) checkTwice(disrupted time.Time) {
+	done := make(map[string]history)
+	for _, h := range histories(s.workers) {
+		d, ok := done[h.task]
+		if ok && h.began.After(d.listed.Add(noted)) && (!s.trouble || d.listed.Sub(disrupted) > contact) {
+			s.broken("TWICE: run %d of %s began on %s %.2f s after run %d had ended done on %s (listed %.2f s after the disruption)", h.run,
+				h.task, h.worker, h.began.Sub(d.ended).Seconds(), d.run, d.worker, d.listed.Sub(disrupted).Seconds())
+		}
+		if h.how == "done" && !h.listed.IsZero() {
+			done[h.task] = h
 		}
 	}
 }
@@ -380,3 +397,77 @@
 	}
 	reply(w, 200, map[string]any{"good": good, "validMs": p.advice.ValidMs})
 }
+
+// cancelledJob: a client gives up a submission that isn't answered in time, and cancels the job. It must not run.
+func cancelledJob(s *stage) {
+	s.rec.tasks = func(task string) bool { return strings.HasPrefix(task, "aaaaaaaaaaaaaaaa") }
+	s.configure(1, batch)
+	s.addEntry("entry-1")
+	for n := range 3 {
+		s.addAgent(fmt.Sprintf("w%d", n+1), nil)
+	}
+	s.awaitReady()
+	s.addEntry("entry-2")
+	s.addEntry("entry-3")
+	s.awaitReady()
+	ended := make(chan struct{})
+	go func() { // other clients, at another entry
+		defer close(ended)
+		for n := range 40 {
+			s.submit(fmt.Sprintf("00000000000000%02d", n), "/batch/", twoSteps, 5*time.Second)
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	time.Sleep(time.Second)
+	const id = "aaaaaaaaaaaaaaaa"
+	if s.trouble {
+		s.store.lose("entry-2", lateBy)
+		s.rec.note("the answers of the store to transactions of entry-2 are lost, for %v", lossTime)
+		time.AfterFunc(lossTime, func() {
+			s.rec.note("answers are no longer lost; transactions by caller meanwhile: %v", s.store.lose("", 0))
+		})
+	}
+	large := job{"ms=4000", []step{
+		{Count: 3, CPU: 1000, MemMb: 10, Est: 4000}, {Count: 3, CPU: 1000, MemMb: 10, Est: 4000, After: []int{0}},
+	}}
+	sent := time.Now()
+	status, _ := s.callFor(s.entries[1], "POST", "/batch/"+id, large, patience)
+	s.rec.note("POST %s at entry-2: %d after %.2f s (0: the client has left)", id, status, time.Since(sent).Seconds())
+	var acked time.Time
+	for time.Since(sent) < 10*time.Second && acked.IsZero() {
+		status, _ = s.call(s.entries[2], "DELETE", "/batch/"+id, nil)
+		s.rec.note("DELETE %s at entry-3: %d", id, status)
+		if status/100 == 2 || status == 410 {
+			acked = time.Now()
+		} else {
+			time.Sleep(200 * time.Millisecond)
+		}
+	}
+	if acked.IsZero() {
+		s.cannotRun("the cancellation isn't acknowledged")
+	}
+	for n := range 10 {
+		time.Sleep(time.Second)
+		s.rec.note("%d s after the acknowledgement, GET %s: %s", n+1, id, s.state(id, "/batch/"))
+	}
+	<-ended
+	for _, h := range histories(s.workers) {
+		if !strings.HasPrefix(h.task, id) {
+			continue
+		}
+		if d := h.began.Sub(acked); d > cancelBound {
+			s.broken("UNASKED: %s was started %.2f s after its job's cancelling was acknowledged", h.task, d.Seconds())
+		}
+		if d := h.ended.Sub(acked); h.how == "" || d > cancelBound+killTime {
+			s.broken("UNASKED: %s ran on after its job's cancelling was acknowledged", h.task)
+		}
+	}
+}
+
+const (
+	lossTime    = 1500 * time.Millisecond // for which answers are lost
+	lateBy      = 6 * time.Second         // after which such transactions are carried out
+	patience    = 900 * time.Millisecond  // after which the client gives up
+	cancelBound = 3 * time.Second         // cancel_ms
+	killTime    = 400 * time.Millisecond  // killTimeoutMs
+)
--- a/review/stand-2/proxy.go
+++ b/review/stand-2/proxy.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
 // proxy forwards connections to a target. Connections that are open when silence is called deliver nothing further, without
@@ -14,8 +15,8 @@
 	target  string
 
 	mu     sync.Mutex
-	age    int // number of calls of silence
-	opened int
+	age    int       // number of calls of silence
+	opened time.Time // when the last connection was opened
 }
 
 func newProxy(target string) *proxy {
@@ -34,14 +35,17 @@
 	return p
 }
 
-// silence makes all open connections silent and returns how many have been opened since the last call.
-func (p *proxy) silence() int {
+// silence makes all open connections silent.
+func (p *proxy) silence() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.age++
-	n := p.opened
-	p.opened = 0
-	return n
+}
+
+func (p *proxy) lastOpened() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
 }
 
 func (p *proxy) isSilent(age int) bool {
@@ -58,7 +62,7 @@
 	}
 	p.mu.Lock()
 	age := p.age
-	p.opened++
+	p.opened = time.Now()
 	p.mu.Unlock()
 	go p.copy(c, t, age)
 	p.copy(t, c, age)
--- a/review/stand-2/stage.go
+++ b/review/stand-2/stage.go
@@ -140,7 +140,7 @@
 func (s *stage) addEntry(name string) *process {
 	p := &process{name: name, callers: freeAddress(), sessions: freeAddress(), ready: freeAddress()}
 	path := s.write(name, map[string]any{
-		"Process": s.processSettings(name, p.sessions, s.store.listen()), "Callers": p.callers, "Readiness": p.ready,
+		"Process": s.processSettings(name, p.sessions, s.store.listen(name)), "Callers": p.callers, "Readiness": p.ready,
 		"Policies": s.policies, "Retention": "120s", "Processors": 0.4,
 	})
 	p.args = s.run("entry", path)
@@ -155,7 +155,7 @@
 	w := newWorker(name, s.rec, holdMax)
 	w.control = freeAddress()
 	p := &process{name: "agent-" + name, sessions: freeAddress()}
-	settings := s.processSettings(p.name, p.sessions, s.store.listen())
+	settings := s.processSettings(p.name, p.sessions, s.store.listen(p.name))
 	if advertise != nil {
 		settings["Advertise"] = advertise(p.sessions)
 	}
@@ -230,11 +230,16 @@
 
 // call sends a client's request to an entry; the status is 0 when no response arrives within the client's deadline of 3 s.
 func (s *stage) call(p *process, method, path string, body any) (int, map[string]any) {
+	return s.callFor(p, method, path, body, 3*time.Second)
+}
+
+// callFor is call for a client that leaves after a time.
+func (s *stage) callFor(p *process, method, path string, body any, stay time.Duration) (int, map[string]any) {
 	var b []byte
 	if body != nil {
 		b, _ = json.Marshal(body)
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, 3*time.Second)
+	ctx, cancel := context.WithTimeout(s.ctx, stay)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.callers+path, bytes.NewReader(b))
 	check(err)
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -3,9 +3,12 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sort"
 	"strconv"
 	"sync"
@@ -43,7 +46,10 @@
 	ver     uint64
 	log     []row
 	changed chan struct{}
-	refused int // transactions with a row that is too large
+	refused int    // transactions with a row that is too large
+	lossy   string // caller whose transactions aren't answered and are carried out late; empty for none
+	late    time.Duration
+	counts  map[string]int // transactions by caller while lossy is set
 }
 
 func newStore(rec *record) *store {
@@ -52,18 +58,56 @@
 	}
 }
 
-// listen serves the store at a free address and returns it.
-func (s *store) listen() string {
+// lose makes the store leave the transactions of a caller unanswered and carry them out late, or ends that for the name "".
+// It returns the number of transactions of each caller since the last call.
+func (s *store) lose(caller string, late time.Duration) map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.counts
+	s.lossy, s.late, s.counts = caller, late, make(map[string]int)
+	return n
+}
+
+// listen serves the store for a caller at a free address and returns it.
+func (s *store) listen(caller string) string {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/rows-tx", s.tx)
 	mux.HandleFunc("GET /v1/rows-get", s.get)
 	mux.HandleFunc("GET /v1/rows-feed", s.feed)
 	return serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(storeLatency)
+		if r.URL.Path == "/v1/rows-tx" {
+			s.mu.Lock()
+			if s.counts != nil {
+				s.counts[caller]++
+			}
+			isLost, late := s.lossy == caller, s.late
+			s.mu.Unlock()
+			if isLost {
+				s.txLate(r, late)
+				<-r.Context().Done()
+				panic(http.ErrAbortHandler)
+			}
+		}
 		mux.ServeHTTP(w, r)
 	}))
 }
 
+// txLate carries a transaction out later, without an answer.
+func (s *store) txLate(r *http.Request, late time.Duration) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.rec.note("store: a transaction isn't answered, and is carried out %v later", late)
+	time.AfterFunc(late, func() {
+		again := httptest.NewRequest(http.MethodPost, "/v1/rows-tx", bytes.NewReader(body))
+		answer := httptest.NewRecorder()
+		s.tx(answer, again)
+		s.rec.note("store: a late transaction is carried out, with status %d", answer.Code)
+	})
+}
+
 // serve serves h at a free loopback address.
 func serve(h http.Handler) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -57,6 +57,7 @@
 	began  time.Time
 	ended  time.Time
 	how    string
+	listed time.Time // when a hold first returned the end
 	seen   time.Time // when lastSeen reached the end, with the lease unbroken
 }
 
@@ -361,6 +362,9 @@
 		if len(ended) == endsPerCall {
 			break
 		}
+		if e.h.listed.IsZero() {
+			e.h.listed = time.Now()
+		}
 		ended = append(ended, []any{e.n, e.h.task, e.h.run, e.h.how, ""})
 	}
 	out := map[string]any{"clockMs": w.clock(), "born": w.born.UnixMilli(), "running": running, "ended": ended}
