Replace sessions that are silent while the peer answers on new ones

Cause: a session ended after 5 s without a frame, and leases of 6 s expire 5 to 6.5 s after the last report. Nothing asked in between whether the agent answers on a new connection. Shown by the log of a run on: the runs are released 5.34 s after the silence, the sessions end 5.98 s after it, and the ends arrive on the new ones 1 ms later. Ruled out by the same log: lost ends, a second leader.

Change: a session reports a peer that has left pings unanswered for two ticks of 1 s; the leader dials the agent beside the old session and replaces it once a handshake succeeds (E948). An entry does the same with its session to the leader.

--- a/internal/core/event/jobs.go
+++ b/internal/core/event/jobs.go
@@ -48,6 +48,7 @@
 	ReleasedRunFound    Number = 945
 	StartPending        Number = 946
 	AnnouncementRefused Number = 947
+	SessionReplaced     Number = 948
 )
 
 var jobEvents = []Entry{
@@ -95,4 +96,5 @@
 	{ReleasedRunFound, zapcore.WarnLevel, "released run found on a worker", "A worker has a run that the leader had released; another run of its task may have run at the same time, and the worker may have exceeded its capacity.", "Report it with the log; Reason is why the run had been released."},
 	{StartPending, zapcore.InfoLevel, "start pending", "The outcome of a start is still unknown after some seconds; its task and its capacity are held until it is known.", "Check the worker if this persists."},
 	{AnnouncementRefused, zapcore.InfoLevel, "announcement refused", "An announced incarnation of the worker is not the one that responds at the worker's address; it had no effect.", "Find its sender if this persists."},
+	{SessionReplaced, zapcore.InfoLevel, "silent session replaced", "The agent did not answer on the open session, but on a new one; the leader uses the new one.", "Check the network, and any proxies that drop idle connections, if this persists."},
 }
--- a/internal/link/netsim/relay.go
+++ b/internal/link/netsim/relay.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -59,6 +60,7 @@
 	client, upstream net.Conn
 	done             chan struct{}
 	once             sync.Once
+	silent           atomic.Bool
 }
 
 func (p *pair) close() {
@@ -127,6 +129,15 @@
 	r.CloseConnections()
 }
 
+// Silence discards all later bytes and the ends of the open connections, without a reset; connections opened later work.
+func (r *Relay) Silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		p.silent.Store(true)
+	}
+}
+
 // CloseConnections closes all open connections.
 func (r *Relay) CloseConnections() {
 	r.mu.Lock()
@@ -212,6 +223,7 @@
 	go func() {
 		defer r.running.Done()
 		wg.Wait()
+		p.close()
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		delete(r.pairs, p)
@@ -234,7 +246,9 @@
 		r.readChunks(p, dir, from, chunks)
 	})
 	r.writeChunks(p, dir, to, chunks)
-	p.close()
+	if !p.silent.Load() {
+		p.close()
+	}
 	reader.Wait()
 }
 
@@ -281,7 +295,7 @@
 			}
 			imp, changed = r.impairment(dir)
 		}
-		if imp.dropped {
+		if imp.dropped || p.silent.Load() {
 			continue
 		}
 		if imp.rate > 0 && !wait(p, time.Until(r.transmit(dir, len(c.data), imp.rate))) {
--- a/internal/link/sess/config.go
+++ b/internal/link/sess/config.go
@@ -27,6 +27,7 @@
 
 	pingInterval        = time.Second
 	idleTicks           = int(IdleTimeout / pingInterval)
+	unansweredTicks     = 2              // ticks without a pong after which Unanswered reports the peer
 	closeTimeout        = time.Second    // to send the last messages and the reason, and for the peer to close
 	controlFrames       = 512            // queued one-way messages
 	controlBytes        = 1 << 20        // bytes of queued one-way messages
--- a/internal/link/sess/limit_test.go
+++ b/internal/link/sess/limit_test.go
@@ -280,3 +280,34 @@
 		})
 	}
 }
+
+// Guards against a silent connection that is noticed only when the session ends, and against a peer that counts as silent while
+// the handler of this side is busy.
+func TestUnansweredPings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var left, right recorder
+		d, a, conn := faultPair(t, &left, &right, 0, 0)
+		left.busy = 4 * time.Second
+		if err := a.Send(&wire.ConfigChanged{}); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(10 * time.Second)
+		select {
+		case <-d.Unanswered():
+			t.Error("a peer that answers counts as silent")
+		default:
+		}
+		conn.lossy = true
+		began := time.Now()
+		select {
+		case <-d.Unanswered():
+		case <-d.Done():
+			t.Error("session ended before the peer counted as silent")
+		}
+		if took := time.Since(began); took < time.Second || took > 3*time.Second {
+			t.Errorf("silent after %v; want 1 to 3 s", took)
+		}
+		d.Wait()
+		a.Wait()
+	})
+}
--- a/internal/link/sess/reader.go
+++ b/internal/link/sess/reader.go
@@ -77,7 +77,9 @@
 			err = errors.Newf("handler of %v panicked", m.Kind())
 		}
 	}()
+	s.delivering.Store(true)
 	s.handler.HandleMessage(s, m)
+	s.delivering.Store(false)
 	return nil
 }
 
@@ -114,6 +116,11 @@
 		return violation("pong of %d bytes", len(p))
 	}
 	s.mu.Lock()
+	s.pongSeen = true
+	select {
+	case <-s.unanswered:
+	default:
+	}
 	current := binary.BigEndian.Uint64(p) == s.pingSeq
 	sentAt := s.pingAt
 	s.mu.Unlock()
--- a/internal/link/sess/session.go
+++ b/internal/link/sess/session.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,6 +31,8 @@
 	wake       chan struct{}       // signals the writer that there is something to write
 	done       chan struct{}
 	writerDone chan struct{} // closed when the writer goroutine has ended
+	unanswered chan struct{} // see Unanswered
+	delivering atomic.Bool   // the handler has a message, and the reader waits for it
 	running    sync.WaitGroup
 
 	mu            sync.Mutex
@@ -55,6 +58,8 @@
 	pongReceived  int64
 	frameSeen     bool // a frame has arrived since the last tick
 	silentTicks   int  // consecutive ticks without a frame
+	pongSeen      bool // a pong has arrived since the last tick
+	pongless      int  // consecutive ticks without a pong, while the reader was not waiting for the handler
 	writing       bool // the writer is blocked in Write or about to call it
 	wrote         bool // a write has completed since the last tick
 	stalledTicks  int  // consecutive ticks during the same write
@@ -114,6 +119,7 @@
 		wake:       make(chan struct{}, 1),
 		done:       make(chan struct{}),
 		writerDone: make(chan struct{}),
+		unanswered: make(chan struct{}, 1),
 		streams:    make(map[uint64]*Stream),
 		pingDue:    true,
 	}
@@ -153,6 +159,10 @@
 // Done returns a channel that is closed when the session ends.
 func (s *Session) Done() <-chan struct{} { return s.done }
 
+// Unanswered returns a channel that receives a value once a second while the peer has not answered pings for two seconds or
+// more. The connection may be silent for good, while the peer would answer on a new one.
+func (s *Session) Unanswered() <-chan struct{} { return s.unanswered }
+
 // Wait waits until the session's goroutines, including those of HandleStream, have ended.
 func (s *Session) Wait() { s.running.Wait() }
 
@@ -316,7 +326,14 @@
 	s.ticker.Reset(pingInterval)
 	s.silentTicks = consecutive(s.silentTicks, !s.frameSeen)
 	s.stalledTicks = consecutive(s.stalledTicks, s.writing && !s.wrote)
-	s.frameSeen, s.wrote = false, false
+	s.pongless = consecutive(s.pongless, !s.pongSeen && !s.delivering.Load())
+	s.frameSeen, s.wrote, s.pongSeen = false, false, false
+	if s.pongless >= unansweredTicks {
+		select {
+		case s.unanswered <- struct{}{}:
+		default:
+		}
+	}
 	idle := s.silentTicks >= idleTicks || s.stalledTicks >= idleTicks
 	s.mu.Unlock()
 	if idle {
--- a/internal/link/sess/session_test.go
+++ b/internal/link/sess/session_test.go
@@ -33,9 +33,11 @@
 	closed   []error
 	stream   func(st *sess.Stream)
 	panics   bool
+	busy     time.Duration // that each message takes
 }
 
 func (r *recorder) HandleMessage(_ *sess.Session, m wire.Message) {
+	time.Sleep(r.busy)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.messages = append(r.messages, m)
--- a/internal/role/jobs/agents.go
+++ b/internal/role/jobs/agents.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/jobs/lead"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
@@ -67,26 +68,15 @@
 	delay := minRedialDelay
 	for ctx.Err() == nil {
 		dialedAt := time.Now()
-		h := &agentHandler{term: t, name: a.Name, ready: make(chan struct{})}
-		limited, cancel := context.WithTimeout(ctx, dialTimeout)
-		s, err := sess.Dial(limited, a.Address, n.cfg, h)
-		cancel()
+		l, err := n.open(ctx, t, a)
 		if err != nil {
 			pause.For(ctx, delay)
 			delay = min(2*delay, maxRedialDelay)
 			continue
 		}
-		l := &link{session: s}
-		h.link = l
-		t.Opened(a.Name, l)
-		close(h.ready)
-		select {
-		case <-s.Done():
-		case <-ctx.Done():
-			s.Close(nil)
+		for l != nil {
+			l = n.awaitEnd(ctx, t, a, l)
 		}
-		s.Wait()
-		t.Closed(a.Name, l)
 		if time.Since(dialedAt) >= stableAfter {
 			delay = minRedialDelay
 			continue
@@ -96,6 +86,50 @@
 	}
 }
 
+// open opens a session to an agent and reports it to the term.
+func (n *agentNetwork) open(ctx context.Context, t *lead.Term, a rows.Agent) (*link, error) {
+	h := &agentHandler{term: t, name: a.Name, ready: make(chan struct{})}
+	limited, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	s, err := sess.Dial(limited, a.Address, n.cfg, h)
+	if err != nil {
+		return nil, err
+	}
+	h.link = &link{session: s}
+	t.Opened(a.Name, h.link)
+	close(h.ready)
+	return h.link, nil
+}
+
+// awaitEnd waits until a session has ended and returns nil. While the agent does not answer, it dials the agent again, since
+// the connection may be silent although the agent is in reach, and returns a session that replaces the silent one.
+func (n *agentNetwork) awaitEnd(ctx context.Context, t *lead.Term, a rows.Agent, l *link) *link {
+	for {
+		select {
+		case <-l.session.Done():
+		case <-ctx.Done():
+			l.session.Close(nil)
+		case <-l.session.Unanswered():
+			next, err := n.open(ctx, t, a)
+			if err != nil {
+				continue
+			}
+			event.Log(n.log, event.SessionReplaced, zap.String("Agent", a.Name))
+			l.session.Close(sess.ErrIdle)
+			n.wg.Go(func() { n.finish(t, a, l) })
+			return next
+		}
+		n.finish(t, a, l)
+		return nil
+	}
+}
+
+// finish waits for the last message of a session that is ending, and reports the end to the term.
+func (n *agentNetwork) finish(t *lead.Term, a rows.Agent, l *link) {
+	l.session.Wait()
+	t.Closed(a.Name, l)
+}
+
 // link sends messages on a session; it implements lead.Link and driver.Leader.
 type link struct {
 	session *sess.Session
--- a/internal/role/jobs/jobs_test.go
+++ b/internal/role/jobs/jobs_test.go
@@ -48,6 +48,13 @@
 }
 
 func startEntry(ctx context.Context, t *testing.T, s *memory.Store, name string, wg *sync.WaitGroup) (*jobs.Entry, context.CancelFunc) {
+	t.Helper()
+	return startEntryWithLease(ctx, t, s, name, lease, wg)
+}
+
+func startEntryWithLease(
+	ctx context.Context, t *testing.T, s *memory.Store, name string, lease time.Duration, wg *sync.WaitGroup,
+) (*jobs.Entry, context.CancelFunc) {
 	t.Helper()
 	store := rows.NewMonitor(s.Client(name), zap.NewNop(), nil)
 	decode := func(b []byte) (queues.Document, error) { return queues.Document{Version: uint64(b[0])}, nil }
@@ -77,18 +84,32 @@
 	startAgentAt(ctx, t, s, name, freeAddress(t), "", wg)
 }
 
-// startAgentAt starts an agent that registers address and accepts sessions there, or at listen unless it is empty.
-func startAgentAt(
-	ctx context.Context, t *testing.T, s *memory.Store, name, address, listen string, wg *sync.WaitGroup,
-) {
-	t.Helper()
+// newWorker returns a stand-in for a worker whose runs take runTime.
+func newWorker(name string, lease, runTime time.Duration) *runs.Worker {
 	w := &runs.Worker{
 		Name: name, Capacity: sizes.Resources{Processors: 4000, Memory: 1 << 40}, StopTime: 50 * time.Millisecond, MaxLease: lease,
 		Plan: func(wire.Run) runs.Plan {
-			return runs.Plan{Size: sizes.Resources{Processors: 500}, RunTime: 100 * time.Millisecond}
+			return runs.Plan{Size: sizes.Resources{Processors: 500}, RunTime: runTime}
 		},
 	}
 	w.Restart(wire.WorkerIncarnation{ID: name, StartedAt: 1})
+	return w
+}
+
+// startAgentAt starts an agent that registers address and accepts sessions there, or at listen unless it is empty.
+func startAgentAt(
+	ctx context.Context, t *testing.T, s *memory.Store, name, address, listen string, wg *sync.WaitGroup,
+) {
+	t.Helper()
+	startAgentOf(ctx, t, s, newWorker(name, lease, 100*time.Millisecond), lease, address, listen, wg)
+}
+
+// startAgentOf starts an agent of a worker with leases of a given duration.
+func startAgentOf(
+	ctx context.Context, t *testing.T, s *memory.Store, w *runs.Worker, lease time.Duration, address, listen string, wg *sync.WaitGroup,
+) {
+	t.Helper()
+	name := w.Name
 	a, err := jobs.NewAgent(ctx, jobs.AgentConfig{
 		Cell: "main", Name: name, Zone: "agadir", Address: address, Listen: listen, Key: key, Lease: lease, Worker: w,
 		Store: s.Client(name), Log: zap.NewNop(),
--- a/internal/role/jobs/leader.go
+++ b/internal/role/jobs/leader.go
@@ -149,7 +149,8 @@
 	}
 }
 
-// watch probes the leader until the session has ended, another entry leads or ctx ends.
+// watch probes the leader until the session has ended or is silent, another entry leads or ctx ends. The leader may answer on a
+// new session while this one is silent.
 func (c *leaderClient) watch(ctx context.Context, s *sess.Session, epoch uint64) {
 	ticker := time.NewTicker(leaderPollInterval)
 	defer ticker.Stop()
@@ -160,6 +161,8 @@
 		select {
 		case <-s.Done():
 			return
+		case <-s.Unanswered():
+			return
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
