Split the progress of large jobs into rows that the store accepts

Cause: the row of a job held the numbers of all failed runs without a bound; above 64 KiB the store refuses the commit, which holds the head row and the progress of all jobs too, and each leader repeats it.

Change: progress is stored in pages, each of a range of tasks that certainly fits into a row with the attempts that the queue allows; only changed pages are written. A task stores the numbers of its last 16 failed runs and the count of those before. Jobs of the sites have one page, in the row of before.

--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -1,7 +1,6 @@
 package lead
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -317,7 +316,7 @@
 	}
 	if e.Checkpoint != "" && e.Checkpoint != task.checkpoint {
 		task.checkpoint = e.Checkpoint
-		t.markDirty(j)
+		t.markTaskDirty(j, r.ordinal)
 	}
 	switch {
 	case r.step.LongRunning:
@@ -371,17 +370,17 @@
 // taskFailed counts a failed run and fails the job once a task has used up its attempts.
 func (t *Term) taskFailed(j *job, r *run, now time.Time) {
 	task := &j.tasks[r.ordinal]
-	if slices.Contains(task.failed, r.key.Number) {
+	if task.hasFailed(r.key.Number) {
 		return // already counted, by this or an earlier leader, but not yet acknowledged to the agent
 	}
-	task.failed = append(task.failed, r.key.Number)
+	task.addFailure(r.key.Number)
 	task.avoid, task.avoidUntil = r.worker, now.Add(lastAttemptDelay)
-	t.markDirty(j)
+	t.markTaskDirty(j, r.ordinal)
 	if r.worker.reliability.record(failWeight, now) {
 		event.Log(t.cfg.Log, event.WorkerUnreliable, zap.String("Worker", r.worker.state.Incarnation.ID),
 			zap.Float64("Score", r.worker.reliability.currentScore(now)))
 	}
-	if len(task.failed) >= max(1, j.spec.MaxAttempts) && !r.step.LongRunning {
+	if task.failures() >= max(1, j.spec.MaxAttempts) && !r.step.LongRunning {
 		t.finish(j, rows.Failed, now)
 	}
 }
--- a/internal/jobs/lead/commit.go
+++ b/internal/jobs/lead/commit.go
@@ -56,28 +56,33 @@
 	return advanced
 }
 
-// startCommit writes the progress of up to maxBatch jobs and maxBatchBytes, and deletes up to maxDeletes rows, in the
+// startCommit writes up to maxBatch pages of progress and maxBatchBytes, and deletes up to maxDeletes rows, in the
 // background; the result arrives as a committed event.
 func (t *Term) startCommit(ctx context.Context, now time.Time) {
 	c := &commit{}
 	var puts []rows.Row
 	size := 0
-	for j := range t.dirty {
+	for p := range t.dirty {
 		if len(puts) == maxBatch {
 			break
 		}
-		value, err := encodeProgress(j)
+		if p.number > 0 && p.job.state.IsFinal() {
+			delete(t.dirty, p) // the state of the job says all
+			continue
+		}
+		value, err := p.encode()
 		if err != nil {
-			event.Log(t.cfg.Log, event.CommitFailed, zap.String("Job", string(j.spec.ID)), zap.Error(err))
+			event.Log(t.cfg.Log, event.CommitFailed, zap.String("Job", string(p.job.spec.ID)), zap.Error(err))
 			continue
 		}
 		if size += len(value); size > maxBatchBytes && len(puts) > 0 {
 			break
 		}
-		puts = append(puts, rows.Row{Ref: rows.ProgressRef(t.cfg.Cell, j.spec.ID), Value: value})
-		c.jobs, c.states = append(c.jobs, j), append(c.states, j.state)
-		j.dirty = false
-		delete(t.dirty, j)
+		puts = append(puts, rows.Row{Ref: rows.ProgressPageRef(t.cfg.Cell, p.job.spec.ID, p.number), Value: value})
+		if p.number == 0 {
+			c.jobs, c.states = append(c.jobs, p.job), append(c.states, p.job.state)
+		}
+		delete(t.dirty, p)
 	}
 	if len(t.dirty) == 0 {
 		for w := range t.undurable {
@@ -97,21 +102,6 @@
 	})
 }
 
-// encodeProgress returns the progress of a job as a row's value. It omits the checkpoints if the store would not accept
-// the row with them; a task without a checkpoint starts from the beginning after a takeover.
-func encodeProgress(j *job) ([]byte, error) {
-	p := j.durableProgress()
-	value, err := rows.Encode(p)
-	if err != nil || len(value) <= maxRowBytes {
-		return value, err
-	}
-	for i := range p.Tasks {
-		p.Tasks[i].Checkpoint = ""
-	}
-	p.Tasks = slices.DeleteFunc(p.Tasks, func(a rows.TaskProgress) bool { return len(a.Failed) == 0 })
-	return rows.Encode(p)
-}
-
 // applyCommit records what the finished commit made durable; it returns the error of a failed commit.
 func (t *Term) applyCommit(ev committed) error {
 	c := t.commit
--- a/internal/jobs/lead/intake.go
+++ b/internal/jobs/lead/intake.go
@@ -16,12 +16,6 @@
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
 
-// markDirty schedules the progress of a job for the next commit.
-func (t *Term) markDirty(j *job) {
-	j.dirty = true
-	t.dirty[j] = struct{}{}
-}
-
 // addJob adds an accepted job; a job that is already known is left unchanged.
 func (t *Term) addJob(s *spec.Job) {
 	if t.jobs[s.ID] != nil {
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -12,18 +12,19 @@
 
 // task holds the scheduling state of a task.
 type task struct {
-	done       bool
-	runs       []*run
-	runSeconds float64   // run time of the successful run, in seconds
-	doneOn     *worker   // worker of the successful run
-	failed     []int     // numbers of the failed runs
-	checkpoint string    // newest reported
-	lastNumber int       // run number of the last start
-	retryAt    time.Time // earliest time of the next start
-	downSince  time.Time // when a long-running task last lost a run
-	moves      int       // moves of a best-effort task to another worker
-	avoid      *worker   // where the last run failed, stalled or was too slow
-	avoidUntil time.Time // until then, the last attempt is not made on avoid
+	done         bool
+	runs         []*run
+	runSeconds   float64   // run time of the successful run, in seconds
+	doneOn       *worker   // worker of the successful run
+	failed       []int     // numbers of the last failed runs
+	failedBefore int       // number of failed runs before those
+	checkpoint   string    // newest reported
+	lastNumber   int       // run number of the last start
+	retryAt      time.Time // earliest time of the next start
+	downSince    time.Time // when a long-running task last lost a run
+	moves        int       // moves of a best-effort task to another worker
+	avoid        *worker   // where the last run failed, stalled or was too slow
+	avoidUntil   time.Time // until then, the last attempt is not made on avoid
 }
 
 // runsOn reports whether a worker has a run of the task.
@@ -37,6 +38,7 @@
 	tasks         []task
 	offsets       []int // ordinal of the first task of each step, within a round
 	tasksPerRound int
+	tasksPerPage  int       // see page
 	done          []int     // finished tasks, by round and step
 	left          int       // unfinished tasks
 	running       int       // current runs
@@ -45,7 +47,6 @@
 	state         rows.State
 	stored        rows.State // last state known to be durable
 	endedAt       time.Time
-	dirty         bool      // progress waits for a commit
 	inherited     bool      // accepted under an earlier epoch, so runs may exist that this leader does not know
 	begun         bool      // a worker has listed a run or its end
 	addedAt       time.Time // when this leader added the job
@@ -57,7 +58,7 @@
 }
 
 func newJob(s *spec.Job, now time.Time) *job {
-	j := &job{spec: s, offsets: make([]int, len(s.Steps)), addedAt: now}
+	j := &job{spec: s, offsets: make([]int, len(s.Steps)), addedAt: now, tasksPerPage: tasksPerPage(s)}
 	for i := range s.Steps {
 		j.offsets[i] = j.tasksPerRound
 		j.tasksPerRound += s.Steps[i].Count
@@ -78,44 +79,6 @@
 	return j
 }
 
-// restore applies the progress read from the store.
-func (j *job) restore(a rows.JobProgress) {
-	j.state, j.stored = a.State, a.State
-	if a.State.IsFinal() {
-		j.endedAt = time.Now()
-	}
-	for i := range j.tasks {
-		if i/8 < len(a.Done) && a.Done[i/8]&(1<<(i%8)) != 0 {
-			j.setDone(i)
-		}
-	}
-	for _, n := range a.Tasks {
-		if n.Task >= 0 && n.Task < len(j.tasks) {
-			j.tasks[n.Task].failed, j.tasks[n.Task].checkpoint = n.Failed, n.Checkpoint
-		}
-	}
-	j.begun = a.State != rows.Queued
-}
-
-// durableProgress returns the progress as it is stored.
-func (j *job) durableProgress() rows.JobProgress {
-	a := rows.JobProgress{State: j.state}
-	if j.state.IsFinal() {
-		a.EndsAt = time.Now().UnixMilli()
-		return a
-	}
-	a.Done = make([]byte, (len(j.tasks)+7)/8)
-	for i := range j.tasks {
-		t := &j.tasks[i]
-		if t.done {
-			a.Done[i/8] |= 1 << (i % 8)
-		} else if len(t.failed) > 0 || t.checkpoint != "" {
-			a.Tasks = append(a.Tasks, rows.TaskProgress{Task: i, Failed: t.failed, Checkpoint: t.checkpoint})
-		}
-	}
-	return a
-}
-
 // locate returns the round and step of a task.
 func (j *job) locate(ordinal int) (round, step int) {
 	round = ordinal / j.tasksPerRound
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -141,7 +141,7 @@
 	t := &Term{
 		cfg: l.cfg, events: queue.NewRing[any](ringSize), jobs: make(map[spec.ID]*job),
 		workers: make(map[string]*worker), undurable: make(map[*worker]struct{}),
-		dirty: make(map[*job]struct{}), advice: make(map[stepKey]*advice),
+		dirty: make(map[page]struct{}), advice: make(map[stepKey]*advice),
 		interference: impact.NewTable(), loadPeriod: impact.NewPeriodEstimate(time.Now()),
 		runTimeRatios:  make(map[string]*runTimeRatio),
 		cancelledEarly: make(map[spec.ID]bool), unmatchedEnds: make(map[spec.ID][]unmatchedEnd),
@@ -247,36 +247,50 @@
 		t.fleet.add(w)
 		t.unreconciled++
 	}
-	done := make(map[string]rows.JobProgress, len(progress.Rows))
-	for _, r := range progress.Rows {
-		var a rows.JobProgress
-		if err := rows.Decode(r, &a); err != nil {
-			event.Log(t.cfg.Log, event.RowUnreadable, zap.String("Job", r.Key), zap.Error(err))
-			continue
-		}
-		done[r.Key] = a
-	}
-	known := make(map[string]bool, len(jobs.Rows))
+	known := make(map[spec.ID]bool, len(jobs.Rows))
 	for _, r := range jobs.Rows {
-		known[r.Key] = true
+		known[spec.ID(r.Key)] = true
 		s := t.decodeJob(r)
 		if s == nil {
 			continue
 		}
 		j := newJob(s, time.Now())
 		j.inherited = s.Epoch < t.epoch
-		j.restore(done[r.Key])
 		t.jobs[s.ID] = j
-		if !j.state.IsFinal() {
+	}
+	t.restoreProgress(progress, known)
+	for _, r := range jobs.Rows {
+		if j := t.jobs[spec.ID(r.Key)]; j != nil && !j.state.IsFinal() {
 			t.active = append(t.active, j)
 		}
 	}
 	for _, r := range cancels.Rows {
 		t.cancel(spec.ID(r.Key))
 	}
-	for _, r := range progress.Rows { // an earlier leader has deleted the job's row, but not its progress
-		if !known[r.Key] {
+}
+
+// restoreProgress applies the progress rows of the cell. It deletes those of jobs that an earlier leader has deleted without
+// their progress, and stores tasks again that are not in the row of their page.
+func (t *Term) restoreProgress(progress rows.Page, known map[spec.ID]bool) {
+	for _, r := range progress.Rows { // in the order of their keys, page 0 of a job first
+		id, number := rows.SplitProgressKey(r.Key)
+		if !known[id] {
 			t.pendingDeletes = append(t.pendingDeletes, r.Ref)
+			continue
+		}
+		j := t.jobs[id]
+		var a rows.JobProgress
+		err := rows.Decode(r, &a)
+		if err != nil {
+			event.Log(t.cfg.Log, event.RowUnreadable, zap.String("Job", r.Key), zap.Error(err))
+		}
+		if err != nil || j == nil {
+			continue
+		}
+		for p := range j.restore(number, a) {
+			if p.number != number {
+				t.dirty[p] = struct{}{}
+			}
 		}
 	}
 }
--- a/internal/jobs/lead/placement.go
+++ b/internal/jobs/lead/placement.go
@@ -94,7 +94,7 @@
 			continue
 		}
 		switch {
-		case top.isProbe && len(task.failed) > 0 || task.runsOn(top.worker) || p.mayEndJob(task, top.worker):
+		case top.isProbe && task.failures() > 0 || task.runsOn(top.worker) || p.mayEndJob(task, top.worker):
 		case top.worker == task.avoid:
 			avoided = &top
 		default:
@@ -110,7 +110,7 @@
 
 // mayEndJob reports whether a run on the worker where a task has just failed could use up the attempts of its job.
 func (p *placement) mayEndJob(task *task, w *worker) bool {
-	isLast := len(task.failed) > 0 && len(task.failed) >= p.step.job.spec.MaxAttempts-1
+	isLast := task.failures() > 0 && task.failures() >= p.step.job.spec.MaxAttempts-1
 	return isLast && w == task.avoid && p.step.now.Before(task.avoidUntil)
 }
 
--- a/internal/jobs/lead/retire.go
+++ b/internal/jobs/lead/retire.go
@@ -73,7 +73,9 @@
 func (t *Term) applyRetired(ev retired) {
 	t.retiring = false
 	for _, id := range ev.jobs {
+		for number := range t.jobs[id].pageCount() {
+			t.pendingDeletes = append(t.pendingDeletes, rows.ProgressPageRef(t.cfg.Cell, id, number))
+		}
 		delete(t.jobs, id)
-		t.pendingDeletes = append(t.pendingDeletes, rows.ProgressRef(t.cfg.Cell, id))
 	}
 }
--- a/internal/jobs/lead/size_test.go
+++ b/internal/jobs/lead/size_test.go
@@ -240,3 +240,44 @@
 		}
 	})
 }
+
+// Guards against a cell that stores nothing any more: the numbers of the failed runs of a large job exceeded a row, and each
+// leader repeated the change without end. The failures count for the next leader too.
+func TestFailuresOfLargeJobAreStored(t *testing.T) {
+	const (
+		tasks  = 10_000 // that fail once each need more than a row
+		small  = 3
+		target = 10 * time.Second // for tasks of 1 s
+	)
+	inCluster(t, func(c *cluster) {
+		large := job(1, 1, tasks)
+		large.Steps[0].Size, large.Steps[0].Estimate = sizes.Resources{Processors: 1}, 0
+		c.plan = func(r wire.Run) runs.Plan {
+			return runs.Plan{Size: sizes.Resources{Processors: 1}, RunTime: time.Second, Fails: strings.HasPrefix(r.Task, string(large.ID))}
+		}
+		c.addEntry("entry-1")
+		c.awaitTerm(target)
+		c.kill("entry-1")
+		c.restart("entry-1") // numbers of runs are longer from the second epoch on
+		c.awaitTerm(target)
+		c.addHost("host-1", 10*tasks)
+		c.addHost("host-2", 10*tasks)
+		time.Sleep(2 * time.Second)
+		large.MaxAttempts = 3
+		c.submit(large)
+		time.Sleep(3 * time.Second)
+		for n := range small {
+			j := job(n+2, 2, 2)
+			c.submit(j)
+			c.awaitState(j.ID, rows.Done, target)
+		}
+		c.addEntry("entry-2")
+		c.kill("entry-1")
+		c.awaitState(large.ID, rows.Failed, 6*target)
+		for task, list := range c.records() {
+			if strings.HasPrefix(task, string(large.ID)) && len(list) > large.MaxAttempts {
+				t.Fatalf("%s has %d runs; want at most %d", task, len(list), large.MaxAttempts)
+			}
+		}
+	})
+}
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -123,7 +123,7 @@
 	expireAt       time.Time            // next check for expired leases
 	undurable      map[*worker]struct{} // workers with applied ends that are not durable
 	unreconciled   int                  // workers that may still have unknown runs of earlier leaders
-	dirty          map[*job]struct{}    // progress waits for a commit
+	dirty          map[page]struct{}    // progress that waits for a commit
 	commitNow      bool                 // a final state waits for a commit
 	commit         *commit              // in flight, or nil
 	confirmedAt    time.Time            // start of the last confirmed write
--- a/internal/jobs/lead/timing.go
+++ b/internal/jobs/lead/timing.go
@@ -27,7 +27,7 @@
 	leaseGrace = 300 * time.Millisecond
 	// retentionMargin is how long a finished job is kept beyond Config.Retention.
 	retentionMargin = time.Minute
-	// maxBatch is the largest number of jobs whose progress one commit writes.
+	// maxBatch is the largest number of rows of progress that one commit writes.
 	maxBatch = 80
 	// maxBatchBytes limits the values of a commit, so that a slow link transfers it before it is sent again.
 	maxBatchBytes = 128 << 10
--- a/internal/jobs/rows/layout.go
+++ b/internal/jobs/rows/layout.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -63,11 +64,13 @@
 // TaskProgress is the durable progress of a task that is not done.
 type TaskProgress struct {
 	Task       int    // ordinal in the job
-	Failed     []int  // numbers of the runs that ended in failure
+	Failed     []int  // numbers of the last runs that ended in failure
 	Checkpoint string `msgpack:"Saved"`
+	// FailedBefore is the number of failed runs before those in Failed.
+	FailedBefore int
 }
 
-// JobProgress is the durable progress of a job, as the leader writes it.
+// JobProgress is a page of the durable progress of a job, as the leader writes it. Only page 0 has a state and Done.
 type JobProgress struct {
 	State  State
 	EndsAt int64          // wall-clock time of the final state, ms since 1970
@@ -95,9 +98,34 @@
 // CancelRef returns the row that marks a job as cancelled.
 func CancelRef(cell string, id spec.ID) Ref { return Ref{Cancels, intakePart(cell, id), string(id)} }
 
-// ProgressRef returns the row of a job's progress.
+// ProgressRef returns the row of a job's progress; the state of the job is in it.
 func ProgressRef(cell string, id spec.ID) Ref { return Ref{Progress, cell, string(id)} }
 
+// pageSeparator separates the job and the page in the key of a progress row.
+const pageSeparator = "."
+
+// ProgressPageRef returns the row of a page of a job's progress; page 0 is that of ProgressRef.
+func ProgressPageRef(cell string, id spec.ID, page int) Ref {
+	r := ProgressRef(cell, id)
+	if page > 0 {
+		r.Key += pageSeparator + strconv.Itoa(page)
+	}
+	return r
+}
+
+// SplitProgressKey returns the job and the page of the key of a progress row; the page is -1 if it is malformed.
+func SplitProgressKey(key string) (spec.ID, int) {
+	id, number, hasPage := strings.Cut(key, pageSeparator)
+	if !hasPage {
+		return spec.ID(id), 0
+	}
+	page, err := strconv.Atoi(number)
+	if err != nil || page < 1 {
+		return spec.ID(id), -1
+	}
+	return spec.ID(id), page
+}
+
 // HeadRef returns the head row of a cell.
 func HeadRef(cell string) Ref { return Ref{Heads, cell, HeadKey} }
 
