Store the cancellation of a job that is not known

Cause: the cancellation of a job that neither the leader nor the store knew was answered and not stored, while the submission was still in progress in the store. Shown by a run on the code before: no row in Cancels, no message to the leader. Ruled out by the same: a cancellation that is forgotten, a second submission.

Change: such a cancellation is stored before it is answered with 410; a job that becomes known later is cancelled at once, by the next leader too.

--- a/internal/jobs/intake/intake.go
+++ b/internal/jobs/intake/intake.go
@@ -184,24 +184,27 @@
 	}
 }
 
-// Cancel stores the cancellation of a job and notifies the leader; a job in a final state stays as it is.
+// Cancel stores the cancellation of a job and notifies the leader; a job in a final state stays as it is. The cancellation of
+// an unknown job is stored too, since its submission may be in progress at another entry or in the store.
 func (in *Intake) Cancel(ctx context.Context, id spec.ID) Verdict {
-	state, v := in.State(ctx, id)
-	if v != Accepted {
-		return v
+	state, known := in.State(ctx, id)
+	if known != Accepted && known != Unknown {
+		return known
 	}
-	if state.IsFinal() {
+	if known == Accepted && state.IsFinal() {
 		return Accepted
 	}
 	v, err := in.relay(ctx, &wire.JobAsk{Action: wire.JobRevoke, ID: string(id)})
 	if v == 0 {
 		v, _, err = in.store(ctx, rows.CancelRef(in.cfg.Cell, id), []byte{1})
 	}
-	event.Log(in.cfg.Log, event.JobCancelled, zap.String("Job", string(id)), zap.Stringer("Verdict", v), zap.Error(err))
-	if v == Accepted {
-		in.cfg.Leader.Notify(in.cfg.Leader.Epoch(), &wire.JobAsk{Action: wire.JobCancelled, ID: string(id)})
+	event.Log(in.cfg.Log, event.JobCancelled, zap.String("Job", string(id)), zap.Stringer("Verdict", v),
+		zap.Bool("Known", known == Accepted), zap.Error(err))
+	if v != Accepted {
+		return v
 	}
-	return v
+	in.cfg.Leader.Notify(in.cfg.Leader.Epoch(), &wire.JobAsk{Action: wire.JobCancelled, ID: string(id)})
+	return known
 }
 
 // State returns the state of a job from the leader or, if the leader does not know it, from the store.
--- a/internal/jobs/intake/intake_test.go
+++ b/internal/jobs/intake/intake_test.go
@@ -184,6 +184,30 @@
 	})
 }
 
+// Guards against a cancellation that is answered with "no such job" and has no effect on a submission in progress, and one that
+// is answered although it is not stored.
+func TestCancelOfUnknownJobIsStored(t *testing.T) {
+	withIntake(t, func(t *testing.T, in *intake.Intake, s *memory.Store, l *leader, _ *time.Time) {
+		id := newJob().ID
+		isRefused := true
+		s.NextFault = func(string) memory.Fault { return memory.Fault{Refuse: isRefused} }
+		if v := in.Cancel(t.Context(), id); v != intake.NotDone {
+			t.Errorf("cancel without a store: %v", v)
+		}
+		isRefused = false
+		if v := in.Cancel(t.Context(), id); v != intake.Unknown {
+			t.Errorf("cancel: %v", v)
+		}
+		p, err := s.Client("test").Read(t.Context(), rows.CancelRef("main", id).One())
+		if err != nil || len(p.Rows) != 1 {
+			t.Errorf("%d cancellations are stored, %v; want 1", len(p.Rows), err)
+		}
+		if len(l.notified) != 1 || l.notified[0].Action != wire.JobCancelled {
+			t.Errorf("messages to the leader: %+v; want one cancellation", l.notified)
+		}
+	})
+}
+
 // Guards against a malformed job of another entry that is stored, and that each leader would read.
 func TestMalformedJobIsNotStored(t *testing.T) {
 	withIntake(t, func(t *testing.T, in *intake.Intake, s *memory.Store, _ *leader, _ *time.Time) {
--- a/internal/jobs/lead/cluster_test.go
+++ b/internal/jobs/lead/cluster_test.go
@@ -310,9 +310,12 @@
 }
 
 // intake returns an intake that always reaches the store and the leader.
-func (c *cluster) intake() *intake.Intake {
+func (c *cluster) intake() *intake.Intake { return c.intakeOf("caller") }
+
+// intakeOf returns an intake whose requests to the store are made by caller.
+func (c *cluster) intakeOf(caller string) *intake.Intake {
 	return intake.New(intake.Config{
-		Cell: cell, Store: c.store.Client("caller"), Leader: leaderClient{c}, Log: c.log,
+		Cell: cell, Store: c.store.Client(caller), Leader: leaderClient{c}, Log: c.log,
 		FailingSince: func() time.Time { return time.Time{} }, HedgeDelay: func() time.Duration { return hedgeDelay },
 	})
 }
--- a/internal/jobs/lead/intake.go
+++ b/internal/jobs/lead/intake.go
@@ -31,7 +31,7 @@
 	if j.inherited {
 		t.adoptUnmatched(j, j.addedAt)
 	}
-	if t.cancelledEarly[s.ID] {
+	if _, ok := t.cancelledEarly[s.ID]; ok {
 		delete(t.cancelledEarly, s.ID)
 		t.finish(j, rows.Cancelled, time.Now())
 	}
@@ -41,7 +41,9 @@
 func (t *Term) cancel(id spec.ID) {
 	j := t.jobs[id]
 	if j == nil {
-		t.cancelledEarly[id] = true
+		if _, ok := t.cancelledEarly[id]; !ok {
+			t.cancelledEarly[id] = time.Now()
+		}
 		return
 	}
 	t.finish(j, rows.Cancelled, time.Now())
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -144,7 +144,7 @@
 		dirty: make(map[page]struct{}), advice: make(map[stepKey]*advice),
 		interference: impact.NewTable(), loadPeriod: impact.NewPeriodEstimate(time.Now()),
 		runTimeRatios:  make(map[string]*runTimeRatio),
-		cancelledEarly: make(map[spec.ID]bool), unmatchedEnds: make(map[spec.ID][]unmatchedEnd),
+		cancelledEarly: make(map[spec.ID]time.Time), unmatchedEnds: make(map[spec.ID][]unmatchedEnd),
 	}
 	next := rows.Head{Leader: l.cfg.Name, Address: l.cfg.Address, Epoch: head.Epoch + 1, Write: head.Write}
 	t.writer = headWriter{store: l.cfg.Store, hedgeDelay: l.cfg.HedgeDelay, cell: l.cfg.Cell, head: next, version: version}
--- a/internal/jobs/lead/outcome_test.go
+++ b/internal/jobs/lead/outcome_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"trefoilramp.org/trefoilramp/internal/core/sizes"
 	"trefoilramp.org/trefoilramp/internal/host/driver"
+	"trefoilramp.org/trefoilramp/internal/jobs/intake"
 	"trefoilramp.org/trefoilramp/internal/jobs/lead"
+	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/stand/memory"
 	"trefoilramp.org/trefoilramp/internal/stand/runs"
 )
 
@@ -199,3 +203,57 @@
 		}
 	})
 }
+
+// Guards against a job that runs after its cancellation was acknowledged: the submission was still in progress in the store,
+// and the job unknown. Whether the leader or its successor reads the rows makes no difference.
+func TestCancelBeforeLateSubmission(t *testing.T) {
+	for _, hasTakeover := range []bool{false, true} {
+		t.Run(fmt.Sprintf("takeover %v", hasTakeover), func(t *testing.T) {
+			withCluster(t, func(c *cluster) {
+				const delay = 3 * time.Second
+				j := job(1, 1, 1)
+				c.setFaults(func(caller string) memory.Fault {
+					if caller == "late" {
+						return memory.Fault{LoseLate: delay}
+					}
+					return memory.Fault{}
+				})
+				c.wg.Go(func() {
+					ctx, cancel := context.WithTimeout(c.ctx, time.Second)
+					defer cancel()
+					if v := c.intakeOf("late").Submit(ctx, j); v != intake.Uncertain {
+						t.Errorf("submission without a response: %v", v)
+					}
+				})
+				time.Sleep(500 * time.Millisecond)
+				if v := c.intake().Cancel(c.ctx, j.ID); v != intake.Unknown {
+					t.Errorf("cancel: %v", v)
+				}
+				if hasTakeover {
+					c.kill("entry-1")
+				}
+				c.awaitState(j.ID, rows.Cancelled, delay+8*time.Second)
+				if n := len(runsOf(c, j.ID)); n > 0 {
+					t.Errorf("%d runs after the cancellation", n)
+				}
+			})
+		})
+	}
+}
+
+// Guards against cancellations of jobs that never become known, whose rows are kept forever.
+func TestCancelsOfUnknownJobsAreRetired(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		for n := range 200 {
+			if v := c.intake().Cancel(c.ctx, job(n, 1, 1).ID); v != intake.Unknown {
+				t.Errorf("cancel: %v", v)
+			}
+		}
+		c.kill("entry-1")
+		time.Sleep(2*time.Minute + 15*time.Second) // retention of one minute, and a margin of one
+		p, err := rows.ReadParts(c.ctx, c.store.Client("caller"), rows.Cancels, rows.IntakeParts(cell))
+		if err != nil || len(p.Rows) > 0 {
+			t.Errorf("%d cancellations are left, %v; want none", len(p.Rows), err)
+		}
+	})
+}
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -140,12 +140,12 @@
 	agentsVersion  uint64
 	wg             sync.WaitGroup
 	unmatchedEnds  map[spec.ID][]unmatchedEnd
-	released       []releasedRun    // released without an end, oldest first
-	cancelledEarly map[spec.ID]bool // jobs cancelled before they were known
-	pendingDeletes []rows.Ref       // rows to delete with the next commit
-	watchAt        time.Time        // last check of all runs
-	retiring       bool             // a deletion of expired jobs is in flight
-	retireAt       time.Time        // last search for expired jobs
+	released       []releasedRun         // released without an end, oldest first
+	cancelledEarly map[spec.ID]time.Time // when jobs were cancelled that are not known
+	pendingDeletes []rows.Ref            // rows to delete with the next commit
+	watchAt        time.Time             // last check of all runs
+	retiring       bool                  // a deletion of expired rows is in flight
+	retireAt       time.Time             // last search for expired rows
 }
 
 // commit is a write of progress that is in flight.
