Name other workers in each request for advice about a step

Cause: each request named the 30 workers with the most free processors, and an empty reply led to the same request.

Change: the leader remembers refused workers of a step by incarnation and names others; tickets of several replies are kept, each with its own end; workers with a place are named when those with tickets have none. A refused ticket drops that ticket alone.

--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -441,7 +441,9 @@
 	switch reason {
 	case wire.RefusedTicket:
 		round, step := r.job.locate(r.ordinal)
-		delete(t.advice, stepKey{r.job.spec.ID, round, step})
+		if a := t.advice[stepKey{r.job.spec.ID, round, step}]; a != nil {
+			delete(a.tickets, w.state.Incarnation.ID)
+		}
 	case wire.RefusedSick, wire.RefusedBad:
 		task.avoid = w
 		w.reliability.record(failWeight, now)
--- a/internal/jobs/lead/cluster_test.go
+++ b/internal/jobs/lead/cluster_test.go
@@ -56,6 +56,7 @@
 	partitioned map[string]bool // pairs "entry/agent" that cannot reach each other
 	notifyEntry string          // entry that callers notify of jobs; empty for the current leader
 	faults      func(caller string) memory.Fault
+	advisor     lead.Advisor // nil for none
 }
 
 // entry is a process that may lead.
@@ -116,7 +117,7 @@
 	e.leader = lead.NewLeader(lead.Config{
 		Cell: cell, Name: name, Address: name + ":1", Store: c.store.Client(name), Lease: lease, LeaseLimit: leaseLimit,
 		HedgeDelay: func() time.Duration { return hedgeDelay }, Retention: time.Minute,
-		Queues: &queues.Holder{}, Network: n, Meter: noMeter{}, Log: c.log.With(zap.String("Entry", name)),
+		Queues: &queues.Holder{}, Network: n, Advisor: c.advisor, Meter: noMeter{}, Log: c.log.With(zap.String("Entry", name)),
 	}, func() time.Duration { return delay })
 	c.mu.Lock()
 	c.entries[name] = e
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -104,6 +104,9 @@
 	return t.Round*j.tasksPerRound + j.offsets[t.Step] + t.Index, true
 }
 
+// stepIndex returns the index of a step in a round.
+func (j *job) stepIndex(round, step int) int { return round*len(j.offsets) + step }
+
 // span returns the range of task ordinals of a step in a round, from first up to but not including end.
 func (j *job) span(round, step int) (first, end int) {
 	first = round*j.tasksPerRound + j.offsets[step]
--- a/internal/jobs/lead/move.go
+++ b/internal/jobs/lead/move.go
@@ -94,10 +94,10 @@
 	c := stepContext{job: r.job, round: round, step: step, now: now}
 	if t.isAdvised(r.job) {
 		a := t.advice[stepKey{r.job.spec.ID, round, step}]
-		if a == nil || now.After(a.validUntil) {
+		if a == nil {
 			return false
 		}
-		c.tickets = a.tickets
+		c.tickets = a.valid(now)
 	}
 	task := &r.job.tasks[r.ordinal]
 	to := t.newPlacement(c, 1).pickKnown(task)
--- a/internal/jobs/lead/schedule.go
+++ b/internal/jobs/lead/schedule.go
@@ -126,7 +126,7 @@
 	if j.inherited && t.unreconciled > 0 && !s.Speculative {
 		return // a run that this leader does not know yet may exist
 	}
-	key := round*len(j.offsets) + step
+	key := j.stepIndex(round, step)
 	last, isBlocked := j.blocks[key]
 	isBlocked = isBlocked && last.isIdle == j.isIdle(now)
 	if isBlocked && last.change == t.fleet.changes {
@@ -140,7 +140,7 @@
 	c := stepContext{job: j, round: round, step: step, now: now}
 	if t.isAdvised(j) {
 		var ok bool
-		if c.tickets, ok = t.tickets(ctx, j, round, step, now); !ok {
+		if c.tickets, ok = t.tickets(ctx, stepKey{j.spec.ID, round, step}, j, now); !ok {
 			return
 		}
 	}
@@ -160,6 +160,9 @@
 		delete(j.blocks, key)
 		return
 	}
+	if c.tickets != nil { // other workers may have a place
+		t.requestAdvice(ctx, stepKey{j.spec.ID, round, step}, j, now)
+	}
 	if j.blocks == nil {
 		j.blocks = make(map[int]block)
 	}
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -97,7 +97,8 @@
 	}
 	advised struct {
 		key     stepKey
-		tickets map[string]string
+		workers []wire.WorkerIncarnation // named in the request
+		tickets map[string]string        // by worker ID
 		valid   time.Duration
 		err     error
 	}
--- a/internal/jobs/lead/watch.go
+++ b/internal/jobs/lead/watch.go
@@ -88,10 +88,10 @@
 	c := stepContext{job: r.job, round: round, step: step, now: now}
 	if t.isAdvised(r.job) {
 		a := t.advice[stepKey{r.job.spec.ID, round, step}]
-		if a == nil || now.After(a.validUntil) {
+		if a == nil {
 			return
 		}
-		c.tickets = a.tickets
+		c.tickets = a.valid(now)
 	}
 	task := &r.job.tasks[r.ordinal]
 	if len(task.runs) > 1 {
