Tell the next leader of workers that restarted under their ID

Cause: a call of the former life gives the new one the longest lease that the worker accepts (10 s); the leader that learned of the restart counts with that, in memory alone, and the next one with 6 s.

Change: agents report the time since such a restart with each state of their worker; the leader stores it in a row for the next one, which agents out of reach can't tell.

Tests: TestLeaseOfRestartedWorkerAfterTakeover (before: overlapping runs after a handover, and after a kill once the entry is back; each part of the change is needed for one of its cases), TestRestartIsReportedToNextLeader.

--- a/internal/core/event/jobs.go
+++ b/internal/core/event/jobs.go
@@ -49,6 +49,7 @@
 	StartPending        Number = 946
 	AnnouncementRefused Number = 947
 	SessionReplaced     Number = 948
+	WorkerRestarted     Number = 949
 )
 
 var jobEvents = []Entry{
@@ -97,4 +98,5 @@
 	{StartPending, zapcore.InfoLevel, "start pending", "The outcome of a start is still unknown after some seconds; its task and its capacity are held until it is known.", "Check the worker if this persists."},
 	{AnnouncementRefused, zapcore.InfoLevel, "announcement refused", "An announced incarnation of the worker is not the one that responds at the worker's address; it had no effect.", "Find its sender if this persists."},
 	{SessionReplaced, zapcore.InfoLevel, "silent session replaced", "The agent did not answer on the open session, but on a new one; the leader uses the new one.", "Check the network, and any proxies that drop idle connections, if this persists."},
+	{WorkerRestarted, zapcore.InfoLevel, "worker restarted under its ID", "Calls to the former process may have extended the lease of the new one; if the worker is lost, its tasks wait for the longest lease that it accepts.", "Check the worker if this persists."},
 }
--- a/internal/host/driver/agent.go
+++ b/internal/host/driver/agent.go
@@ -44,6 +44,7 @@
 	state            wire.WorkerState // of the current incarnation
 	sequence         sequence         // of its announcements
 	gone             bool             // the current incarnation has ended
+	restartedAt      time.Time        // when the agent learned that the worker may have restarted under its ID; zero if it did not
 	confirmed        bool             // the current incarnation has responded to this process, so that all earlier ones have ended
 	announced        *announcement    // of another incarnation; nil once calls to the worker have settled whether it is current
 	token            uint64
@@ -97,6 +98,9 @@
 	if a.gone {
 		s.Phase = wire.WorkerGone
 	}
+	if !a.restartedAt.IsZero() {
+		s.RestartAge = max(1, time.Since(a.restartedAt).Milliseconds())
+	}
 	a.send(&s)
 }
 
@@ -324,6 +328,7 @@
 			a.useAnnounced()
 			return 0
 		}
+		a.restartedAt = time.Now()
 	case errors.Is(err, ErrUnreachable), failures+1 < unhealthyAfterPolls:
 		return failures + 1
 	}
--- a/internal/host/driver/announce.go
+++ b/internal/host/driver/announce.go
@@ -56,7 +56,14 @@
 		a.update(s, sequence)
 		return true
 	}
+	isNew := a.announced == nil || a.announced.state.Incarnation != s.Incarnation
 	a.announced = &announcement{s, sequence}
+	if isNew && s.Incarnation.ID == a.state.Incarnation.ID {
+		// Calls to the former incarnation may have reached this one. If the announcement is false, only a leader that loses the
+		// worker is misled, into a longer wait.
+		a.restartedAt = time.Now()
+		a.sendState()
+	}
 	if a.confirmed && !a.gone {
 		return false
 	}
@@ -89,6 +96,9 @@
 	if n == nil {
 		return
 	}
+	if n.state.Incarnation.ID != a.state.Incarnation.ID {
+		a.restartedAt = time.Time{} // a worker refuses calls to another ID
+	}
 	a.reset()
 	a.state, a.sequence = n.state, sequence{last: n.sequence}
 	a.state.Healthy = true
--- a/internal/host/driver/announce_test.go
+++ b/internal/host/driver/announce_test.go
@@ -224,6 +224,34 @@
 	})
 }
 
+// Guards against a leader that doesn't learn of a restart of the worker under its ID since it came before its term, while the
+// worker is out of reach of its agent.
+func TestRestartIsReportedToNextLeader(t *testing.T) {
+	withAgent(t, func(_ context.Context, a *driver.Agent, w *countingWorker, l *leader) {
+		if s := l.states(); s[len(s)-1].RestartAge != 0 {
+			t.Errorf("reported %+v before the restart", s)
+		}
+		w.Restart(wire.WorkerIncarnation{ID: "w-1", StartedAt: 2})
+		a.Announce(w.State(), 1)
+		time.Sleep(2 * time.Second)
+		w.setMute(true)
+		time.Sleep(3 * time.Second)
+		next := &leader{}
+		a.Adopt(next, &wire.LeadAdopt{Token: 6})
+		s := next.states()
+		if len(s) != 1 || s[0].RestartAge < 3900 || s[0].RestartAge > 5100 || s[0].Healthy {
+			t.Errorf("states %+v; want one, unhealthy, with a restart 4 to 5 s ago", s)
+		}
+		w.setMute(false)
+		w.Restart(wire.WorkerIncarnation{ID: "w-2", StartedAt: 3})
+		a.Announce(w.State(), 1)
+		time.Sleep(2 * time.Second)
+		if s := next.states(); s[len(s)-1].Incarnation.ID != "w-2" || s[len(s)-1].RestartAge != 0 {
+			t.Errorf("states %+v; want one of a worker with another ID at the end", s)
+		}
+	})
+}
+
 // Guards against a lease that lapses since a worker refuses a part of its polls: each one after a refusal had no deadline.
 func TestRefusedPollKeepsDeadline(t *testing.T) {
 	withAgent(t, func(_ context.Context, _ *driver.Agent, w *countingWorker, _ *leader) {
--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -64,11 +64,10 @@
 // applyWorkerState records the reported state of a worker. When the worker has restarted or exited, all runs of the
 // earlier incarnation are released, unless the later one may have executed their starts.
 func (t *Term) applyWorkerState(w *worker, m *wire.WorkerState) {
+	t.applyRestart(w, m)
 	if m.Incarnation != w.state.Incarnation {
 		if m.Incarnation.ID == w.state.Incarnation.ID {
 			w.recheckRuns(time.Now())
-			// A call to the earlier incarnation may have reached the new one with a deadline that is far ahead of its clock.
-			w.leaseEnd = later(w.leaseEnd, expiry(time.Now(), max(t.cfg.LeaseLimit, t.cfg.Lease)))
 			w.resetSuspects()
 		} else {
 			t.releaseAll(w, "worker has restarted")
@@ -466,11 +465,10 @@
 	}
 	t.expireAt = now.Add(expireEvery)
 	for name, w := range t.workers {
-		end := w.leaseEnd
-		if end.IsZero() {
-			end = t.leaseEnd(t.prevGrantsEnd)
+		if !w.former.end.IsZero() && !now.Before(w.former.end) {
+			t.clearRestart(w)
 		}
-		if now.Before(end) {
+		if end := t.certainLeaseEnd(w); now.Before(end) {
 			t.expireBy(end)
 			continue
 		}
@@ -487,6 +485,7 @@
 
 // forget removes an agent and its row; the agent registers again if it returns.
 func (t *Term) forget(name string) {
+	t.clearRestart(t.workers[name])
 	t.fleet.remove(t.workers[name])
 	delete(t.workers, name)
 	t.cfg.Network.Disconnect(name)
--- a/internal/jobs/lead/cluster_test.go
+++ b/internal/jobs/lead/cluster_test.go
@@ -141,6 +141,15 @@
 	<-e.done
 }
 
+// stop ends an entry with a handover.
+func (c *cluster) stop(name string) {
+	c.mu.Lock()
+	e := c.entries[name]
+	c.mu.Unlock()
+	e.cancel()
+	<-e.done
+}
+
 // restart starts an entry again after kill.
 func (c *cluster) restart(name string) {
 	c.set(c.isolated, name, false)
--- a/internal/jobs/lead/commit.go
+++ b/internal/jobs/lead/commit.go
@@ -21,7 +21,7 @@
 		t.markEndsDurable()
 	}
 	due := t.commitAt.Add(renewEvery)
-	if len(t.dirty) > 0 || len(t.pendingDeletes) > 0 {
+	if len(t.dirty) > 0 || len(t.pendingDeletes) > 0 || len(t.restarted) > 0 {
 		due = t.commitAt.Add(commitGap)
 		if t.commitNow {
 			due = now
@@ -60,7 +60,7 @@
 // background; the result arrives as a committed event.
 func (t *Term) startCommit(ctx context.Context, now time.Time) {
 	c := &commit{}
-	var puts []rows.Row
+	puts := t.putRestarts(maxBatch)
 	size := 0
 	for p := range t.dirty {
 		if len(puts) == maxBatch {
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -141,7 +141,7 @@
 	t := &Term{
 		cfg: l.cfg, events: queue.NewRing[any](ringSize), jobs: make(map[spec.ID]*job),
 		workers: make(map[string]*worker), undurable: make(map[*worker]struct{}),
-		dirty: make(map[page]struct{}), advice: make(map[stepKey]*advice),
+		dirty: make(map[page]struct{}), restarted: make(map[*worker]struct{}), advice: make(map[stepKey]*advice),
 		interference: impact.NewTable(), loadPeriod: impact.NewPeriodEstimate(time.Now()),
 		runTimeRatios:  make(map[string]*runTimeRatio),
 		cancelledEarly: make(map[spec.ID]time.Time), unmatchedEnds: make(map[spec.ID][]unmatchedEnd),
@@ -200,7 +200,7 @@
 	return nil
 }
 
-// readRows reads the agents, jobs, progress and cancellations of the cell and builds the state of the term.
+// readRows reads the agents, their restarts, jobs, progress and cancellations of the cell and builds the state of the term.
 func (t *Term) readRows(ctx context.Context) error {
 	limited, cancel := stall.WithTimeout(ctx, readTimeout, readTimeout)
 	defer cancel()
@@ -215,6 +215,10 @@
 	if err != nil {
 		return err
 	}
+	restarts, err := readTable(rows.Restarts)
+	if err != nil {
+		return err
+	}
 	progress, err := readTable(rows.Progress)
 	if err != nil {
 		return err
@@ -229,6 +233,7 @@
 		return fmt.Errorf("read %s: %w", rows.Cancels, err)
 	}
 	t.restore(agents, jobs, progress, cancels)
+	t.restoreRestarts(restarts)
 	return nil
 }
 
--- a/internal/jobs/lead/outcome_test.go
+++ b/internal/jobs/lead/outcome_test.go
@@ -177,6 +177,54 @@
 // Guards against two runs of a task: a worker that had restarted under its ID took a deadline of its former incarnation, and
 // the leader counted with a shorter lease than the worker accepts.
 func TestLeaseOfRestartedWorker(t *testing.T) {
+	testLeaseOfRestartedWorker(t, func(c *cluster, h *host) {
+		c.set(c.isolated, h.name, true)
+		c.dropLinks(h.name)
+		h.cancel() // the instance of the worker is lost, and the worker goes on
+	})
+}
+
+// Guards against two runs of a task: a new leader didn't know that a worker had restarted under its ID, neither from its
+// agent, which was in reach while the worker was not, nor, with the agent out of reach, from its predecessor.
+func TestLeaseOfRestartedWorkerAfterTakeover(t *testing.T) {
+	end := map[string]func(c *cluster){
+		"kill": func(c *cluster) { c.kill("entry-1") },
+		"kill and restart": func(c *cluster) {
+			c.kill("entry-1")
+			c.restart("entry-1") // it knows that its earlier process has ended
+			c.kill("entry-2")
+		},
+		"handover": func(c *cluster) { c.stop("entry-1") },
+		"three handovers": func(c *cluster) {
+			for _, name := range []string{"entry-1", "entry-2", "entry-1"} {
+				c.stop(name)
+				c.awaitTerm(2 * time.Second)
+				c.addEntry(name)
+			}
+		},
+	}
+	for name, endTerm := range end {
+		t.Run(name+", agent in reach", func(t *testing.T) {
+			testLeaseOfRestartedWorker(t, func(c *cluster, h *host) {
+				h.worker.SetCut(true)
+				endTerm(c)
+			})
+		})
+		t.Run(name+", agent out of reach", func(t *testing.T) {
+			testLeaseOfRestartedWorker(t, func(c *cluster, h *host) {
+				endTerm(c)
+				c.set(c.isolated, h.name, true)
+				c.dropLinks(h.name)
+				h.cancel()
+			})
+		})
+	}
+}
+
+// testLeaseOfRestartedWorker runs a job on a worker that has restarted under its ID, loses the worker, and checks that its tasks
+// don't start elsewhere before its lease has expired.
+func testLeaseOfRestartedWorker(t *testing.T, lose func(c *cluster, h *host)) {
+	t.Helper()
 	withCluster(t, func(c *cluster) {
 		c.plan = func(wire.Run) runs.Plan {
 			return runs.Plan{Size: sizes.Resources{Processors: 1000}, RunTime: 15 * time.Second}
@@ -193,11 +241,9 @@
 		time.Sleep(1600 * time.Millisecond) // until its next announcement
 		c.submit(job(1, 1, 1))
 		time.Sleep(500 * time.Millisecond)
-		c.set(c.isolated, h.name, true)
-		c.dropLinks(h.name)
-		h.cancel() // the instance of the worker is lost, and the worker goes on
+		lose(c, h)
 		c.set(c.isolated, "host-2", false)
-		time.Sleep(20 * time.Second)
+		time.Sleep(25 * time.Second)
 		if n := len(runsOf(c, job(1, 1, 1).ID)); n != 2 {
 			t.Errorf("%d runs, want one on each worker", n)
 		}
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -125,7 +125,8 @@
 	undurable      map[*worker]struct{} // workers with applied ends that are not durable
 	unreconciled   int                  // workers that may still have unknown runs of earlier leaders
 	dirty          map[page]struct{}    // progress that waits for a commit
-	commitNow      bool                 // a final state waits for a commit
+	restarted      map[*worker]struct{} // workers whose restart waits for a commit
+	commitNow      bool                 // a final state or a restart waits for a commit
 	commit         *commit              // in flight, or nil
 	confirmedAt    time.Time            // start of the last confirmed write
 	commitAt       time.Time            // start of the last commit
--- a/internal/jobs/lead/worker.go
+++ b/internal/jobs/lead/worker.go
@@ -30,7 +30,8 @@
 	parts        []*wire.ReportPart // of a report whose last message has not arrived
 	reconciled   bool               // no unknown run of an earlier leader can be left on the worker
 	leaseEnd     time.Time          // when the lease has certainly expired; zero if this leader has granted none
-	lostAt       time.Time          // when the last session was lost
+	former       formerLease
+	lostAt       time.Time // when the last session was lost
 	runs         map[wire.Run]*run
 	used         sizes.Resources       // capacity reserved by runs
 	demand       int64                 // processors requested by all runs including best-effort ones, in thousandths
--- a/internal/jobs/rows/layout.go
+++ b/internal/jobs/rows/layout.go
@@ -15,7 +15,7 @@
 // of a part one at a time, which limits the rate of a slow store.
 const intakeParts = 8
 
-// Tables. The head, progress and agents of a cell are in the part named after the cell, so that the leader can write
+// Tables. The head, progress, agents and restarts of a cell are in the part named after the cell, so that the leader can write
 // them in one transaction.
 const (
 	Heads    = "Heads"    // one row per cell: its leader
@@ -23,6 +23,7 @@
 	Cancels  = "Cancels"  // cancelled jobs, written by entries
 	Progress = "Progress" // state of jobs, written by the leader
 	Agents   = "Agents"   // agents and their addresses, written by agents and deleted by the leader
+	Restarts = "Restarts" // workers that have restarted under their ID lately, by agent, written by the leader
 )
 
 // HeadKey is the key of a cell's head row.
@@ -44,6 +45,11 @@
 	Incarnation string
 }
 
+// Restart marks an agent whose worker may have a lease from a call to a former incarnation of the same ID.
+type Restart struct {
+	Worker string // ID of the worker
+}
+
 // State is the state of a job.
 type State uint8
 
@@ -132,6 +138,9 @@
 // AgentRef returns the row of an agent.
 func AgentRef(cell, name string) Ref { return Ref{Agents, cell, name} }
 
+// RestartRef returns the row of a restart of an agent's worker.
+func RestartRef(cell, agent string) Ref { return Ref{Restarts, cell, agent} }
+
 // One returns the span that contains only this row.
 func (r Ref) One() Span {
 	return Span{Table: r.Table, Part: r.Part, From: r.Key, To: r.Key + "\x00", Limit: 1}
--- a/internal/link/wire/task.go
+++ b/internal/link/wire/task.go
@@ -74,6 +74,7 @@
 	Remaining       int64 // minimum time until a draining worker leaves, ms
 	WarmupRemaining int64 `msgpack:"Cold"` // remaining time for which the worker is slow, ms
 	Healthy         bool  // the worker responds to calls
+	RestartAge      int64 // time since the worker may have restarted under its ID, in ms; 0 if the agent knows of no restart
 }
 
 // RunState is the state of a run on a worker.
--- a/internal/stand/runs/worker.go
+++ b/internal/stand/runs/worker.go
@@ -51,6 +51,7 @@
 
 	mu          sync.Mutex
 	nextFault   func() Fault // fault of the next command; nil for none
+	cut         bool         // calls are lost
 	maxEnds     int          // ended runs that Poll returns at a time; 0 for all
 	incarnation wire.WorkerIncarnation
 	down        bool
@@ -101,6 +102,13 @@
 	w.maxEnds = n
 }
 
+// SetCut sets whether the worker is cut off: calls have no effect and no response, and runs go on.
+func (w *Worker) SetCut(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+}
+
 // Crash simulates the end of the worker's process: all runs end and commands return driver.ErrUnreachable until
 // Restart.
 func (w *Worker) Crash() {
@@ -170,8 +178,12 @@
 // execute runs f, the effect of a command, under the fault of that command.
 func (w *Worker) execute(ctx context.Context, incarnation wire.WorkerIncarnation, f func() error) error {
 	w.mu.Lock()
-	nextFault, received := w.nextFault, w.incarnation
+	nextFault, received, cut := w.nextFault, w.incarnation, w.cut
 	w.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return errors.Mark(ctx.Err(), errLost)
+	}
 	var fault Fault
 	if nextFault != nil {
 		fault = nextFault()
@@ -371,6 +383,11 @@
 // Poll implements driver.Worker.
 func (w *Worker) Poll(ctx context.Context, req driver.PollRequest) (driver.PollResponse, error) {
 	w.mu.Lock()
+	if w.cut {
+		w.mu.Unlock()
+		<-ctx.Done()
+		return driver.PollResponse{}, errors.Mark(ctx.Err(), errLost)
+	}
 	err := w.checkReachable(req.Incarnation)
 	if err == nil {
 		err = w.checkToken(req.Token)
