Judge the progress of runs by recent reports only

Change: the leader judges the runs of a worker only by complete reports of the last 1.2 s, which is below the time after which a run counts as stalled.

--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -197,6 +197,7 @@
 // reconcile compares the complete list of runs on a worker with the runs that the leader expects there. Unknown runs
 // are stopped. Missing ones are released, unless they may be among ends that the worker has not listed yet.
 func (t *Term) reconcile(w *worker, m *wire.RunReport, now time.Time) {
+	w.reportedAt = now
 	t.recordMeasurements(w, m, now)
 	w.cancelSuspects()
 	w.unknownRuns = nil
--- a/internal/jobs/lead/outcome_test.go
+++ b/internal/jobs/lead/outcome_test.go
@@ -303,3 +303,38 @@
 		}
 	})
 }
+
+// Guards against work that is lost since an agent is silent for a while: the leader saw no progress and took the run for stalled.
+func TestRunOfSilentAgentIsNotStalled(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		isSilent bool
+		stops    int
+	}{{"silent", true, 0}, {"without progress", false, 1}} {
+		t.Run(test.name, func(t *testing.T) {
+			withRun(t, func(term *lead.Term, l *sent, r wire.Run) {
+				report := &wire.RunReport{
+					Incarnation: incarnation1, Complete: true, RequestLease: true, LastOrders: 1,
+					Running: []wire.RunState{{Run: r, Percent: 10}},
+				}
+				term.Message("host", l, report)
+				for range 4 {
+					time.Sleep(700 * time.Millisecond)
+					if !test.isSilent {
+						term.Message("host", l, report)
+					}
+				}
+				time.Sleep(100 * time.Millisecond)
+				stopped := make(map[wire.Run]bool)
+				for _, o := range l.orders() {
+					for _, s := range o.Stops {
+						stopped[s] = true
+					}
+				}
+				if len(stopped) != test.stops {
+					t.Errorf("stops of %v, want %d", stopped, test.stops)
+				}
+			})
+		})
+	}
+}
--- a/internal/jobs/lead/watch.go
+++ b/internal/jobs/lead/watch.go
@@ -10,6 +10,7 @@
 
 const (
 	watchEvery       = 400 * time.Millisecond  // between checks of all runs
+	maxReportAge     = 1200 * time.Millisecond // of the last complete report, from which runs are judged; below runStallAfter
 	runStallAfter    = 1300 * time.Millisecond // time without progress after which a run counts as stalled
 	runStallShare    = 0.05                    // of the estimate, added to runStallAfter as percents are whole numbers
 	minProgressShare = 0.3                     // share of full speed from which a best-effort run must make progress
@@ -25,8 +26,8 @@
 	t.watchAt = now
 	t.moveSlow(now)
 	for _, w := range t.workers {
-		if !w.acceptsRuns() {
-			continue
+		if !w.acceptsRuns() || now.Sub(w.reportedAt) > maxReportAge {
+			continue // the progress of its runs is not known
 		}
 		if w.isStalled(now) {
 			t.evictBestEffort(w)
--- a/internal/jobs/lead/worker.go
+++ b/internal/jobs/lead/worker.go
@@ -26,6 +26,7 @@
 	link         Link   // nil while disconnected
 	state        wire.WorkerState
 	stateAt      time.Time          // when state was reported
+	reportedAt   time.Time          // when the last complete report arrived
 	synced       bool               // a complete report for this worker incarnation has arrived in this session
 	parts        []*wire.ReportPart // of a report whose last message has not arrived
 	reconciled   bool               // no unknown run of an earlier leader can be left on the worker
