--- a/cmd/trefoilramp/cell_soak_test.go
+++ b/cmd/trefoilramp/cell_soak_test.go
@@ -312,7 +312,12 @@
 	slices.Sort(names)
 	name := names[s.rng.IntN(len(names))]
 	r, dir := s.relays[name], netsim.Direction(1+s.rng.IntN(3))
-	switch s.rng.IntN(4) {
+	kind := s.rng.IntN(4)
+	if kind == 1 && strings.HasPrefix(name, "sessions") && duration.Milliseconds()%2 == 0 {
+		s.add("silence", name, duration, r.Silence, func() {})
+		return
+	}
+	switch kind {
 	case 0:
 		s.add(fmt.Sprintf("drop direction %d", dir), name, duration, func() { r.Drop(dir) }, r.Restore)
 	case 1:
--- a/internal/jobs/lead/commit.go
+++ b/internal/jobs/lead/commit.go
@@ -67,7 +67,7 @@
 			break
 		}
 		if p.number > 0 && p.job.state.IsFinal() {
-			delete(t.dirty, p) // the state of the job says all
+			delete(t.dirty, p) // nothing but the final state is kept
 			continue
 		}
 		value, err := p.encode()
