Settle whether a worker has more ends by a poll without a wait

Cause: a complete report says that there may be more ends if its list is as long as the longest before. On a worker whose runs end one after the other, each poll returns exactly one end, so that each report says so.

Change: after such a report, once all reported ends are acknowledged, the agent polls without waiting; an empty response settles it.

Test: TestReportsBesideSingleEnds (before: none of the last 7 reports shows all ends).

--- a/internal/host/driver/agent.go
+++ b/internal/host/driver/agent.go
@@ -280,6 +280,9 @@
 	if a.leader != nil && (!a.synced || len(a.refused) > 0) || a.announced != nil {
 		wait = 0
 	}
+	if a.moreEnds && a.acked >= a.reported {
+		wait = 0 // a response without ends shows that there are no more, which one that waits for an end does not
+	}
 	request := PollRequest{
 		Incarnation: a.state.Incarnation, Token: a.token, DurableEnds: a.acked, Deadline: a.deadline,
 		Wait: wait.Milliseconds(),
