--- a/internal/host/driver/agent.go
+++ b/internal/host/driver/agent.go
@@ -281,7 +281,7 @@
 		wait = 0
 	}
 	if a.moreEnds && a.acked >= a.reported {
-		wait = 0 // a response without ends shows that there are no more, which one that waits for an end does not
+		wait = 0 // only a response without ends shows that there are no more, and a poll that waits returns with one
 	}
 	request := PollRequest{
 		Incarnation: a.state.Incarnation, Token: a.token, DurableEnds: a.acked, Deadline: a.deadline,
