--- a/internal/link/sess/limit_test.go
+++ b/internal/link/sess/limit_test.go
@@ -297,7 +297,9 @@
 			t.Error("a peer that answers counts as silent")
 		default:
 		}
+		conn.sem <- struct{}{}
 		conn.lossy = true
+		<-conn.sem
 		began := time.Now()
 		select {
 		case <-d.Unanswered():
