Limit the time until which an agent sends a start

Cause: an agent repeats a start for 1.05 s, and sends one that was held up on its way or while its process was stopped whenever it continues. It also went on with its attempts after the leader had cancelled the start.

Change: each report has a reading of the agent's monotonic clock; commands with starts may have a limit on that clock. No attempt begins at or after the limit, and an attempt in progress ends there. Without a limit nothing changes, except that no attempt follows a cancel.

--- a/internal/host/driver/agent.go
+++ b/internal/host/driver/agent.go
@@ -37,8 +37,9 @@
 
 // Agent manages one worker for the leader; its methods are safe for concurrent use.
 type Agent struct {
-	cfg  Config
-	wake chan struct{}
+	cfg     Config
+	wake    chan struct{}
+	beganAt time.Time // from which the agent's clock counts
 
 	mu               sync.Mutex
 	state            wire.WorkerState // of the current incarnation
@@ -75,7 +76,7 @@
 // New returns an agent whose worker is unknown until its first announcement.
 func New(cfg Config) *Agent {
 	return &Agent{
-		cfg: cfg, wake: make(chan struct{}, 1), pending: make(map[wire.Run]pendingRun),
+		cfg: cfg, wake: make(chan struct{}, 1), beganAt: time.Now(), pending: make(map[wire.Run]pendingRun),
 		stopping: make(map[wire.Run]uint64), pacer: newPacer(),
 	}
 }
@@ -210,10 +211,11 @@
 			a.cancelRun(ctx, h.incarnation, wire.RunRefused{Run: r, Reason: wire.RefusedSilent})
 		})
 	}
+	before := a.timeAt(m.StartBefore)
 	for _, s := range m.Starts {
 		a.pending[s.Run] = pendingRun{token: h.token}
 		a.pacer.addRun(s.RunProfile)
-		a.commands.Go(func() { a.start(ctx, h, s) })
+		a.commands.Go(func() { a.start(ctx, h, s, before) })
 	}
 }
 
@@ -410,7 +412,7 @@
 	if m == nil {
 		m = &wire.RunReport{LastOrders: a.commandNumber}
 	}
-	m.Incarnation, m.Clock, m.Refused = a.state.Incarnation, a.clock, a.refused
+	m.Incarnation, m.Clock, m.Refused, m.AgentClock = a.state.Incarnation, a.clock, a.refused, a.readClock()
 	a.refused = nil
 	if m.Complete {
 		a.synced = true
--- a/internal/host/driver/call.go
+++ b/internal/host/driver/call.go
@@ -48,13 +48,30 @@
 	return h.incarnation == a.state.Incarnation && h.token == a.token && !a.gone
 }
 
+// readClock returns the agent's clock in milliseconds, never 0. It is monotonic, so that it also advances while the process
+// is stopped.
+func (a *Agent) readClock() int64 { return time.Since(a.beganAt).Milliseconds() + 1 }
+
+// noLimit is a time that no process reaches.
+var noLimit = time.Unix(1<<40, 0)
+
+// timeAt returns the time at which the agent's clock shows a reading, and noLimit for 0.
+func (a *Agent) timeAt(clock int64) time.Time {
+	if clock == 0 {
+		return noLimit
+	}
+	return a.beganAt.Add(time.Duration(clock-1) * time.Millisecond)
+}
+
 // start starts a run. A refusal speaks for its own attempt only: after an attempt without a response, which the worker
 // may still execute, only a stop makes sure that the run does not begin.
-func (a *Agent) start(ctx context.Context, h header, command wire.StartCommand) {
+//
+// From before on, no attempt is made, and none continues: the worker's zone may be evacuated.
+func (a *Agent) start(ctx context.Context, h header, command wire.StartCommand, before time.Time) {
 	unanswered := 0
 	var lastRefusal wire.Refusal
 	for range startAttempts {
-		err := a.startOnce(ctx, h, command)
+		err := a.startOnce(ctx, h, command, before)
 		if errors.Is(err, errObsolete) {
 			break
 		}
@@ -87,13 +104,14 @@
 	a.cancelRun(ctx, h.incarnation, wire.RunRefused{Run: command.Run, Reason: wire.RefusedSilent, Cause: lastRefusal})
 }
 
-// startOnce attempts to start a pending run. Without an attempt, it returns errObsolete if the command is no longer valid or
-// the run is no longer pending, and a refusal while the worker does not respond to polls. The worker does not count as ended
-// during an attempt, since its next incarnation may have the same ID and execute it.
-func (a *Agent) startOnce(ctx context.Context, h header, command wire.StartCommand) error {
+// startOnce attempts to start a pending run. Without an attempt, it returns errObsolete if the command is no longer valid, is
+// cancelled or too late, or the run is no longer pending, and a refusal while the worker does not respond to polls. The worker
+// does not count as ended during an attempt, since its next incarnation may have the same ID and execute it.
+func (a *Agent) startOnce(ctx context.Context, h header, command wire.StartCommand, before time.Time) error {
 	a.mu.Lock()
-	_, isPending := a.pending[command.Run]
-	if !isPending || !a.isCurrentLocked(h) {
+	p, isPending := a.pending[command.Run]
+	now := time.Now()
+	if !isPending || p.isCancelled || !a.isCurrentLocked(h) || !now.Before(before) {
 		a.mu.Unlock()
 		return errObsolete
 	}
@@ -103,7 +121,11 @@
 	}
 	a.startCalls++
 	a.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	end := now.Add(startTimeout)
+	if before.Before(end) {
+		end = before
+	}
+	callCtx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	err := a.cfg.Worker.Start(callCtx, Start{
 		Incarnation: h.incarnation, Token: h.token, Deadline: h.deadline, Command: command,
--- a/internal/host/driver/outcome_test.go
+++ b/internal/host/driver/outcome_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -62,6 +63,42 @@
 	}
 }
 
+// Guards against a start that reaches the worker of an evacuated zone late: an agent repeats it, or receives it, after the limit
+// of the leader.
+func TestNoAttemptAfterLimitOfStart(t *testing.T) {
+	for received, want := range map[time.Duration][]time.Duration{ // after the limit was set; the last command is a stop
+		0:                      {0, 350 * time.Millisecond, 500 * time.Millisecond},
+		600 * time.Millisecond: {600 * time.Millisecond},
+	} {
+		withAgent(t, func(ctx context.Context, a *driver.Agent, w *countingWorker, l *leader) {
+			for n := len(l.reports()); len(l.reports()) == n; {
+				time.Sleep(time.Millisecond)
+			}
+			m, set := commands(1, w, run1), time.Now()
+			m.StartBefore = l.reports()[len(l.reports())-1].AgentClock + 500
+			var mu sync.Mutex
+			var sent []time.Duration // commands to the worker
+			w.SetFaults(func() runs.Fault {
+				mu.Lock()
+				defer mu.Unlock()
+				sent = append(sent, time.Since(set).Round(10*time.Millisecond))
+				return runs.Fault{LoseLate: time.Hour}
+			})
+			time.Sleep(received)
+			a.Execute(ctx, l, m)
+			time.Sleep(time.Second - received)
+			w.SetFaults(nil)
+			mu.Lock()
+			defer mu.Unlock()
+			if !slices.Equal(sent, want) {
+				t.Errorf("commands after %v; want %v", sent, want)
+			}
+			time.Sleep(8 * time.Second)
+			checkResolved(t, w, l)
+		})
+	}
+}
+
 // Guards against a task that never starts again: a stop that the worker refused was given up, and the start without a
 // response stayed pending.
 func TestStopOfUnansweredStartIsRepeatedAfterRefusal(t *testing.T) {
--- a/internal/link/wire/split.go
+++ b/internal/link/wire/split.go
@@ -47,7 +47,7 @@
 	}
 	last := s.part(0)
 	for _, p := range s.parts {
-		p.Incarnation, p.Number = m.Incarnation, m.Number-1
+		p.Incarnation, p.Number, p.StartBefore = m.Incarnation, m.Number-1, m.StartBefore
 	}
 	last.Number, last.DurableEnds = m.Number, m.DurableEnds
 	return s.parts
--- a/internal/link/wire/task.go
+++ b/internal/link/wire/task.go
@@ -113,6 +113,7 @@
 	Interference []InterferenceWeight `msgpack:"Press"` // from an earlier leader; only in the first report to a leader
 	LastOrders   uint64               `msgpack:"Order"` // number of the last TaskOrders received before the poll
 	MoreEnds     bool                 // the worker may have ended runs that it has not listed yet
+	AgentClock   int64                // agent's clock before the report was sent, ms since its process began
 }
 
 // ReportPart holds items of the next RunReport on the session, which would exceed a frame with them.
@@ -157,6 +158,7 @@
 	DurableEnds  uint64               `msgpack:"Noted"`  // run ends up to this number are durable
 	Profiles     []RunProfile         `msgpack:"Traits"`
 	Interference []InterferenceWeight `msgpack:"Press"`
+	StartBefore  int64                // on the agent's clock, from which Starts must not be sent to the worker; 0 for no limit
 }
 
 // InterferenceWeight is the interference of best-effort tasks with the image BestEffort on serving tasks with the image
