Start nothing in evacuated zones

Cause: the leader does not know of evacuations.

Change: with Config.Evacuations the leader reads the evacuated zones each 700 ms in a loop of their own, since up to three reads of 1.5 s come first in the loop of the other changes, and at the end of a takeover. mayRun leaves out workers of these zones, and all workers once the last read began longer ago than the bound less 1 s. Commands with starts carry the start of the read plus the bound as their limit. Unconfirmed starts in a zone that is evacuated are cancelled; blocked steps consider the workers again when a zone is taken back. The policy service is not asked about workers of evacuated zones. E950 to E952, gauge zones_evacuated, counter starts_withheld, which counts a step once while it waits.

--- a/internal/core/event/jobs.go
+++ b/internal/core/event/jobs.go
@@ -50,6 +50,9 @@
 	AnnouncementRefused Number = 947
 	SessionReplaced     Number = 948
 	WorkerRestarted     Number = 949
+	ZoneEvacuated       Number = 950
+	ZoneUnknown         Number = 951
+	EvacuationsNotRead  Number = 952
 )
 
 var jobEvents = []Entry{
@@ -99,4 +102,7 @@
 	{AnnouncementRefused, zapcore.InfoLevel, "announcement refused", "An announced incarnation of the worker is not the one that responds at the worker's address; it had no effect.", "Find its sender if this persists."},
 	{SessionReplaced, zapcore.InfoLevel, "silent session replaced", "The agent did not answer on the open session, but on a new one; the leader uses the new one.", "Check the network, and any proxies that drop idle connections, if this persists."},
 	{WorkerRestarted, zapcore.InfoLevel, "worker restarted under its ID", "Calls to the former process may have extended the lease of the new one; if the worker is lost, its tasks wait for the longest lease that it accepts.", "Check the worker if this persists."},
+	{ZoneEvacuated, zapcore.InfoLevel, "zone evacuated or evacuation withdrawn", "The leader has read that the operator evacuated the zone, and starts nothing there, or that the evacuation is withdrawn; Evacuated tells which. Each new leader logs the evacuated zones.", "None."},
+	{ZoneUnknown, zapcore.WarnLevel, "evacuated zone has no workers", "No worker is in the zone of an evacuation, which stays in effect for workers that are added.", "Check the name of the zone in the row."},
+	{EvacuationsNotRead, zapcore.WarnLevel, "evacuations not read", "The leader could not read the evacuated zones; the read is repeated. The last known ones stay in effect, and no run is started anywhere once the last read is older than the bound less one second.", "Check the store if this persists."},
 }
--- a/internal/jobs/lead/advice.go
+++ b/internal/jobs/lead/advice.go
@@ -109,7 +109,7 @@
 			if !w.acceptsRuns() || w.state.Service != j.spec.Service || s.Label != "" && !w.hasLabel(s.Label) {
 				continue
 			}
-			if onlyFree && !s.Reserved().Fits(w.free()) {
+			if onlyFree && !s.Reserved().Fits(w.free()) || !t.allowsStart(w, now) {
 				continue
 			}
 			if _, isRefused := a.refused[w.state.Incarnation]; isRefused {
--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -19,7 +19,7 @@
 		ev.link.Close(errDeposed)
 		return
 	}
-	w.link, w.synced, w.commandSeq, w.out, w.ackedEnd, w.parts = ev.link, false, 0, nil, 0, nil
+	w.link, w.synced, w.commandSeq, w.out, w.ackedEnd, w.parts, w.agentClock = ev.link, false, 0, nil, 0, nil, 0
 	for _, r := range w.runs {
 		r.commandSeq, r.cancelling = 0, false // the start was sent in an earlier session or never
 	}
@@ -105,6 +105,7 @@
 		return
 	}
 	now := time.Now()
+	w.agentClock, w.agentClockAt = m.AgentClock, now
 	firstReport := !w.reconciled
 	for _, p := range m.Interference {
 		t.interference.Hint(impact.Pair{Serving: p.Serving, BestEffort: p.BestEffort}, p.Weight)
--- a/internal/jobs/lead/cluster_test.go
+++ b/internal/jobs/lead/cluster_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -57,6 +58,7 @@
 	notifyEntry string          // entry that callers notify of jobs; empty for the current leader
 	faults      func(caller string) memory.Fault
 	advisor     lead.Advisor // nil for none
+	evacuator                // of zones
 }
 
 // entry is a process that may lead.
@@ -90,7 +92,10 @@
 	c.store.NextFault = func(caller string) memory.Fault {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if c.storeDown[caller] {
+		if caller == operatorName {
+			return memory.Fault{} // repeats its changes until they are acknowledged
+		}
+		if c.storeDown[caller] || c.storeDown[strings.TrimPrefix(caller, readsOf)] {
 			return memory.Fault{Refuse: true}
 		}
 		if c.faults != nil {
@@ -114,11 +119,15 @@
 	e := &entry{name: name, cancel: cancel, done: make(chan struct{})}
 	n := &network{cluster: c, entry: name, links: make(map[string]context.CancelFunc)}
 	delay := time.Duration(len(c.entries)) * 50 * time.Millisecond
-	e.leader = lead.NewLeader(lead.Config{
+	cfg := lead.Config{
 		Cell: cell, Name: name, Address: name + ":1", Store: c.store.Client(name), Lease: lease, LeaseLimit: leaseLimit,
 		HedgeDelay: func() time.Duration { return hedgeDelay }, Retention: time.Minute,
-		Queues: &queues.Holder{}, Network: n, Advisor: c.advisor, Meter: noMeter{}, Log: c.log.With(zap.String("Entry", name)),
-	}, func() time.Duration { return delay })
+		Queues: &queues.Holder{}, Network: n, Advisor: c.advisor, Meter: noMeter{&c.withheld}, Log: c.log.With(zap.String("Entry", name)),
+	}
+	if c.usesEvacuations {
+		cfg.EvacuationBound, cfg.Evacuations = evacBound, c.evacuations(name)
+	}
+	e.leader = lead.NewLeader(cfg, func() time.Duration { return delay })
 	c.mu.Lock()
 	c.entries[name] = e
 	c.mu.Unlock()
@@ -197,8 +206,13 @@
 
 // addHost starts a worker with its agent.
 func (c *cluster) addHost(name string, processors int64) *host {
+	return c.addHostIn("agadir", name, processors)
+}
+
+// addHostIn starts a worker with its agent in a zone.
+func (c *cluster) addHostIn(zone, name string, processors int64) *host {
 	h := &host{name: name, worker: &runs.Worker{
-		Name: name, Capacity: sizes.Resources{Processors: processors, Memory: 1 << 40}, StopTime: stopTime, MaxLease: leaseLimit,
+		Name: name, Zone: zone, Capacity: sizes.Resources{Processors: processors, Memory: 1 << 40}, StopTime: stopTime, MaxLease: leaseLimit,
 		Plan: func(r wire.Run) runs.Plan { return c.plan(r) },
 	}}
 	c.mu.Lock()
@@ -245,7 +259,7 @@
 
 // register stores the agent's row unless it exists.
 func (c *cluster) register(ctx context.Context, h *host) {
-	value, err := rows.Encode(&rows.Agent{Name: h.name, Zone: "agadir", Address: h.name + ":1"})
+	value, err := rows.Encode(&rows.Agent{Name: h.name, Zone: h.worker.Zone, Address: h.name + ":1"})
 	if err != nil {
 		c.t.Error(err)
 		return
@@ -478,12 +492,3 @@
 		}
 	}
 }
-
-// noMeter implements lead.Meter and records nothing.
-type noMeter struct{}
-
-func (noMeter) Takeover()                          {}
-func (noMeter) RunStarted(time.Duration, bool)     {}
-func (noMeter) RunEnded(wire.EndCause)             {}
-func (noMeter) ReleasedRunFound()                  {}
-func (noMeter) JobEnded(rows.State, time.Duration) {}
--- a/internal/jobs/lead/cost.go
+++ b/internal/jobs/lead/cost.go
@@ -62,6 +62,10 @@
 	if s.PerWorker > 0 && w.countRuns(c.job, c.round, c.step) >= s.PerWorker {
 		return 0, false
 	}
+	if !t.allowsStart(w, c.now) { // last, since it marks a worker that could run the task otherwise
+		t.evacuation.isWithheld = true
+		return 0, false
+	}
 	if !s.BestEffort {
 		return 1, true
 	}
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -145,6 +145,7 @@
 		interference: impact.NewTable(), loadPeriod: impact.NewPeriodEstimate(time.Now()),
 		runTimeRatios:  make(map[string]*runTimeRatio),
 		cancelledEarly: make(map[spec.ID]time.Time), unmatchedEnds: make(map[spec.ID][]unmatchedEnd),
+		evacuation: newEvacuation(l.cfg),
 	}
 	next := rows.Head{Leader: l.cfg.Name, Address: l.cfg.Address, Epoch: head.Epoch + 1, Write: head.Write}
 	t.writer = headWriter{store: l.cfg.Store, hedgeDelay: l.cfg.HedgeDelay, cell: l.cfg.Cell, head: next, version: version}
@@ -234,6 +235,11 @@
 	}
 	t.restore(agents, jobs, progress, cancels)
 	t.restoreRestarts(restarts)
+	if t.usesEvacuations() {
+		// The last read, so that it is recent when the term begins. A failure does not end the takeover: leases are granted
+		// meanwhile, and no run is started before a read has succeeded.
+		t.applyEvacuations(t.readEvacuations(ctx), time.Now())
+	}
 	return nil
 }
 
--- a/internal/jobs/lead/link_test.go
+++ b/internal/jobs/lead/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"trefoilramp.org/trefoilramp/internal/host/driver"
@@ -131,7 +132,11 @@
 	for {
 		select {
 		case m := <-e.out:
-			wait(ctx, linkDelay)
+			delay := linkDelay
+			if until, ok := c.held.Load(e.host); ok {
+				delay = max(delay, time.Until(until.(time.Time)))
+			}
+			wait(ctx, delay)
 			select {
 			case <-e.closed:
 				return
@@ -146,3 +151,16 @@
 		}
 	}
 }
+
+// noMeter implements lead.Meter and records only withheld starts.
+type noMeter struct {
+	withheld *atomic.Int64
+}
+
+func (noMeter) Takeover()                          {}
+func (noMeter) RunStarted(time.Duration, bool)     {}
+func (noMeter) RunEnded(wire.EndCause)             {}
+func (noMeter) ReleasedRunFound()                  {}
+func (noMeter) ZonesEvacuated(int)                 {}
+func (m noMeter) StartWithheld()                   { m.withheld.Add(1) }
+func (noMeter) JobEnded(rows.State, time.Duration) {}
--- a/internal/jobs/lead/schedule.go
+++ b/internal/jobs/lead/schedule.go
@@ -115,8 +115,9 @@
 
 // block records that no worker could run a task of a step.
 type block struct {
-	change uint64 // last change in the fleet that was considered
-	isIdle bool   // the job had been without runs for maxJobIdle
+	change     uint64 // last change in the fleet that was considered
+	isIdle     bool   // the job had been without runs for maxJobIdle
+	isWithheld bool   // a worker was left out because of an evacuation since the step is blocked
 }
 
 // scheduleStep starts the waiting tasks of a step. If no worker could run one of them before, only workers that have
@@ -145,6 +146,7 @@
 		}
 	}
 	change := t.fleet.changes
+	t.evacuation.isWithheld = false
 	var ok bool
 	switch {
 	case s.Gang:
@@ -166,7 +168,10 @@
 	if j.blocks == nil {
 		j.blocks = make(map[int]block)
 	}
-	j.blocks[key] = block{change: change, isIdle: j.isIdle(now)}
+	if t.evacuation.isWithheld && !last.isWithheld {
+		t.cfg.Meter.StartWithheld()
+	}
+	j.blocks[key] = block{change: change, isIdle: j.isIdle(now), isWithheld: t.evacuation.isWithheld || last.isWithheld}
 }
 
 // readyTasks returns the ordinals of the tasks of a step that may start now, valid until the next call.
--- a/internal/jobs/lead/soak_test.go
+++ b/internal/jobs/lead/soak_test.go
@@ -18,8 +18,8 @@
 
 var soakSeeds = flag.Uint64("soak", 30, "seeds of TestSoak, each in virtual time")
 
-// Guards against overlapping runs of a task, lost jobs and overcommitted workers while entries, agents, workers,
-// sessions and the store fail at random.
+// Guards against overlapping runs of a task, lost jobs, overcommitted workers and starts in evacuated zones while entries,
+// agents, workers, sessions and the store fail at random.
 func TestSoak(t *testing.T) {
 	for seed := range *soakSeeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { soak(t, seed, 0, false) }) })
@@ -79,6 +79,7 @@
 	defer cancel()
 	c := newCluster(ctx, t, seed)
 	c.store.SetRate(rate)
+	c.usesEvacuations = true
 	c.plan = func(r wire.Run) runs.Plan {
 		runTime := 300*time.Millisecond + time.Duration(len(r.Task)*7919%900)*time.Millisecond
 		return runs.Plan{Size: sizes.Resources{Processors: 1000}, RunTime: runTime}
@@ -89,11 +90,12 @@
 	}
 	var hosts []*host
 	for i := range 4 {
-		hosts = append(hosts, c.addHost(fmt.Sprintf("host-%d", i), 4000))
+		hosts = append(hosts, c.addHostIn(soakZones[i%len(soakZones)], fmt.Sprintf("host-%d", i), 4000))
 		hosts[i].worker.SetMaxEnds(i) // none, or so many ended runs at a time
 	}
 	time.Sleep(3 * time.Second)
 	go c.injectFaults(ctx, entries, hosts)
+	c.wg.Go(func() { c.evacuateAtRandom(ctx, seed) })
 	if foreign {
 		c.wg.Go(func() { c.announceForeign(ctx, seed, hosts) })
 	}
@@ -107,6 +109,7 @@
 		c.awaitState(job(n+1, 1, 1).ID, rows.Done, 30*time.Second)
 	}
 	c.checkRuns()
+	c.checkEvacuated()
 	cancel()
 	for _, e := range c.entries {
 		<-e.done
@@ -118,6 +121,26 @@
 // refusals are the reasons for which a worker refuses commands during a soak.
 var refusals = []wire.Refusal{wire.RefusedSick, wire.RefusedSick, wire.RefusedRoom}
 
+var soakZones = []string{"agadir", "bergen"}
+
+// evacuateAtRandom evacuates zones at random, and withdraws the evacuations after 25 seconds.
+func (c *cluster) evacuateAtRandom(ctx context.Context, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 3))
+	evacuated := make(map[string]bool)
+	for began := time.Now(); ctx.Err() == nil; wait(ctx, time.Duration(100+random.IntN(8000))*time.Millisecond) {
+		isOver, all := time.Since(began) > 25*time.Second, random.IntN(8) == 0
+		for _, z := range soakZones {
+			if on := !isOver && (all || evacuated[z] != (random.IntN(2) == 0)); on != evacuated[z] {
+				c.evacuate(z, on)
+				evacuated[z] = on
+			}
+		}
+		if isOver {
+			return
+		}
+	}
+}
+
 // injectFaults injects random faults for 25 seconds.
 func (c *cluster) injectFaults(ctx context.Context, entries []string, hosts []*host) {
 	for end := time.Now().Add(25 * time.Second); time.Now().Before(end) && ctx.Err() == nil; {
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -50,8 +50,11 @@
 	Queues     *queues.Holder
 	Network    Network
 	Advisor    Advisor // nil if no policy service is used
-	Meter      Meter
-	Log        *zap.Logger
+	// EvacuationBound is the time after the evacuation of a zone from which nothing may reach its workers.
+	EvacuationBound time.Duration
+	Evacuations     Evacuations // nil if the deployment has no such bound
+	Meter           Meter
+	Log             *zap.Logger
 }
 
 // Meter records metrics of a leader.
@@ -64,6 +67,10 @@
 	RunEnded(cause wire.EndCause)
 	// ReleasedRunFound counts a run that a worker listed after the leader had released it.
 	ReleasedRunFound()
+	// ZonesEvacuated records the number of evacuated zones.
+	ZonesEvacuated(n int)
+	// StartWithheld counts a step that waits because a worker which could run a task of it may get no runs at present.
+	StartWithheld()
 	// JobEnded records the end of a job and the time since it was added.
 	JobEnded(state rows.State, took time.Duration)
 }
@@ -143,6 +150,7 @@
 	wg             sync.WaitGroup
 	unmatchedEnds  map[spec.ID][]unmatchedEnd
 	released       []releasedRun         // released without an end, oldest first
+	evacuation     evacuation            // of zones
 	cancelledEarly map[spec.ID]time.Time // when jobs were cancelled that are not known
 	pendingDeletes []rows.Ref            // rows to delete with the next commit
 	watchAt        time.Time             // last check of all runs
@@ -214,6 +222,11 @@
 		t.cfg.Network.Connect(t, w.agent)
 	}
 	t.wg.Go(func() { t.pollChanges(ctx) })
+	if t.usesEvacuations() {
+		t.recordEvacuated()
+		defer t.cfg.Meter.ZonesEvacuated(0)
+		t.wg.Go(func() { t.pollEvacuations(ctx) })
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -275,6 +288,9 @@
 		return t.applyCommit(ev)
 	case polled:
 		t.applyChanges(ev)
+	case evacuationsRead:
+		t.applyEvacuations(ev, time.Now())
+		t.recordEvacuated()
 	case advised:
 		t.applyAdvice(ev)
 	case retired:
@@ -323,6 +339,9 @@
 		}
 		w.commandSeq++
 		w.out.Number = w.commandSeq
+		if len(w.out.Starts) > 0 {
+			w.out.StartBefore = t.startBefore(w)
+		}
 		parts := wire.SplitOrders(w.out)
 		w.out = nil
 		for _, m := range parts {
--- a/internal/jobs/lead/worker.go
+++ b/internal/jobs/lead/worker.go
@@ -28,6 +28,8 @@
 	stateAt      time.Time          // when state was reported
 	reportedAt   time.Time          // when the last complete report arrived
 	synced       bool               // a complete report for this worker incarnation has arrived in this session
+	agentClock   int64              // reading of the agent's clock in its last report in this session, ms; 0 before
+	agentClockAt time.Time          // when that report arrived
 	parts        []*wire.ReportPart // of a report whose last message has not arrived
 	reconciled   bool               // no unknown run of an earlier leader can be left on the worker
 	leaseEnd     time.Time          // when the lease has certainly expired; zero if this leader has granted none
--- a/internal/ops/metric/catalogue.go
+++ b/internal/ops/metric/catalogue.go
@@ -56,6 +56,8 @@
 	ReleasedRuns   Name = "runs_found_after_release"
 	StartSeconds   Name = "job_start_seconds"
 	CellTakeovers  Name = "cell_terms"
+	ZonesEvacuated Name = "zones_evacuated"
+	StartsWithheld Name = "starts_withheld"
 	LogDropped     Name = "log_lines_dropped"
 )
 
@@ -89,6 +91,8 @@
 	{ReleasedRuns, Counter, nil, "Runs that a worker listed after this leader had released them."},
 	{StartSeconds, Histogram, nil, "Time from the acceptance of a job of steps to its first run, in seconds."},
 	{CellTakeovers, Counter, nil, "Cells that this entry took over."},
+	{ZonesEvacuated, Gauge, nil, "Evacuated zones that this entry, as the leader, has read; 0 for other entries."},
+	{StartsWithheld, Counter, nil, "Steps of jobs that had to wait because of an evacuation, or because evacuations could not be read; each counts once until its tasks start."},
 	{LogDropped, Gauge, nil, "Log lines dropped because the log queue was full or writing failed."},
 }
 
--- a/internal/role/jobs/meter.go
+++ b/internal/role/jobs/meter.go
@@ -34,6 +34,12 @@
 // ReleasedRunFound implements lead.Meter.
 func (m meter) ReleasedRunFound() { m.set.Counter(metric.ReleasedRuns).Inc(1) }
 
+// ZonesEvacuated implements lead.Meter.
+func (m meter) ZonesEvacuated(n int) { m.set.Gauge(metric.ZonesEvacuated).Update(float64(n)) }
+
+// StartWithheld implements lead.Meter.
+func (m meter) StartWithheld() { m.set.Counter(metric.StartsWithheld).Inc(1) }
+
 // JobEnded implements lead.Meter.
 func (m meter) JobEnded(state rows.State, took time.Duration) {
 	m.set.Counter(metric.JobsEnded, state.String()).Inc(1)
--- a/internal/stand/runs/worker.go
+++ b/internal/stand/runs/worker.go
@@ -1,6 +1,7 @@
 package runs
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -35,6 +36,7 @@
 type Record struct {
 	Worker       string
 	Run          wire.Run
+	Commanded    time.Time // when the command that started it arrived
 	Began        time.Time
 	Ended        time.Time     // zero while the run is active
 	Cause        wire.EndCause // not set for a run that ended by Crash or Restart
@@ -44,6 +46,7 @@
 // Worker is an in-memory worker with one lease. It is safe for concurrent use.
 type Worker struct {
 	Name     string
+	Zone     string // empty for "agadir"
 	Capacity sizes.Resources
 	Plan     func(wire.Run) Plan
 	StopTime time.Duration // time that a stopped run takes to end
@@ -140,7 +143,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return wire.WorkerState{
-		Incarnation: w.incarnation, Service: "packing", Zone: "agadir", Phase: wire.WorkerReady,
+		Incarnation: w.incarnation, Service: "packing", Zone: cmp.Or(w.Zone, "agadir"), Phase: wire.WorkerReady,
 		Capacity: w.Capacity, Rack: "r1", Healthy: true,
 	}
 }
@@ -256,6 +259,7 @@
 
 // Start implements driver.Worker.
 func (w *Worker) Start(ctx context.Context, s driver.Start) error {
+	commanded := time.Now()
 	return w.execute(ctx, s.Incarnation, func() error {
 		if err := w.checkToken(s.Token); err != nil {
 			return err
@@ -271,12 +275,12 @@
 		if !time.Now().Before(w.deadline) {
 			return &driver.RefusedError{Reason: wire.RefusedLate}
 		}
-		w.startRun(run)
+		w.startRun(run, commanded)
 		return nil
 	})
 }
 
-func (w *Worker) startRun(run wire.Run) {
+func (w *Worker) startRun(run wire.Run, commanded time.Time) {
 	p := w.Plan(run)
 	used := p.Size
 	for _, a := range w.active {
@@ -285,7 +289,9 @@
 	if !used.Fits(w.Capacity) {
 		w.overcommits = append(w.overcommits, run)
 	}
-	a := &activeRun{plan: p, pace: 100, record: &Record{Worker: w.Name, Run: run, Began: time.Now()}}
+	a := &activeRun{plan: p, pace: 100, record: &Record{
+		Worker: w.Name, Run: run, Commanded: commanded, Began: time.Now(),
+	}}
 	w.records = append(w.records, a.record)
 	w.active[run] = a
 	incarnation := w.incarnation
