Add the setting EvacuationBound of a cell's entry

Cause: only deployments whose platform gives a bound use evacuations.

Without it nothing is read. An explicit 0 is refused, as it is out of range.

--- a/cmd/trefoilramp/cell.go
+++ b/cmd/trefoilramp/cell.go
@@ -78,6 +78,9 @@
 	if s.Policies != "" {
 		cfg.Advisor = platform.NewAdvisor(s.Policies)
 	}
+	if s.EvacuationBound != nil {
+		cfg.Evacuations, cfg.EvacuationBound = platform.NewEvacuations(store), s.EvacuationBound.Std()
+	}
 	e, err := jobs.NewEntry(ctx, cfg)
 	if err != nil {
 		return err
--- a/internal/conf/setup/cell.go
+++ b/internal/conf/setup/cell.go
@@ -10,12 +10,14 @@
 
 // Bounds of the settings of the processes in a cell.
 const (
-	minLease     = time.Second // of Lease and Grace
-	maxLease     = time.Hour   // of Lease and Grace
-	minRetention = time.Second
-	maxRetention = 24 * time.Hour
-	minMemory    = 32      // MiB
-	maxMemory    = 1 << 20 // MiB
+	minLease           = time.Second // of Lease and Grace
+	maxLease           = time.Hour   // of Lease and Grace
+	minRetention       = time.Second
+	maxRetention       = 24 * time.Hour
+	minEvacuationBound = 2 * time.Second // leaves time for a poll of the store and for a start
+	maxEvacuationBound = time.Minute
+	minMemory          = 32      // MiB
+	maxMemory          = 1 << 20 // MiB
 )
 
 // CellProcess holds the settings that the processes of a cell share.
@@ -35,12 +37,15 @@
 
 // CellEntry holds the settings of a cell's entry.
 type CellEntry struct {
-	Process    CellProcess
-	Callers    string         // listener for callers
-	Readiness  string         // listener for the platform's readiness checks
-	Policies   string         // HOST:PORT of the policy service; empty for none
-	Retention  model.Duration // how long callers can query a job after its end
-	Processors float64        // processors available to the process; may be a fraction of one
+	Process   CellProcess
+	Callers   string         // listener for callers
+	Readiness string         // listener for the platform's readiness checks
+	Policies  string         // HOST:PORT of the policy service; empty for none
+	Retention model.Duration // how long callers can query a job after its end
+	// EvacuationBound is the time after the evacuation of a zone from which nothing may be started there; absent if zones
+	// are not evacuated.
+	EvacuationBound *model.Duration
+	Processors      float64 // processors available to the process; may be a fraction of one
 }
 
 // CellAgent holds the settings of a cell's agent.
@@ -95,6 +100,9 @@
 	})
 	checkDial(c.Field("Policies"), e.Policies, false)
 	model.CheckDuration(c.Field("Retention"), e.Retention, minRetention, maxRetention)
+	if e.EvacuationBound != nil {
+		model.CheckDuration(c.Field("EvacuationBound"), *e.EvacuationBound, minEvacuationBound, maxEvacuationBound)
+	}
 	if e.Processors <= 0 {
 		c.Field("Processors").Fail(e.Processors, "more than 0")
 	}
--- a/internal/conf/setup/cell_test.go
+++ b/internal/conf/setup/cell_test.go
@@ -41,6 +41,10 @@
 		{"same listeners", `"10.0.0.1:2"`, `"10.0.0.1:1"`, "$.Readiness"},
 		{"no processors", `0.16`, `0`, "$.Processors"},
 		{"short retention", `"120s"`, `"1ms"`, "$.Retention"},
+		{"no bound", `"Retention"`, `"EvacuationBound": "0ms", "Retention"`, "$.EvacuationBound"},
+		{"short bound", `"Retention"`, `"EvacuationBound": "1999ms", "Retention"`, "$.EvacuationBound"},
+		{"long bound", `"Retention"`, `"EvacuationBound": "61s", "Retention"`, "$.EvacuationBound"},
+		{"bound without unit", `"Retention"`, `"EvacuationBound": "5000", "Retention"`, "$.EvacuationBound"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			_, err := setup.LoadCellEntry(writeSettings(t, strings.Replace(entry, test.from, test.to, 1)))
--- a/internal/role/jobs/entry.go
+++ b/internal/role/jobs/entry.go
@@ -45,8 +45,11 @@
 	Store         *rows.Monitor
 	Source        Source
 	Advisor       lead.Advisor
-	Metrics       *metric.Set
-	Log           *zap.Logger
+	// Evacuations and EvacuationBound are those of lead.Config.
+	Evacuations     lead.Evacuations
+	EvacuationBound time.Duration
+	Metrics         *metric.Set
+	Log             *zap.Logger
 }
 
 // Entry accepts jobs, and leads the cell while no other entry does.
@@ -81,6 +84,7 @@
 	e.leader = lead.NewLeader(lead.Config{
 		Cell: cfg.Cell, Name: cfg.Name, Address: cfg.Address, Store: cfg.Store, HedgeDelay: cfg.Store.HedgeDelay,
 		Lease: cfg.Lease, LeaseLimit: cfg.LeaseLimit, Retention: cfg.Retention, Queues: e.queues, Network: e.network, Advisor: cfg.Advisor,
+		Evacuations: cfg.Evacuations, EvacuationBound: cfg.EvacuationBound,
 		Meter: meter{cfg.Metrics}, Log: cfg.Log,
 	}, cfg.TakeoverDelay)
 	e.leaderClient = newLeaderClient(cfg.Address, e.leader, e.sessions)
