--- a/internal/conf/setup/cell.go
+++ b/internal/conf/setup/cell.go
@@ -92,6 +92,7 @@
 }
 
 func (e *CellEntry) check(c strict.Check, base string) {
+	e.applyEnvironment(c)
 	e.Process.check(c.Field("Process"), base)
 	checkListen(c.Field("Callers"), e.Callers, true)
 	checkListen(c.Field("Readiness"), e.Readiness, true)
--- a/internal/conf/setup/cell_test.go
+++ b/internal/conf/setup/cell_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"trefoilramp.org/trefoilramp/internal/conf/setup"
 )
@@ -54,3 +55,24 @@
 		})
 	}
 }
+
+// Guards against a bound from the environment that is ignored, replaces that of the file, or is not checked.
+func TestEvacuationBoundFromEnvironment(t *testing.T) {
+	entry := "{" + cellProcess + `, "Callers": "10.0.0.1:1", "Readiness": "10.0.0.1:2", "Retention": "120s", "Processors": 0.16}`
+	for _, test := range []struct {
+		variable string
+		want     time.Duration // 0 for none, negative for an error
+	}{{"", 0}, {"5000", 5 * time.Second}, {"five", -1}, {"100", -1}} {
+		t.Setenv(setup.EvacuationBoundVariable, test.variable)
+		e, err := setup.LoadCellEntry(writeSettings(t, entry))
+		if test.want < 0 {
+			if err == nil || !strings.Contains(err.Error(), "$.EvacuationBound") {
+				t.Errorf("%q: error %v; want one that names $.EvacuationBound", test.variable, err)
+			}
+			continue
+		}
+		if got := e.EvacuationBound; err != nil || (got == nil) != (test.want == 0) || got != nil && got.Std() != test.want {
+			t.Errorf("%q gives a bound of %v, %v; want %v", test.variable, got, err, test.want)
+		}
+	}
+}
