Order waiting jobs by learned work, value and waiting time while capacity is insufficient

Cause: among late jobs, the one with the earliest deadline was scheduled first, every heavy job was begun and few ended.

Change: package jobs/order with learned run times, an order for waiting jobs, a bound on best-effort jobs in progress, and shares for jobs that have waited long and for the largest tenth of a queue. Each rule has a field in order.Policy; the zero value, which cell entries have so far, keeps the order as it was. The run time ratios by queue that measure the speed of workers are now those of order.RunTimes.

--- a/internal/core/event/jobs.go
+++ b/internal/core/event/jobs.go
@@ -50,6 +50,7 @@
 	AnnouncementRefused Number = 947
 	SessionReplaced     Number = 948
 	WorkerRestarted     Number = 949
+	JobMovedUp          Number = 957
 )
 
 var jobEvents = []Entry{
@@ -99,4 +100,5 @@
 	{AnnouncementRefused, zapcore.InfoLevel, "announcement refused", "An announced incarnation of the worker is not the one that responds at the worker's address; it had no effect.", "Find its sender if this persists."},
 	{SessionReplaced, zapcore.InfoLevel, "silent session replaced", "The agent did not answer on the open session, but on a new one; the leader uses the new one.", "Check the network, and any proxies that drop idle connections, if this persists."},
 	{WorkerRestarted, zapcore.InfoLevel, "worker restarted under its ID", "Calls to the former process may have extended the lease of the new one; if the worker is lost, its tasks wait for the longest lease that it accepts.", "Check the worker if this persists."},
+	{JobMovedUp, zapcore.InfoLevel, "job moved up", "The job had been without a run for 30 s while capacity was insufficient, and gets capacity before jobs that can still be on time.", "Add workers if it is frequent."},
 }
--- a/internal/jobs/lead/balance.go
+++ b/internal/jobs/lead/balance.go
@@ -138,6 +138,7 @@
 // pressure summarizes the runs on a worker for the choice of workers for best-effort tasks.
 type pressure struct {
 	left, wanted int64            // see sumLeftover
+	unused       int64            // see unusedOn; negative if not computed
 	serving      []impact.Serving // of the serving runs; the own load includes the interference of the best-effort runs
 }
 
@@ -155,7 +156,7 @@
 		return w.pressure
 	}
 	now := time.Now()
-	p := &pressure{serving: make([]impact.Serving, 0, w.serving)}
+	p := &pressure{unused: -1, serving: make([]impact.Serving, 0, w.serving)}
 	p.left, p.wanted = w.sumLeftover()
 	loads := make([]impact.Load, 0, w.bestEffort)
 	for _, r := range w.runs {
--- a/internal/jobs/lead/cluster_test.go
+++ b/internal/jobs/lead/cluster_test.go
@@ -18,6 +18,7 @@
 	"trefoilramp.org/trefoilramp/internal/host/driver"
 	"trefoilramp.org/trefoilramp/internal/jobs/intake"
 	"trefoilramp.org/trefoilramp/internal/jobs/lead"
+	"trefoilramp.org/trefoilramp/internal/jobs/order"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -57,6 +58,7 @@
 	notifyEntry string          // entry that callers notify of jobs; empty for the current leader
 	faults      func(caller string) memory.Fault
 	advisor     lead.Advisor // nil for none
+	policy      order.Policy
 }
 
 // entry is a process that may lead.
@@ -117,7 +119,8 @@
 	e.leader = lead.NewLeader(lead.Config{
 		Cell: cell, Name: name, Address: name + ":1", Store: c.store.Client(name), Lease: lease, LeaseLimit: leaseLimit,
 		HedgeDelay: func() time.Duration { return hedgeDelay }, Retention: time.Minute,
-		Queues: &queues.Holder{}, Network: n, Advisor: c.advisor, Meter: noMeter{}, Log: c.log.With(zap.String("Entry", name)),
+		Queues: &queues.Holder{}, Network: n, Advisor: c.advisor, Order: c.policy,
+		Meter: noMeter{}, Log: c.log.With(zap.String("Entry", name)),
 	}, func() time.Duration { return delay })
 	c.mu.Lock()
 	c.entries[name] = e
@@ -487,3 +490,6 @@
 func (noMeter) RunEnded(wire.EndCause)             {}
 func (noMeter) ReleasedRunFound()                  {}
 func (noMeter) JobEnded(rows.State, time.Duration) {}
+func (noMeter) JobBegun(order.Reason)              {}
+func (noMeter) JobMovedUp()                        {}
+func (noMeter) JobsWaiting(int)                    {}
--- a/internal/jobs/lead/cost.go
+++ b/internal/jobs/lead/cost.go
@@ -35,6 +35,8 @@
 	tickets map[string]string // by worker ID; nil if any worker may run the step
 	rack    string            // to which the choice is restricted; empty for all racks
 	now     time.Time
+	// unusedOnly restricts best-effort tasks to processors that no other task uses.
+	unusedOnly bool
 }
 
 func (c *stepContext) ticket(w *worker) string { return c.tickets[w.state.Incarnation.ID] }
@@ -76,8 +78,11 @@
 	if w.isStalled(c.now) || float64(p.left-p.wanted-s.Size.Processors) < -maxOvercommit*float64(w.state.Capacity.Processors) {
 		return 0, false
 	}
+	if c.unusedOnly && float64(p.left-p.wanted) < minStartSpeed*float64(s.Size.Processors) {
+		return 0, false
+	}
 	speed = t.bestEffortSpeed(w, s.Image, s.Size.Processors)
-	return speed, speed >= minStartSpeed || c.job.isIdle(c.now)
+	return speed, speed >= minStartSpeed || !c.unusedOnly && c.job.isIdle(c.now)
 }
 
 // isIdle reports whether the job has been without runs for maxJobIdle.
--- a/internal/jobs/lead/intake.go
+++ b/internal/jobs/lead/intake.go
@@ -28,6 +28,10 @@
 	j.inherited = s.Epoch < t.epoch // an earlier leader may have started it
 	t.jobs[s.ID] = j
 	t.active = append(t.active, j)
+	if t.cfg.Order.LargeShare {
+		t.jobSizes.Add(s.Queue, t.demandOf(j).total)
+		j.demand.isKnown = false // whether it is large is known only now
+	}
 	if j.inherited {
 		t.adoptUnmatched(j, j.addedAt)
 	}
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"trefoilramp.org/trefoilramp/internal/jobs/impact"
+	"trefoilramp.org/trefoilramp/internal/jobs/order"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -50,7 +51,12 @@
 	inherited     bool      // accepted under an earlier epoch, so runs may exist that this leader does not know
 	begun         bool      // a worker has listed a run or its end
 	addedAt       time.Time // when this leader added the job
+	acceptedAt    time.Time // when an entry accepted the job, by the clock of this leader
 	deadline      time.Time // soft deadline for the end of the job
+	lastUseful    time.Time // after which the end of the job has no value to its caller
+	movedUp       bool      // has waited for order.MaxWait
+	beginReason   order.Reason
+	demand        demand
 	urgency       urgency
 	remaining     time.Duration            // see remainingTime; negative if unknown
 	blocks        map[int]block            // by round and step
@@ -75,7 +81,10 @@
 	}
 	stretch := max(s.Stretch, 1)
 	allowed := min(stretch*float64(s.CriticalPath())+float64(s.Objective), float64(maxDeadline.Milliseconds()))
+	j.acceptedAt = accepted
 	j.deadline = accepted.Add(time.Duration(allowed) * time.Millisecond)
+	useful := min(usefulTargets*allowed, float64(maxDeadline.Milliseconds()))
+	j.lastUseful = accepted.Add(time.Duration(useful) * time.Millisecond)
 	return j
 }
 
@@ -126,6 +135,7 @@
 	round, step := j.locate(ordinal)
 	j.done[round*len(j.offsets)+step]++
 	j.remaining = -1
+	j.demand.isKnown = false
 	j.left--
 }
 
@@ -149,12 +159,14 @@
 	}
 	t.runs = append(t.runs, r)
 	j.running++
+	j.demand.isKnown = false
 }
 
 func (j *job) dropRun(r *run) {
 	t := &j.tasks[r.ordinal]
 	for i, o := range t.runs {
 		if o == r {
+			j.demand.isKnown = false
 			t.runs = append(t.runs[:i], t.runs[i+1:]...)
 			if j.running--; j.running == 0 {
 				j.idleSince = time.Now()
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -14,6 +14,7 @@
 	"trefoilramp.org/trefoilramp/internal/core/queue"
 	"trefoilramp.org/trefoilramp/internal/core/stall"
 	"trefoilramp.org/trefoilramp/internal/jobs/impact"
+	"trefoilramp.org/trefoilramp/internal/jobs/order"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 )
@@ -143,7 +144,7 @@
 		workers: make(map[string]*worker), undurable: make(map[*worker]struct{}),
 		dirty: make(map[page]struct{}), restarted: make(map[*worker]struct{}), advice: make(map[stepKey]*advice),
 		interference: impact.NewTable(), loadPeriod: impact.NewPeriodEstimate(time.Now()),
-		runTimeRatios:  make(map[string]*runTimeRatio),
+		runTimes: order.NewRunTimes(), jobSizes: order.NewSizes(), planner: order.Planner{Policy: l.cfg.Order},
 		cancelledEarly: make(map[spec.ID]time.Time), unmatchedEnds: make(map[spec.ID][]unmatchedEnd),
 	}
 	next := rows.Head{Leader: l.cfg.Name, Address: l.cfg.Address, Epoch: head.Epoch + 1, Write: head.Write}
--- /dev/null
+++ b/internal/jobs/lead/order.go
@@ -0,0 +1,237 @@
+package lead
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/core/event"
+	"trefoilramp.org/trefoilramp/internal/jobs/impact"
+	"trefoilramp.org/trefoilramp/internal/jobs/order"
+	"trefoilramp.org/trefoilramp/internal/jobs/spec"
+)
+
+const (
+	// usefulTargets is the multiple of its completion target until which the end of a job has value to its caller.
+	usefulTargets = 3
+	// probeProcessors is the size of the best-effort task by which the unused processors of a worker are judged.
+	probeProcessors = 1000
+)
+
+// admission restricts which steps of a job are scheduled.
+type admission uint8
+
+const (
+	admitAll     admission = iota
+	admitCounted           // no best-effort steps, since the job may not begin
+	admitUnused            // best-effort steps, on processors that no other task uses
+)
+
+func (a admission) covers(s *spec.Step) bool {
+	return a == admitAll || s.BestEffort == (a == admitUnused)
+}
+
+// demand summarizes the unfinished tasks of a job. It is computed again after a change of its tasks or of learned run times.
+type demand struct {
+	isKnown       bool
+	version       uint64 // of the learned run times
+	chain         time.Duration
+	work, total   int64 // processor-milliseconds
+	isLarge       bool
+	using, wanted order.Room // see order.Job
+}
+
+// scheduleByPolicy starts the tasks of the waiting jobs in the order of the policy. Best-effort tasks of jobs that may not
+// begin start last, on processors that no job in progress could use.
+func (t *Term) scheduleByPolicy(ctx context.Context, now time.Time) {
+	t.planJobs, t.planned = t.planJobs[:0], t.planned[:0]
+	for _, j := range t.active {
+		if !j.state.IsFinal() && (j.waiting > 0 || j.hasBegun()) {
+			t.planJobs = append(t.planJobs, t.planJob(j))
+			t.planned = append(t.planned, j)
+		}
+	}
+	entries := t.planner.Plan(now, t.planJobs, t.room(now))
+	held := 0 // jobs that may start more tasks on unused processors
+	for _, e := range entries {
+		j := t.planned[e.Index]
+		j.beginReason = e.Reason
+		if e.MovedUp && !j.movedUp {
+			t.recordMovedUp(j, now)
+		}
+		t.admission, t.startLimit = admitAll, e.Limit
+		if e.Limit > 0 {
+			held++
+		}
+		if !e.MayBegin {
+			held++
+			if t.planJobs[e.Index].Wanted.Counted == 0 {
+				continue
+			}
+			t.admission = admitCounted
+		}
+		if j.waiting > 0 && !j.state.IsFinal() {
+			t.scheduleJob(ctx, j, now)
+		}
+	}
+	t.startLimit = 0
+	if held > 0 && t.room(now).BestEffort > 0 {
+		t.admission = admitUnused
+		for _, e := range entries {
+			if j := t.planned[e.Index]; (!e.MayBegin || e.Limit > 0) && j.waiting > 0 && !j.state.IsFinal() {
+				t.scheduleJob(ctx, j, now)
+			}
+		}
+	}
+	t.admission = admitAll
+}
+
+// planJob returns the description of a job for the planner.
+func (t *Term) planJob(j *job) order.Job {
+	isLongRunning := j.spec.IsLongRunning()
+	p := order.Job{
+		ID: string(j.spec.ID), Priority: j.spec.Priority, Deadline: j.deadline, LastUseful: j.lastUseful,
+		DeclaredLeft: j.remainingTime(), Begun: j.hasBegun(), MovedUp: j.movedUp, IsLongRunning: isLongRunning,
+		IsExempt: isLongRunning || j.spec.Occurrences > 0,
+	}
+	if p.IsExempt {
+		return p
+	}
+	d := t.demandOf(j)
+	p.ChainLeft, p.WorkLeft, p.Work, p.IsLarge = d.chain, d.work, d.total, d.isLarge
+	p.Using, p.Wanted = d.using, d.wanted
+	switch {
+	case !p.Begun:
+		p.WaitingSince = j.acceptedAt
+	case j.running == 0:
+		p.WaitingSince = j.idleSince
+	}
+	return p
+}
+
+// hasBegun reports whether a run of the job exists or has existed.
+func (j *job) hasBegun() bool { return j.begun || j.running > 0 || j.left < len(j.tasks) }
+
+// demandOf returns the demand of a job without a schedule.
+func (t *Term) demandOf(j *job) *demand {
+	d := &j.demand
+	if d.isKnown && d.version == t.runTimes.Version() {
+		return d
+	}
+	*d = demand{isKnown: true, version: t.runTimes.Version()}
+	ends := make([]time.Duration, len(j.spec.Steps))
+	for i := range j.spec.Steps {
+		s := &j.spec.Steps[i]
+		runTime := time.Duration(float64(declaredTime(s)) * t.runTimes.Ratio(kindOf(j, s)))
+		perTask := s.Size.Processors * runTime.Milliseconds() / 1000
+		d.total += perTask * int64(s.Count)
+		isReady := true
+		for _, a := range s.After {
+			ends[i] = max(ends[i], ends[a])
+			isReady = isReady && j.done[a] == j.spec.Steps[a].Count
+		}
+		if left := s.Count - j.done[i]; left > 0 {
+			ends[i] += runTime
+			d.work += perTask * int64(left)
+			if isReady {
+				d.addReady(j, i)
+			}
+		}
+		d.chain = max(d.chain, ends[i])
+	}
+	d.isLarge = t.jobSizes.IsLarge(j.spec.Queue, d.total)
+	return d
+}
+
+// addReady adds the tasks of a step that run or may start.
+func (d *demand) addReady(j *job, step int) {
+	s := &j.spec.Steps[step]
+	first, end := j.span(0, step)
+	var waiting, running int64
+	for i := first; i < end; i++ {
+		switch task := &j.tasks[i]; {
+		case task.done:
+		case len(task.runs) > 0:
+			running++
+		default:
+			waiting++
+		}
+	}
+	if s.BestEffort {
+		d.using.BestEffort += running * s.Size.Processors
+		d.wanted.BestEffort += waiting * s.Size.Processors
+	} else {
+		d.using.Counted += running * s.Size.Processors
+		d.wanted.Counted += waiting * s.Size.Processors
+	}
+}
+
+// room returns the capacity of the cell that is not in use.
+func (t *Term) room(now time.Time) order.Room {
+	var r order.Room
+	for _, w := range t.workers {
+		if !w.acceptsRuns() {
+			continue
+		}
+		r.Counted += max(0, w.free().Processors)
+		if !w.isStalled(now) {
+			r.BestEffort += t.unusedOn(w)
+		}
+	}
+	return r
+}
+
+// unusedOn returns the processors of a worker that its tasks leave unused, and 0 if its serving tasks leave no useful speed
+// to another best-effort task.
+func (t *Term) unusedOn(w *worker) int64 {
+	p := t.pressureOn(w)
+	if p.unused < 0 {
+		p.unused = max(0, p.left-p.wanted)
+		if p.unused > 0 && t.interference.Headroom(impact.Load{Use: w.capacityShare(probeProcessors)}, p.serving, nil) < minStartSpeed {
+			p.unused = 0
+		}
+	}
+	return p.unused
+}
+
+// limitStarts returns the first of some tasks for which the limit of the current job suffices, at least one while it is
+// not used up, and subtracts them from the limit.
+func (t *Term) limitStarts(ready []int, s *spec.Step) []int {
+	if t.startLimit == 0 || s.Gang {
+		return ready
+	}
+	size := max(1, s.Size.Processors)
+	n := min(len(ready), int((max(0, t.startLimit)+size-1)/size))
+	t.startLimit -= int64(n) * size
+	if t.startLimit == 0 {
+		t.startLimit = -1 // 0 stands for no limit
+	}
+	return ready[:n]
+}
+
+// recordBegin counts the first run of a job under a policy that limits the jobs that may begin.
+func (t *Term) recordBegin(j *job) {
+	if t.cfg.Order.LimitBegun && !j.hasBegun() {
+		t.cfg.Meter.JobBegun(j.beginReason)
+	}
+}
+
+// recordMovedUp records that a job has been moved up.
+func (t *Term) recordMovedUp(j *job, now time.Time) {
+	j.movedUp = true
+	t.cfg.Meter.JobMovedUp()
+	event.Log(t.cfg.Log, event.JobMovedUp, zap.String("Job", string(j.spec.ID)), zap.String("Queue", j.spec.Queue),
+		zap.Duration("Age", now.Sub(j.acceptedAt)), zap.Duration("Late", now.Sub(j.deadline)))
+}
+
+// countWaiting reports the number of jobs that have had no run.
+func (t *Term) countWaiting() {
+	n := 0
+	for _, j := range t.active {
+		if !j.state.IsFinal() && !j.hasBegun() {
+			n++
+		}
+	}
+	t.cfg.Meter.JobsWaiting(n)
+}
--- a/internal/jobs/lead/schedule.go
+++ b/internal/jobs/lead/schedule.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"trefoilramp.org/trefoilramp/internal/core/event"
+	"trefoilramp.org/trefoilramp/internal/jobs/order"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
@@ -34,10 +35,14 @@
 			t.waiting = append(t.waiting, j)
 		}
 	}
-	slices.SortStableFunc(t.waiting, compareUrgency)
-	for _, j := range t.waiting {
-		if !j.state.IsFinal() {
-			t.scheduleJob(ctx, j, now)
+	if t.cfg.Order != (order.Policy{}) {
+		t.scheduleByPolicy(ctx, now)
+	} else {
+		slices.SortStableFunc(t.waiting, compareUrgency)
+		for _, j := range t.waiting {
+			if !j.state.IsFinal() {
+				t.scheduleJob(ctx, j, now)
+			}
 		}
 	}
 	t.watchRuns(now)
@@ -106,7 +111,8 @@
 			break
 		}
 		for step := range j.spec.Steps {
-			if j.done[round*len(j.offsets)+step] < j.spec.Steps[step].Count && j.mayStart(round, step, wall) {
+			if j.done[round*len(j.offsets)+step] < j.spec.Steps[step].Count && j.mayStart(round, step, wall) &&
+				t.admission.covers(&j.spec.Steps[step]) {
 				t.scheduleStep(ctx, j, round, step, now)
 			}
 		}
@@ -115,8 +121,9 @@
 
 // block records that no worker could run a task of a step.
 type block struct {
-	change uint64 // last change in the fleet that was considered
-	isIdle bool   // the job had been without runs for maxJobIdle
+	change    uint64 // last change in the fleet that was considered
+	isIdle    bool   // the job had been without runs for maxJobIdle
+	admission admission
 }
 
 // scheduleStep starts the waiting tasks of a step. If no worker could run one of them before, only workers that have
@@ -128,16 +135,16 @@
 	}
 	key := j.stepIndex(round, step)
 	last, isBlocked := j.blocks[key]
-	isBlocked = isBlocked && last.isIdle == j.isIdle(now)
+	isBlocked = isBlocked && last.isIdle == j.isIdle(now) && last.admission == t.admission
 	if isBlocked && last.change == t.fleet.changes {
 		return
 	}
-	ready := t.readyTasks(j, round, step, now)
+	ready := t.limitStarts(t.readyTasks(j, round, step, now), s)
 	if len(ready) == 0 {
 		delete(j.blocks, key)
 		return
 	}
-	c := stepContext{job: j, round: round, step: step, now: now}
+	c := stepContext{job: j, round: round, step: step, now: now, unusedOnly: t.admission == admitUnused}
 	if t.isAdvised(j) {
 		var ok bool
 		if c.tickets, ok = t.tickets(ctx, stepKey{j.spec.ID, round, step}, j, now); !ok {
@@ -166,7 +173,7 @@
 	if j.blocks == nil {
 		j.blocks = make(map[int]block)
 	}
-	j.blocks[key] = block{change: change, isIdle: j.isIdle(now)}
+	j.blocks[key] = block{change: change, isIdle: j.isIdle(now), admission: t.admission}
 }
 
 // readyTasks returns the ordinals of the tasks of a step that may start now, valid until the next call.
@@ -239,6 +246,7 @@
 	if w.reliability.isUnreliable(now) {
 		w.reliability.probeAt = now.Add(probeEvery)
 	}
+	t.recordBegin(j)
 	w.add(r)
 	j.addRun(ordinal, r)
 	t.cfg.Meter.RunStarted(now.Sub(j.addedAt), !j.begun && j.state == rows.Queued)
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -12,6 +12,7 @@
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/queue"
 	"trefoilramp.org/trefoilramp/internal/jobs/impact"
+	"trefoilramp.org/trefoilramp/internal/jobs/order"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -50,6 +51,7 @@
 	Queues     *queues.Holder
 	Network    Network
 	Advisor    Advisor // nil if no policy service is used
+	Order      order.Policy
 	Meter      Meter
 	Log        *zap.Logger
 }
@@ -64,6 +66,12 @@
 	RunEnded(cause wire.EndCause)
 	// ReleasedRunFound counts a run that a worker listed after the leader had released it.
 	ReleasedRunFound()
+	// JobBegun counts a job whose first run was started while the jobs that may begin were limited.
+	JobBegun(reason order.Reason)
+	// JobMovedUp counts a job that was moved up after a long wait.
+	JobMovedUp()
+	// JobsWaiting records the number of jobs without a run since they were accepted.
+	JobsWaiting(n int)
 	// JobEnded records the end of a job and the time since it was added.
 	JobEnded(state rows.State, took time.Duration)
 }
@@ -131,8 +139,14 @@
 	confirmedAt    time.Time            // start of the last confirmed write
 	commitAt       time.Time            // start of the last commit
 	interference   *impact.Table
-	loadPeriod     *impact.PeriodEstimate   // period of the loads of serving tasks
-	runTimeRatios  map[string]*runTimeRatio // by queue
+	loadPeriod     *impact.PeriodEstimate // period of the loads of serving tasks
+	runTimes       *order.RunTimes
+	planner        order.Planner
+	planJobs       []order.Job // of the last call of the planner
+	planned        []*job      // in the order of planJobs
+	jobSizes       *order.Sizes
+	admission      admission // of the job that is being scheduled
+	startLimit     int64     // processors that its tasks may still request, in thousandths; 0 for no limit, negative for none
 	advice         map[stepKey]*advice
 	adviceInFlight int       // requests to the policy service
 	wakeAt         time.Time // next iteration of the event loop
--- a/internal/jobs/lead/watch.go
+++ b/internal/jobs/lead/watch.go
@@ -24,6 +24,7 @@
 		return
 	}
 	t.watchAt = now
+	t.countWaiting()
 	t.moveSlow(now)
 	for _, w := range t.workers {
 		if !w.acceptsRuns() || now.Sub(w.reportedAt) > maxReportAge {
--- a/internal/ops/metric/catalogue.go
+++ b/internal/ops/metric/catalogue.go
@@ -54,6 +54,9 @@
 	RunsStarted    Name = "runs_ordered"
 	RunsEnded      Name = "runs_ended"
 	ReleasedRuns   Name = "runs_found_after_release"
+	JobsBegun      Name = "jobs_begun"
+	JobsMovedUp    Name = "jobs_moved_up"
+	JobsWaiting    Name = "jobs_waiting_to_begin"
 	StartSeconds   Name = "job_start_seconds"
 	CellTakeovers  Name = "cell_terms"
 	LogDropped     Name = "log_lines_dropped"
@@ -87,6 +90,9 @@
 	{RunsStarted, Counter, nil, "Runs that this leader commanded workers to start."},
 	{RunsEnded, Counter, []string{"cause"}, "Ended runs that workers reported to this leader, by cause."},
 	{ReleasedRuns, Counter, nil, "Runs that a worker listed after this leader had released them."},
+	{JobsBegun, Counter, []string{"reason"}, "Jobs of steps whose first run this leader started while the jobs that may begin are limited, by why they may begin: Room, First, MovedUp or Unused."},
+	{JobsMovedUp, Counter, nil, "Jobs of steps that this leader moved up after 30 s without a run."},
+	{JobsWaiting, Gauge, nil, "Jobs of steps that this leader knows and that have had no run."},
 	{StartSeconds, Histogram, nil, "Time from the acceptance of a job of steps to its first run, in seconds."},
 	{CellTakeovers, Counter, nil, "Cells that this entry took over."},
 	{LogDropped, Gauge, nil, "Log lines dropped because the log queue was full or writing failed."},
--- a/internal/role/jobs/entry.go
+++ b/internal/role/jobs/entry.go
@@ -15,6 +15,7 @@
 	"trefoilramp.org/trefoilramp/internal/core/ident"
 	"trefoilramp.org/trefoilramp/internal/jobs/intake"
 	"trefoilramp.org/trefoilramp/internal/jobs/lead"
+	"trefoilramp.org/trefoilramp/internal/jobs/order"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -45,6 +46,7 @@
 	Store         *rows.Monitor
 	Source        Source
 	Advisor       lead.Advisor
+	Order         order.Policy // rules for waiting jobs while capacity is insufficient
 	Metrics       *metric.Set
 	Log           *zap.Logger
 }
@@ -81,6 +83,7 @@
 	e.leader = lead.NewLeader(lead.Config{
 		Cell: cfg.Cell, Name: cfg.Name, Address: cfg.Address, Store: cfg.Store, HedgeDelay: cfg.Store.HedgeDelay,
 		Lease: cfg.Lease, LeaseLimit: cfg.LeaseLimit, Retention: cfg.Retention, Queues: e.queues, Network: e.network, Advisor: cfg.Advisor,
+		Order: cfg.Order,
 		Meter: meter{cfg.Metrics}, Log: cfg.Log,
 	}, cfg.TakeoverDelay)
 	e.leaderClient = newLeaderClient(cfg.Address, e.leader, e.sessions)
--- a/internal/role/jobs/meter.go
+++ b/internal/role/jobs/meter.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"trefoilramp.org/trefoilramp/internal/jobs/intake"
+	"trefoilramp.org/trefoilramp/internal/jobs/order"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/ops/metric"
@@ -40,6 +41,17 @@
 	m.set.Histogram(metric.JobSeconds, state.String()).RecordDuration(took)
 }
 
+// JobBegun implements lead.Meter.
+func (m meter) JobBegun(reason order.Reason) {
+	m.set.Counter(metric.JobsBegun, strings.TrimPrefix(reason.String(), "Reason")).Inc(1)
+}
+
+// JobMovedUp implements lead.Meter.
+func (m meter) JobMovedUp() { m.set.Counter(metric.JobsMovedUp).Inc(1) }
+
+// JobsWaiting implements lead.Meter.
+func (m meter) JobsWaiting(n int) { m.set.Gauge(metric.JobsWaiting).Update(float64(n)) }
+
 // jobSubmitted counts submitted jobs by verdict.
 func (m meter) jobSubmitted(v intake.Verdict) { m.set.Counter(metric.JobsSubmitted, v.String()).Inc(1) }
 
