--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -54,6 +54,8 @@
 	acceptedAt    time.Time // when an entry accepted the job, by the clock of this leader
 	deadline      time.Time // soft deadline for the end of the job
 	lastUseful    time.Time // after which the end of the job has no value to its caller
+	isPlanned     bool      // in Term.lastPlanned from the next plan on
+	sequence      int       // number of the job among those planned
 	movedUp       bool      // has waited for order.MaxWait
 	beginReason   order.Reason
 	demand        demand
--- a/internal/jobs/lead/leader_test.go
+++ b/internal/jobs/lead/leader_test.go
@@ -15,6 +15,7 @@
 	"trefoilramp.org/trefoilramp/internal/conf/queues"
 	"trefoilramp.org/trefoilramp/internal/core/sizes"
 	"trefoilramp.org/trefoilramp/internal/jobs/lead"
+	"trefoilramp.org/trefoilramp/internal/jobs/order"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -25,11 +26,17 @@
 
 // startLeader starts the only entry of a cell and waits until it leads; stop waits for its end after ctx has ended.
 func startLeader(ctx context.Context, tb testing.TB, s *memory.Store, n lead.Network) (t *lead.Term, stop func()) {
+	tb.Helper()
+	return startLeaderWith(ctx, tb, s, n, order.Policy{})
+}
+
+// startLeaderWith starts an entry that leads with a policy for waiting jobs.
+func startLeaderWith(ctx context.Context, tb testing.TB, s *memory.Store, n lead.Network, policy order.Policy) (t *lead.Term, stop func()) {
 	tb.Helper()
 	l := lead.NewLeader(lead.Config{
 		Cell: cell, Name: "entry", Address: "entry:1", Store: s.Client("entry"), Lease: time.Minute,
 		HedgeDelay: func() time.Duration { return time.Second }, Retention: time.Minute, Queues: &queues.Holder{},
-		Network: n, Meter: noMeter{}, Log: zap.NewNop(),
+		Network: n, Order: policy, Meter: noMeter{}, Log: zap.NewNop(),
 	}, func() time.Duration { return 0 })
 	done := make(chan struct{})
 	go func() {
--- a/internal/jobs/lead/order.go
+++ b/internal/jobs/lead/order.go
@@ -32,6 +32,9 @@
 	return a == admitAll || s.BestEffort == (a == admitUnused)
 }
 
+// includes reports whether a step that no worker could run under a has no worker under b either.
+func (a admission) includes(b admission) bool { return a == b || a == admitAll }
+
 // demand summarizes the unfinished tasks of a job. It is computed again after a change of its tasks or of learned run times.
 type demand struct {
 	isKnown       bool
@@ -45,12 +48,10 @@
 // scheduleByPolicy starts the tasks of the waiting jobs in the order of the policy. Best-effort tasks of jobs that may not
 // begin start last, on processors that no job in progress could use.
 func (t *Term) scheduleByPolicy(ctx context.Context, now time.Time) {
-	t.planJobs, t.planned = t.planJobs[:0], t.planned[:0]
-	for _, j := range t.active {
-		if !j.state.IsFinal() && (j.waiting > 0 || j.hasBegun()) {
-			t.planJobs = append(t.planJobs, t.planJob(j))
-			t.planned = append(t.planned, j)
-		}
+	t.updatePlanned()
+	t.planJobs = t.planJobs[:0]
+	for _, j := range t.planned {
+		t.planJobs = append(t.planJobs, t.planJob(j))
 	}
 	entries := t.planner.Plan(now, t.planJobs, t.room(now))
 	held := 0 // jobs that may start more tasks on unused processors
@@ -85,13 +86,34 @@
 		}
 	}
 	t.admission = admitAll
+	t.lastPlanned = t.lastPlanned[:0]
+	for _, e := range entries {
+		t.lastPlanned = append(t.lastPlanned, t.planned[e.Index])
+	}
+}
+
+// updatePlanned sets the jobs to plan, those of the last plan in its order, which makes sorting them fast.
+func (t *Term) updatePlanned() {
+	t.planned = t.planned[:0]
+	for _, j := range t.lastPlanned {
+		if !j.state.IsFinal() {
+			t.planned = append(t.planned, j)
+		}
+	}
+	for _, j := range t.active {
+		if !j.isPlanned && !j.state.IsFinal() {
+			t.planCount++
+			j.isPlanned, j.sequence = true, t.planCount
+			t.planned = append(t.planned, j)
+		}
+	}
 }
 
 // planJob returns the description of a job for the planner.
 func (t *Term) planJob(j *job) order.Job {
 	isLongRunning := j.spec.IsLongRunning()
 	p := order.Job{
-		ID: string(j.spec.ID), Priority: j.spec.Priority, Deadline: j.deadline, LastUseful: j.lastUseful,
+		Sequence: j.sequence, Priority: j.spec.Priority, Deadline: j.deadline, LastUseful: j.lastUseful,
 		DeclaredLeft: j.remainingTime(), Begun: j.hasBegun(), MovedUp: j.movedUp, IsLongRunning: isLongRunning,
 		IsExempt: isLongRunning || j.spec.Occurrences > 0,
 	}
--- a/internal/jobs/lead/schedule.go
+++ b/internal/jobs/lead/schedule.go
@@ -135,7 +135,7 @@
 	}
 	key := j.stepIndex(round, step)
 	last, isBlocked := j.blocks[key]
-	isBlocked = isBlocked && last.isIdle == j.isIdle(now) && last.admission == t.admission
+	isBlocked = isBlocked && last.isIdle == j.isIdle(now) && last.admission.includes(t.admission)
 	if isBlocked && last.change == t.fleet.changes {
 		return
 	}
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -144,6 +144,8 @@
 	planner        order.Planner
 	planJobs       []order.Job // of the last call of the planner
 	planned        []*job      // in the order of planJobs
+	lastPlanned    []*job      // in the order of the last plan
+	planCount      int         // jobs that have been planned
 	jobSizes       *order.Sizes
 	admission      admission // of the job that is being scheduled
 	startLimit     int64     // processors that its tasks may still request, in thousandths; 0 for no limit, negative for none
--- a/internal/jobs/order/order_test.go
+++ b/internal/jobs/order/order_test.go
@@ -78,6 +78,7 @@
 			}
 			active = append(active, w)
 			jobs = append(jobs, w.job(now))
+			jobs[len(jobs)-1].Sequence = len(jobs)
 		}
 		entries := p.Plan(now, jobs, order.Room{BestEffort: 1000 * int64(free)})
 		for _, isFirst := range []bool{true, false} {
@@ -158,7 +159,7 @@
 	jobs := make([]order.Job, n)
 	for i := range jobs {
 		j := &jobs[i]
-		j.ID, j.Priority = fmt.Sprint(i), random.IntN(2)
+		j.Sequence, j.Priority = i, random.IntN(2)
 		j.Deadline = start.Add(time.Duration(random.IntN(20)) * time.Second)
 		j.LastUseful = j.Deadline.Add(time.Minute)
 		j.DeclaredLeft = time.Duration(random.IntN(20)) * time.Second
--- a/internal/jobs/order/plan.go
+++ b/internal/jobs/order/plan.go
@@ -26,6 +26,7 @@
 	at       int64  // ns since 1970
 	limit    int64  // see Entry
 	reason   Reason // for classReserved
+	sequence int
 	index    int32
 }
 
@@ -34,7 +35,7 @@
 	Policy  Policy
 	keys    []key
 	entries []Entry
-	reserve []int32
+	reserve []reservation
 }
 
 // Plan returns the jobs in the order in which they get capacity; the result is valid until the next call. While the tasks
@@ -51,7 +52,7 @@
 		mean = meanWork(jobs)
 	}
 	for i := range jobs {
-		k := key{index: int32(i)}
+		k := key{index: int32(i), sequence: jobs[i].Sequence}
 		rules.rank(&k, now, &jobs[i], mean)
 		p.keys = append(p.keys, k)
 	}
@@ -61,7 +62,7 @@
 	if rules.LargeShare {
 		p.raiseLarge(jobs, room)
 	}
-	slices.SortFunc(p.keys, compare)
+	slices.SortFunc(p.keys, func(a, b key) int { return compare(&a, &b) })
 	p.entries = p.entries[:0]
 	left, inProgress := room.BestEffort, 0
 	if rules.LimitBegun {
@@ -162,7 +163,7 @@
 	k.begins = r.FinishBegun && !(j.Begun && float64(j.WorkLeft) <= finishShare*float64(j.Work))
 }
 
-func compare(a, b key) int {
+func compare(a, b *key) int {
 	if a.priority != b.priority {
 		return cmp.Compare(a.priority, b.priority)
 	}
@@ -178,7 +179,7 @@
 	if a.at != b.at {
 		return cmp.Compare(a.at, b.at)
 	}
-	return cmp.Compare(a.index, b.index)
+	return cmp.Compare(a.sequence, b.sequence)
 }
 
 // meanWork returns the mean work left of the jobs with tasks to start.
--- a/internal/jobs/order/policy.go
+++ b/internal/jobs/order/policy.go
@@ -40,7 +40,7 @@
 
 // Job describes an active job.
 type Job struct {
-	ID            string
+	Sequence      int       // decides between jobs that are equal otherwise; the lowest is first
 	Priority      int       // the lowest is the most urgent
 	Deadline      time.Time // completion target
 	LastUseful    time.Time // after which the end of the job has no value to its caller
--- a/internal/jobs/order/reserve.go
+++ b/internal/jobs/order/reserve.go
@@ -6,6 +6,21 @@
 	"time"
 )
 
+// reservation holds the criteria by which reserved processors are given to a job.
+type reservation struct {
+	class    class // 0 for a job that has begun
+	deadline int64 // ns since 1970
+	sequence int
+	index    int32
+}
+
+func newReservation(index int, j *Job, c class) reservation {
+	if j.Begun {
+		c = 0
+	}
+	return reservation{class: c, deadline: j.Deadline.UnixNano(), sequence: j.Sequence, index: int32(index)}
+}
+
 // moveUp reserves movedUpShare of the processors for the jobs that have waited for MaxWait, the oldest first. A job that
 // has begun on reserved processors keeps its place among them until it ends.
 func (p *Planner) moveUp(now time.Time, jobs []Job, room Room) {
@@ -21,7 +36,7 @@
 		}
 		waits := !j.WaitingSince.IsZero() && now.Sub(j.WaitingSince) >= MaxWait
 		if j.Wanted.sum() > 0 && (waits || j.MovedUp && j.Begun) {
-			p.reserve = append(p.reserve, int32(i))
+			p.reserve = append(p.reserve, newReservation(i, j, 0))
 		}
 	}
 	p.raise(jobs, &allowed, ReasonMovedUp)
@@ -42,7 +57,7 @@
 		if j.IsLarge {
 			large += float64(j.WorkLeft)
 			if j.Wanted.sum() > 0 && p.keys[i].class != classReserved {
-				p.reserve = append(p.reserve, int32(i))
+				p.reserve = append(p.reserve, newReservation(i, j, p.keys[i].class))
 			}
 		}
 	}
@@ -60,28 +75,18 @@
 
 // raise puts the jobs in p.reserve first that the allowance suffices for: those that have begun, then by class and deadline.
 func (p *Planner) raise(jobs []Job, allowed *allowance, reason Reason) {
-	slices.SortFunc(p.reserve, func(a, b int32) int {
-		x, y := &jobs[a], &jobs[b]
-		if x.Begun != y.Begun {
-			if x.Begun {
-				return -1
-			}
-			return 1
-		}
-		c := 0
-		if reason == ReasonLarge {
-			c = cmp.Compare(p.keys[a].class, p.keys[b].class)
-		}
-		return cmp.Or(c, x.Deadline.Compare(y.Deadline), cmp.Compare(a, b))
+	slices.SortFunc(p.reserve, func(a, b reservation) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.deadline, b.deadline), cmp.Compare(a.sequence, b.sequence))
 	})
-	for _, i := range p.reserve {
-		limit := allowed.take(&jobs[i])
+	for _, r := range p.reserve {
+		j := &jobs[r.index]
+		limit := allowed.take(j)
 		if limit <= 0 {
 			continue
 		}
-		k := &p.keys[i]
+		k := &p.keys[r.index]
 		k.class, k.limit, k.reason = classReserved, limit, reason
-		k.begins, k.at = !jobs[i].Begun, jobs[i].Deadline.UnixNano()
+		k.begins, k.at = !j.Begun, r.deadline
 	}
 }
 
