Bound best-effort jobs in progress by usable capacity, and let them use slow capacity

Cause: beside busy serving tasks, every waiting job got one task at any speed after 1.2 s, so that all jobs were begun.

Change: unused processors count as far as serving tasks leave them to more best-effort tasks. UseSlow lets jobs in progress use processors that leave a task less than half speed, which the bound would otherwise leave idle.

--- a/internal/jobs/lead/advice.go
+++ b/internal/jobs/lead/advice.go
@@ -165,7 +165,7 @@
 		a.retryAt = now.Add(adviceRetryDelay)
 	}
 	if j := t.jobs[ev.key.job]; j != nil {
-		delete(j.blocks, j.stepIndex(ev.key.round, ev.key.step))
+		j.clearBlocks(ev.key.round, ev.key.step)
 	}
 	event.Log(t.cfg.Log, event.AdviceGiven, zap.String("Step", name), zap.Int("Named", len(ev.workers)),
 		zap.Int("Workers", len(ev.tickets)), zap.Int("Refused", len(a.refused)), zap.Duration("Valid", ev.valid))
--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -395,7 +395,8 @@
 	t.commitNow = true
 	t.cfg.Meter.JobEnded(s, now.Sub(j.addedAt))
 	event.Log(t.cfg.Log, event.JobEnded, zap.String("Job", string(j.spec.ID)), zap.Stringer("State", s),
-		zap.Duration("Late", now.Sub(j.deadline)), zap.String("Queue", j.spec.Queue))
+		zap.Duration("Late", now.Sub(j.deadline)), zap.String("Queue", j.spec.Queue),
+		zap.Float64("RunTimeRatio", t.runTimes.Ratio(kindOf(j, &j.spec.Steps[0]))))
 	for i := range j.tasks {
 		t.stopRuns(j.tasks[i].runs, "job has ended")
 	}
--- a/internal/jobs/lead/cluster_test.go
+++ b/internal/jobs/lead/cluster_test.go
@@ -82,6 +82,7 @@
 // allRules applies every rule for waiting jobs.
 var allRules = order.Policy{
 	LearnedTimes: true, ValueClasses: true, DelayCost: true, FinishBegun: true, MoveUp: true, LargeShare: true, LimitBegun: true,
+	UseSlow: true,
 }
 
 func newCluster(ctx context.Context, t testing.TB, seed uint64) *cluster {
--- a/internal/jobs/lead/cost.go
+++ b/internal/jobs/lead/cost.go
@@ -24,6 +24,7 @@
 	maxOvercommit      = 0.4  // share of the processors by which best-effort tasks may exceed the leftover
 
 	minStartSpeed = 0.5                     // share of full speed from which a best-effort task is started
+	minSlowSpeed  = 0.2                     // the same for jobs in progress under order.Policy.UseSlow
 	maxJobIdle    = 1200 * time.Millisecond // after which a job without runs is started at any speed
 )
 
@@ -35,8 +36,8 @@
 	tickets map[string]string // by worker ID; nil if any worker may run the step
 	rack    string            // to which the choice is restricted; empty for all racks
 	now     time.Time
-	// unusedOnly restricts best-effort tasks to processors that no other task uses.
-	unusedOnly bool
+	// admission determines at which speed, and beside how many others, a best-effort task may start.
+	admission admission
 }
 
 func (c *stepContext) ticket(w *worker) string { return c.tickets[w.state.Incarnation.ID] }
@@ -78,11 +79,15 @@
 	if w.isStalled(c.now) || float64(p.left-p.wanted-s.Size.Processors) < -maxOvercommit*float64(w.state.Capacity.Processors) {
 		return 0, false
 	}
-	if c.unusedOnly && float64(p.left-p.wanted) < minStartSpeed*float64(s.Size.Processors) {
-		return 0, false
-	}
 	speed = t.bestEffortSpeed(w, s.Image, s.Size.Processors)
-	return speed, speed >= minStartSpeed || !c.unusedOnly && c.job.isIdle(c.now)
+	switch c.admission {
+	case admitUnused:
+		return speed, speed >= minStartSpeed && float64(p.left-p.wanted) >= minStartSpeed*float64(s.Size.Processors)
+	case admitSlow:
+		return speed, speed >= minSlowSpeed && p.left > p.wanted
+	default:
+		return speed, speed >= minStartSpeed || c.job.isIdle(c.now)
+	}
 }
 
 // isIdle reports whether the job has been without runs for maxJobIdle.
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -60,8 +60,8 @@
 	beginReason   order.Reason
 	demand        demand
 	urgency       urgency
-	remaining     time.Duration            // see remainingTime; negative if unknown
-	blocks        map[int]block            // by round and step
+	remaining     time.Duration // see remainingTime; negative if unknown
+	blocks        map[blockKey]block
 	forecasts     map[int]*impact.Forecast // load forecasts of serving tasks, by step
 }
 
--- a/internal/jobs/lead/order.go
+++ b/internal/jobs/lead/order.go
@@ -12,12 +12,8 @@
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 )
 
-const (
-	// usefulTargets is the multiple of its completion target until which the end of a job has value to its caller.
-	usefulTargets = 3
-	// probeProcessors is the size of the best-effort task by which the unused processors of a worker are judged.
-	probeProcessors = 1000
-)
+// usefulTargets is the multiple of its completion target until which the end of a job has value to its caller.
+const usefulTargets = 3
 
 // admission restricts which steps of a job are scheduled.
 type admission uint8
@@ -26,15 +22,13 @@
 	admitAll     admission = iota
 	admitCounted           // no best-effort steps, since the job may not begin
 	admitUnused            // best-effort steps, on processors that no other task uses
+	admitSlow              // best-effort steps, on processors that no other task uses, also at less than half speed
 )
 
 func (a admission) covers(s *spec.Step) bool {
-	return a == admitAll || s.BestEffort == (a == admitUnused)
+	return a == admitAll || s.BestEffort == (a != admitCounted)
 }
 
-// includes reports whether a step that no worker could run under a has no worker under b either.
-func (a admission) includes(b admission) bool { return a == b || a == admitAll }
-
 // demand summarizes the unfinished tasks of a job. It is computed again after a change of its tasks or of learned run times.
 type demand struct {
 	isKnown       bool
@@ -53,7 +47,8 @@
 	for _, j := range t.planned {
 		t.planJobs = append(t.planJobs, t.planJob(j))
 	}
-	entries := t.planner.Plan(now, t.planJobs, t.room(now))
+	room := t.room(now)
+	entries := t.planner.Plan(now, t.planJobs, room)
 	held := 0 // jobs that may start more tasks on unused processors
 	for _, e := range entries {
 		j := t.planned[e.Index]
@@ -77,13 +72,14 @@
 		}
 	}
 	t.startLimit = 0
-	if held > 0 && t.room(now).BestEffort > 0 {
-		t.admission = admitUnused
-		for _, e := range entries {
-			if j := t.planned[e.Index]; (!e.MayBegin || e.Limit > 0) && j.waiting > 0 && !j.state.IsFinal() {
-				t.scheduleJob(ctx, j, now)
-			}
-		}
+	if held > 0 {
+		t.scheduleRest(ctx, now, entries, admitCounted, func(e *order.Entry) bool {
+			return e.Limit > 0 && t.planJobs[e.Index].Wanted.Counted > 0
+		})
+		t.scheduleRest(ctx, now, entries, admitUnused, func(e *order.Entry) bool { return !e.MayBegin || e.Limit > 0 })
+	}
+	if t.cfg.Order.UseSlow && order.IsShort(t.planJobs, room) {
+		t.scheduleRest(ctx, now, entries, admitSlow, func(e *order.Entry) bool { return t.planJobs[e.Index].Begun })
 	}
 	t.admission = admitAll
 	t.lastPlanned = t.lastPlanned[:0]
@@ -92,6 +88,20 @@
 	}
 }
 
+// scheduleRest starts tasks of some of the planned jobs on the capacity that is left.
+func (t *Term) scheduleRest(ctx context.Context, now time.Time, entries []order.Entry, a admission, includes func(*order.Entry) bool) {
+	if a != admitCounted && t.room(now).BestEffort == 0 {
+		return
+	}
+	t.admission = a
+	for i := range entries {
+		j := t.planned[entries[i].Index]
+		if j.waiting > 0 && !j.state.IsFinal() && includes(&entries[i]) {
+			t.scheduleJob(ctx, j, now)
+		}
+	}
+}
+
 // updatePlanned sets the jobs to plan, those of the last plan in its order, which makes sorting them fast.
 func (t *Term) updatePlanned() {
 	t.planned = t.planned[:0]
@@ -204,14 +214,15 @@
 	return r
 }
 
-// unusedOn returns the processors of a worker that its tasks leave unused, and 0 if its serving tasks leave no useful speed
-// to another best-effort task.
+// unusedOn returns the processors of a worker that its tasks leave unused, as far as more best-effort tasks may use them beside
+// its serving tasks.
 func (t *Term) unusedOn(w *worker) int64 {
 	p := t.pressureOn(w)
 	if p.unused < 0 {
 		p.unused = max(0, p.left-p.wanted)
-		if p.unused > 0 && t.interference.Headroom(impact.Load{Use: w.capacityShare(probeProcessors)}, p.serving, nil) < minStartSpeed {
-			p.unused = 0
+		if p.unused > 0 {
+			speed := t.interference.Headroom(impact.Load{Use: w.capacityShare(p.unused)}, p.serving, nil)
+			p.unused = int64(speed * float64(p.unused))
 		}
 	}
 	return p.unused
--- /dev/null
+++ b/internal/jobs/lead/order_test.go
@@ -0,0 +1,183 @@
+package lead_test
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"trefoilramp.org/trefoilramp/internal/core/event"
+	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/jobs/order"
+	"trefoilramp.org/trefoilramp/internal/jobs/rows"
+	"trefoilramp.org/trefoilramp/internal/jobs/spec"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/stand/runs"
+)
+
+// withOrder runs f in virtual time with a cluster of two entries and two workers of four processors each, on which every
+// run takes a second, and a policy for waiting jobs.
+func withOrder(t *testing.T, policy order.Policy, f func(c *cluster)) {
+	t.Helper()
+	inCluster(t, func(c *cluster) {
+		c.policy = policy
+		c.plan = func(wire.Run) runs.Plan { return runs.Plan{RunTime: time.Second, ProcessorUsage: 1000} }
+		c.addEntry("entry-1")
+		time.Sleep(500 * time.Millisecond)
+		c.addEntry("entry-2")
+		c.addHost("host-1", 4000)
+		c.addHost("host-2", 4000)
+		time.Sleep(3 * time.Second)
+		f(c)
+	})
+}
+
+// heavyJob returns a job of two steps of eight best-effort tasks, each of which occupies the workers of withOrder.
+func heavyJob(n int) *spec.Job {
+	j := job(n, 2, 8)
+	for i := range j.Steps {
+		j.Steps[i].BestEffort, j.Steps[i].Image = true, "heavy"
+	}
+	return j
+}
+
+// maxInProgress returns the highest number of jobs that had begun and not ended at the same time.
+func maxInProgress(c *cluster, n int) int {
+	type change struct {
+		at    time.Time
+		delta int
+	}
+	var changes []change
+	for i := range n {
+		var began, ended time.Time
+		for _, r := range runsOf(c, heavyJob(1+i).ID) {
+			if began.IsZero() || r.Began.Before(began) {
+				began = r.Began
+			}
+			if r.Ended.After(ended) {
+				ended = r.Ended
+			}
+		}
+		changes = append(changes, change{began, 1}, change{ended, -1})
+	}
+	slices.SortFunc(changes, func(a, b change) int { return a.at.Compare(b.at) })
+	most, now := 0, 0
+	for _, ch := range changes {
+		now += ch.delta
+		most = max(most, now)
+	}
+	return most
+}
+
+// Guards against a burst of heavy jobs that are all begun, at any speed, while serving tasks leave no processors to them, and
+// that all end late: few may be in progress.
+func TestBurstOfHeavyJobs(t *testing.T) {
+	const jobs, most = 8, 2
+	for name, policy := range map[string]order.Policy{"no rules": {}, "limit": {LimitBegun: true}, "all rules": allRules} {
+		t.Run(name, func(t *testing.T) {
+			withOrder(t, policy, func(c *cluster) {
+				serving := job(100, 1, 2)
+				serving.Steps[0] = spec.Step{
+					Count: 2, PerWorker: 1, Size: sizes.Resources{Processors: 4000}, LongRunning: true, Image: "serving", Target: 100,
+				}
+				bestEffort := c.plan
+				c.plan = func(r wire.Run) runs.Plan {
+					if strings.HasPrefix(r.Task, string(serving.ID)) {
+						return runs.Plan{Size: serving.Steps[0].Size, TailLatency: 85} // of 100 that are reached at a load of 0.84
+					}
+					return bestEffort(r)
+				}
+				c.submit(serving)
+				time.Sleep(5 * time.Second)
+				for n := range jobs {
+					c.submit(heavyJob(1 + n))
+				}
+				for n := range jobs {
+					c.awaitState(heavyJob(1+n).ID, rows.Done, 10*time.Minute)
+				}
+				n := maxInProgress(c, jobs)
+				t.Logf("%d of %d jobs in progress at most", n, jobs)
+				if isFew := n <= most; isFew != policy.LimitBegun {
+					t.Errorf("%d of %d jobs in progress; want at most %d with the limit, more without", n, jobs, most)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a new leader that begins the jobs of a burst again from the first, or that leaves begun ones behind.
+func TestTakeoverDuringBurst(t *testing.T) {
+	const jobs, most = 12, 4 // one more than without a takeover, as a run of each may have just ended
+	withOrder(t, allRules, func(c *cluster) {
+		for n := range jobs {
+			c.submit(heavyJob(1 + n))
+		}
+		time.Sleep(4 * time.Second)
+		c.kill("entry-1")
+		c.awaitTerm(10 * time.Second)
+		for n := range jobs {
+			c.awaitState(heavyJob(1+n).ID, rows.Done, time.Minute)
+		}
+		if n := maxInProgress(c, jobs); n > most {
+			t.Errorf("%d of %d jobs in progress; want at most %d", n, jobs, most)
+		}
+	})
+}
+
+// Guards against best-effort runs that count by their elapsed time: runs that got a quarter of their processors took four
+// times as long and needed what was declared.
+func TestRunTimesCountProcessorTime(t *testing.T) {
+	core, logged := observer.New(zapcore.InfoLevel)
+	inCluster(t, func(c *cluster) {
+		c.log = zap.New(core)
+		c.plan = func(wire.Run) runs.Plan {
+			return runs.Plan{Size: sizes.Resources{}, RunTime: 4 * time.Second, ProcessorUsage: 250}
+		}
+		c.addEntry("entry-1")
+		c.addHost("host-1", 16_000)
+		time.Sleep(3 * time.Second)
+		for n := range 3 {
+			j := heavyJob(1 + n)
+			c.submit(j)
+			c.awaitState(j.ID, rows.Done, 30*time.Second)
+		}
+	})
+	ended := logged.FilterMessage("job ended").All()
+	if len(ended) == 0 {
+		t.Fatalf("no event %d", event.JobEnded)
+	}
+	ratio, ok := ended[len(ended)-1].ContextMap()["RunTimeRatio"].(float64)
+	if !ok || math.Abs(ratio-1) > 0.25 {
+		t.Errorf("learned run time is %.2f times the declared one; want about 1", ratio)
+	}
+}
+
+// Guards against a policy that changes anything while capacity suffices: the same tasks start at the same times.
+func TestPolicyWithoutShortage(t *testing.T) {
+	starts := func(policy order.Policy) map[string]time.Duration {
+		at := make(map[string]time.Duration)
+		withOrder(t, policy, func(c *cluster) {
+			began := time.Now()
+			for n := range 20 {
+				j := job(1+n, 2, 1+n%3)
+				j.Steps[0].BestEffort = n%2 == 0
+				c.submit(j)
+				time.Sleep(time.Duration(500+100*(n%4)) * time.Millisecond)
+			}
+			time.Sleep(10 * time.Second)
+			for task, list := range c.records() {
+				at[task] = list[0].Began.Sub(began).Round(100 * time.Millisecond)
+			}
+		})
+		return at
+	}
+	if a, b := starts(order.Policy{}), starts(allRules); !maps.Equal(a, b) {
+		t.Errorf("tasks start at %v with all rules; want %v as without", b, a)
+	}
+}
--- a/internal/jobs/lead/placement.go
+++ b/internal/jobs/lead/placement.go
@@ -89,7 +89,7 @@
 		if avoided != nil && avoided.cost+avoidCost < top.cost {
 			break
 		}
-		if top.isSlow && !p.step.job.isIdle(p.step.now) {
+		if top.isSlow && p.step.admission != admitSlow && !p.step.job.isIdle(p.step.now) {
 			heap.Pop(&p.candidates) // the job has got a run since the evaluation
 			continue
 		}
--- a/internal/jobs/lead/schedule.go
+++ b/internal/jobs/lead/schedule.go
@@ -121,11 +121,23 @@
 
 // block records that no worker could run a task of a step.
 type block struct {
-	change    uint64 // last change in the fleet that was considered
-	isIdle    bool   // the job had been without runs for maxJobIdle
+	change uint64 // last change in the fleet that was considered
+	isIdle bool   // the job had been without runs for maxJobIdle
+}
+
+// blockKey identifies the block of a step under an admission.
+type blockKey struct {
+	step      int // index with the round
 	admission admission
 }
 
+// clearBlocks makes all workers be considered again for a step.
+func (j *job) clearBlocks(round, step int) {
+	for a := admitAll; a <= admitSlow; a++ {
+		delete(j.blocks, blockKey{j.stepIndex(round, step), a})
+	}
+}
+
 // scheduleStep starts the waiting tasks of a step. If no worker could run one of them before, only workers that have
 // changed since are considered.
 func (t *Term) scheduleStep(ctx context.Context, j *job, round, step int, now time.Time) {
@@ -133,9 +145,9 @@
 	if j.inherited && t.unreconciled > 0 && !s.Speculative {
 		return // a run that this leader does not know yet may exist
 	}
-	key := j.stepIndex(round, step)
+	key := blockKey{j.stepIndex(round, step), t.admission}
 	last, isBlocked := j.blocks[key]
-	isBlocked = isBlocked && last.isIdle == j.isIdle(now) && last.admission.includes(t.admission)
+	isBlocked = isBlocked && last.isIdle == j.isIdle(now)
 	if isBlocked && last.change == t.fleet.changes {
 		return
 	}
@@ -144,7 +156,7 @@
 		delete(j.blocks, key)
 		return
 	}
-	c := stepContext{job: j, round: round, step: step, now: now, unusedOnly: t.admission == admitUnused}
+	c := stepContext{job: j, round: round, step: step, now: now, admission: t.admission}
 	if t.isAdvised(j) {
 		var ok bool
 		if c.tickets, ok = t.tickets(ctx, stepKey{j.spec.ID, round, step}, j, now); !ok {
@@ -171,9 +183,9 @@
 		t.requestAdvice(ctx, stepKey{j.spec.ID, round, step}, j, now)
 	}
 	if j.blocks == nil {
-		j.blocks = make(map[int]block)
+		j.blocks = make(map[blockKey]block)
 	}
-	j.blocks[key] = block{change: change, isIdle: j.isIdle(now), admission: t.admission}
+	j.blocks[key] = block{change: change, isIdle: j.isIdle(now)}
 }
 
 // readyTasks returns the ordinals of the tasks of a step that may start now, valid until the next call.
--- a/internal/jobs/order/order_test.go
+++ b/internal/jobs/order/order_test.go
@@ -15,6 +15,7 @@
 
 var allRules = order.Policy{
 	LearnedTimes: true, ValueClasses: true, DelayCost: true, FinishBegun: true, MoveUp: true, LargeShare: true, LimitBegun: true,
+	UseSlow: true,
 }
 
 const processors = 50
--- a/internal/jobs/order/policy.go
+++ b/internal/jobs/order/policy.go
@@ -36,6 +36,7 @@
 	MoveUp       bool // move jobs up that have waited for MaxWait
 	LargeShare   bool // give the largest tenth of each queue's jobs its share of the processors
 	LimitBegun   bool // begin only best-effort jobs for which enough capacity is left
+	UseSlow      bool // let jobs in progress use processors that leave their tasks less than half speed
 }
 
 // Job describes an active job.
