--- a/internal/jobs/lead/order_test.go
+++ b/internal/jobs/lead/order_test.go
@@ -1,7 +1,6 @@
 package lead_test
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -160,6 +159,7 @@
 
 // Guards against a policy that changes anything while capacity suffices: the same tasks start at the same times.
 func TestPolicyWithoutShortage(t *testing.T) {
+	const jitter = 50 * time.Millisecond // two runs without rules differ by up to 40 ms, the gap between commits
 	starts := func(policy order.Policy) map[string]time.Duration {
 		at := make(map[string]time.Duration)
 		withOrder(t, policy, func(c *cluster) {
@@ -172,12 +172,18 @@
 			}
 			time.Sleep(10 * time.Second)
 			for task, list := range c.records() {
-				at[task] = list[0].Began.Sub(began).Round(100 * time.Millisecond)
+				at[task] = list[0].Began.Sub(began)
 			}
 		})
 		return at
 	}
-	if a, b := starts(order.Policy{}), starts(allRules); !maps.Equal(a, b) {
-		t.Errorf("tasks start at %v with all rules; want %v as without", b, a)
+	without, with := starts(order.Policy{}), starts(allRules)
+	if len(with) != len(without) {
+		t.Errorf("%d tasks start with all rules, %d without", len(with), len(without))
+	}
+	for task, at := range without {
+		if (with[task] - at).Abs() > jitter {
+			t.Errorf("%s starts at %v with all rules; want %v as without", task, with[task], at)
+		}
 	}
 }
