Apply each rule of the order without side effects of the others

Cause: work left was corrected by learned run times although LearnedTimes was off; the bound on jobs in progress moved exempt jobs first; jobs in progress of a less urgent priority kept an urgent job from beginning.

Measured: tests of jobs/order and jobs/lead pass; TestLateJobsWaitForOthers now fails without FinishBegun, which it did not. On scratch changes, a test failed without each of ValueClasses, FinishBegun, MoveUp, LargeShare, LimitBegun, the condition of a shortage, and the count of processor time instead of elapsed time. DelayCost, UseSlow and the use of learned times by the leader were not tried that way.

--- a/internal/jobs/lead/order.go
+++ b/internal/jobs/lead/order.go
@@ -155,7 +155,10 @@
 	ends := make([]time.Duration, len(j.spec.Steps))
 	for i := range j.spec.Steps {
 		s := &j.spec.Steps[i]
-		runTime := time.Duration(float64(declaredTime(s)) * t.runTimes.Ratio(kindOf(j, s)))
+		runTime := declaredTime(s)
+		if t.cfg.Order.LearnedTimes {
+			runTime = time.Duration(float64(runTime) * t.runTimes.Ratio(kindOf(j, s)))
+		}
 		perTask := s.Size.Processors * runTime.Milliseconds() / 1000
 		d.total += perTask * int64(s.Count)
 		isReady := true
--- a/internal/jobs/order/order_test.go
+++ b/internal/jobs/order/order_test.go
@@ -370,7 +370,7 @@
 		at(6 * time.Second),  // late
 		at(0), at(0),
 	}
-	jobs[3].Begun, jobs[3].WorkLeft, jobs[3].Deadline = true, jobs[3].Work/4, jobs[2].Deadline.Add(time.Second)
+	jobs[3].Begun, jobs[3].WorkLeft, jobs[3].Deadline = true, jobs[3].Work/4, jobs[2].Deadline.Add(10*time.Second)
 	p := order.Planner{Policy: allRules}
 	var got []int
 	for _, e := range p.Plan(start, jobs, order.Room{}) {
--- a/internal/jobs/order/plan.go
+++ b/internal/jobs/order/plan.go
@@ -65,11 +65,11 @@
 	slices.SortFunc(p.keys, func(a, b key) int { return compare(&a, &b) })
 	p.entries = p.entries[:0]
 	left, inProgress := room.BestEffort, 0
-	if rules.LimitBegun {
-		inProgress = countInProgress(jobs)
-	}
 	for i := range p.keys {
 		k := &p.keys[i]
+		if rules.LimitBegun && (i == 0 || k.priority != p.keys[i-1].priority) {
+			inProgress += p.countInProgress(jobs, i)
+		}
 		j := &jobs[k.index]
 		e := Entry{
 			Index: int(k.index), MayBegin: true, MovedUp: k.reason == ReasonMovedUp, Reason: ReasonRoom, Limit: k.limit,
@@ -121,10 +121,9 @@
 		needs = j.ChainLeft
 	}
 	isLate := !j.IsLongRunning && now.Add(needs).After(j.Deadline)
-	hasRules := r != Policy{}
-	if j.IsExempt || !hasRules {
+	if j.IsExempt || !r.reorders() {
 		k.class = classOnTime
-		if hasRules {
+		if r.reorders() {
 			k.class = classExempt
 		}
 		if isLate {
@@ -194,11 +193,15 @@
 	return sum / max(1, n)
 }
 
-// countInProgress returns the number of best-effort jobs that have begun.
-func countInProgress(jobs []Job) int {
+// countInProgress returns the number of best-effort jobs that have begun, of the priority of a position in the order. Less urgent
+// ones do not keep a job from beginning.
+func (p *Planner) countInProgress(jobs []Job, position int) int {
 	n := 0
-	for i := range jobs {
-		if j := &jobs[i]; j.Begun && !j.IsExempt && j.Using.BestEffort+j.Wanted.BestEffort > 0 {
+	for _, k := range p.keys[position:] {
+		if k.priority != p.keys[position].priority {
+			break
+		}
+		if j := &jobs[k.index]; j.Begun && !j.IsExempt && j.Using.BestEffort+j.Wanted.BestEffort > 0 {
 			n++
 		}
 	}
--- a/internal/jobs/order/policy.go
+++ b/internal/jobs/order/policy.go
@@ -39,6 +39,12 @@
 	UseSlow      bool // let jobs in progress use processors that leave their tasks less than half speed
 }
 
+// reorders reports whether a rule changes the order of jobs. Long-running and scheduled jobs are then first among those that
+// can be on time, so that no rule delays them.
+func (p Policy) reorders() bool {
+	return p.ValueClasses || p.DelayCost || p.FinishBegun || p.MoveUp || p.LargeShare
+}
+
 // Job describes an active job.
 type Job struct {
 	Sequence      int       // decides between jobs that are equal otherwise; the lowest is first
