Test slow workers, delay cost and learned times

Cause: no test failed without DelayCost, UseSlow or the use of learned times in the order.

Change: tests for the three.

--- a/internal/jobs/lead/cluster_test.go
+++ b/internal/jobs/lead/cluster_test.go
@@ -79,12 +79,6 @@
 	links  []*endpoint
 }
 
-// allRules applies every rule for waiting jobs.
-var allRules = order.Policy{
-	LearnedTimes: true, ValueClasses: true, DelayCost: true, FinishBegun: true, MoveUp: true, LargeShare: true, LimitBegun: true,
-	UseSlow: true,
-}
-
 func newCluster(ctx context.Context, t testing.TB, seed uint64) *cluster {
 	core, logged := observer.New(zap.ErrorLevel)
 	c := &cluster{
--- a/internal/jobs/lead/leader_test.go
+++ b/internal/jobs/lead/leader_test.go
@@ -227,47 +227,6 @@
 	})
 }
 
-// Guards against a burst that never drains: a job without runs may start one task on workers that would slow it down, so
-// that it makes some progress, but not all of its tasks.
-func TestIdleJobStartsOneSlowTask(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		open := make(chan struct{})
-		close(open)
-		hosts := []string{"host-1", "host-2", "host-3"}
-		term, stop := startLeader(ctx, t, storeWithAgents(t, hosts...), gate{open})
-		serving, bestEffort := job(1, 1, len(hosts)), job(2, 1, 8)
-		serving.Steps[0].LongRunning, serving.Steps[0].Target, serving.Steps[0].Image = true, 100, "s"
-		serving.Steps[0].PerWorker = 1
-		bestEffort.Steps[0].BestEffort, bestEffort.Steps[0].Image = true, "f"
-		bestEffort.Steps[0].Size.Processors = 400
-		links := make([]sent, len(hosts))
-		for i, name := range hosts {
-			term.Opened(name, &links[i])
-			announce(term, name, &links[i], wire.WorkerIncarnation{ID: name, StartedAt: 1})
-		}
-		accept(t, term, serving)
-		time.Sleep(time.Second)
-		for i, name := range hosts {
-			term.Message(name, &links[i], &wire.RunReport{
-				Incarnation: wire.WorkerIncarnation{ID: name, StartedAt: 1}, Complete: true, RequestLease: true, LastOrders: 1,
-				Running: []wire.RunState{{Run: links[i].starts()[0], Percent: 100, Measurement: 90}}, // a load of 0.82
-			})
-		}
-		accept(t, term, bestEffort)
-		time.Sleep(3 * time.Second)
-		n := 0
-		for i := range links {
-			n += len(links[i].starts()) - 1
-		}
-		if n != 1 {
-			t.Errorf("%d of 8 tasks started on workers without spare load; want 1", n)
-		}
-		cancel()
-		stop()
-	})
-}
-
 // Guards against a leader that has been deposed while it cannot reach the store, and keeps acting on the agents and
 // answering entries until its lease runs out, although an agent knows its successor.
 func TestLeaderEndsWhenAgentHasNewerLeader(t *testing.T) {
--- a/internal/jobs/lead/order_test.go
+++ b/internal/jobs/lead/order_test.go
@@ -1,10 +1,12 @@
 package lead_test
 
 import (
+	"context"
 	"math"
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,6 +22,12 @@
 	"trefoilramp.org/trefoilramp/internal/stand/runs"
 )
 
+// allRules applies every rule for waiting jobs.
+var allRules = order.Policy{
+	LearnedTimes: true, ValueClasses: true, DelayCost: true, FinishBegun: true, MoveUp: true, LargeShare: true, LimitBegun: true,
+	UseSlow: true,
+}
+
 // withOrder runs f in virtual time with a cluster of two entries and two workers of four processors each, on which every
 // run takes a second, and a policy for waiting jobs.
 func withOrder(t *testing.T, policy order.Policy, f func(c *cluster)) {
@@ -74,6 +82,23 @@
 	return most
 }
 
+// serveAt runs a serving task on each worker and waits until the leader knows its tail latency in percent of the target.
+func serveAt(c *cluster, tail int) {
+	serving := job(100, 1, 2)
+	serving.Steps[0] = spec.Step{
+		Count: 2, PerWorker: 1, Size: sizes.Resources{Processors: 4000}, LongRunning: true, Image: "serving", Target: 100,
+	}
+	bestEffort := c.plan
+	c.plan = func(r wire.Run) runs.Plan {
+		if strings.HasPrefix(r.Task, string(serving.ID)) {
+			return runs.Plan{Size: serving.Steps[0].Size, TailLatency: tail}
+		}
+		return bestEffort(r)
+	}
+	c.submit(serving)
+	time.Sleep(5 * time.Second)
+}
+
 // Guards against a burst of heavy jobs that are all begun, at any speed, while serving tasks leave no processors to them, and
 // that all end late: few may be in progress.
 func TestBurstOfHeavyJobs(t *testing.T) {
@@ -81,19 +106,7 @@
 	for name, policy := range map[string]order.Policy{"no rules": {}, "limit": {LimitBegun: true}, "all rules": allRules} {
 		t.Run(name, func(t *testing.T) {
 			withOrder(t, policy, func(c *cluster) {
-				serving := job(100, 1, 2)
-				serving.Steps[0] = spec.Step{
-					Count: 2, PerWorker: 1, Size: sizes.Resources{Processors: 4000}, LongRunning: true, Image: "serving", Target: 100,
-				}
-				bestEffort := c.plan
-				c.plan = func(r wire.Run) runs.Plan {
-					if strings.HasPrefix(r.Task, string(serving.ID)) {
-						return runs.Plan{Size: serving.Steps[0].Size, TailLatency: 85} // of 100 that are reached at a load of 0.84
-					}
-					return bestEffort(r)
-				}
-				c.submit(serving)
-				time.Sleep(5 * time.Second)
+				serveAt(c, 85) // of 100 that are reached at a load of 0.84
 				for n := range jobs {
 					c.submit(heavyJob(1 + n))
 				}
@@ -187,3 +200,58 @@
 		}
 	}
 }
+
+// Guards against a burst that never drains: a job without runs may start one task on workers that would slow it down, so
+// that it makes some progress, but not all of its tasks. Guards against processors of such workers that stay idle although
+// the policy says that jobs in progress use them.
+func TestIdleJobStartsOneSlowTask(t *testing.T) {
+	for _, test := range []struct{ tail, starts, startsUseSlow int }{
+		{tail: 90, starts: 1, startsUseSlow: 1}, // a load of 0.82 of at most 0.80
+		{tail: 70, starts: 1, startsUseSlow: 3}, // a load of 0.77
+	} {
+		startSlowTasks(t, order.Policy{}, test.tail, test.starts)
+		startSlowTasks(t, order.Policy{UseSlow: true}, test.tail, test.startsUseSlow)
+	}
+}
+
+// startSlowTasks checks how many of 8 tasks of a job start on three workers with serving tasks of a tail latency in percent
+// of their target.
+func startSlowTasks(t *testing.T, policy order.Policy, tail, want int) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		open := make(chan struct{})
+		close(open)
+		hosts := []string{"host-1", "host-2", "host-3"}
+		term, stop := startLeaderWith(ctx, t, storeWithAgents(t, hosts...), gate{open}, policy)
+		serving, bestEffort := job(1, 1, len(hosts)), job(2, 1, 8)
+		serving.Steps[0].LongRunning, serving.Steps[0].Target, serving.Steps[0].Image = true, 100, "s"
+		serving.Steps[0].PerWorker = 1
+		bestEffort.Steps[0].BestEffort, bestEffort.Steps[0].Image = true, "f"
+		bestEffort.Steps[0].Size.Processors = 400
+		links := make([]sent, len(hosts))
+		for i, name := range hosts {
+			term.Opened(name, &links[i])
+			announce(term, name, &links[i], wire.WorkerIncarnation{ID: name, StartedAt: 1})
+		}
+		accept(t, term, serving)
+		time.Sleep(time.Second)
+		for i, name := range hosts {
+			term.Message(name, &links[i], &wire.RunReport{
+				Incarnation: wire.WorkerIncarnation{ID: name, StartedAt: 1}, Complete: true, RequestLease: true, LastOrders: 1,
+				Running: []wire.RunState{{Run: links[i].starts()[0], Percent: 100, Measurement: tail}},
+			})
+		}
+		accept(t, term, bestEffort)
+		time.Sleep(3 * time.Second)
+		n := 0
+		for i := range links {
+			n += len(links[i].starts()) - 1
+		}
+		if n != want {
+			t.Errorf("%+v: %d of 8 tasks started on workers with a tail latency of %d%%; want %d", policy, n, tail, want)
+		}
+		cancel()
+		stop()
+	})
+}
--- a/internal/jobs/order/order_test.go
+++ b/internal/jobs/order/order_test.go
@@ -380,3 +380,33 @@
 		t.Errorf("order %v; want %v: nearly done, on time, late, without value", got, want)
 	}
 }
+
+// Guards against large jobs that delay small ones of about the same age, against small ones that always overtake, and against
+// late jobs that are so only by their declared run times.
+func TestDelayCostAndLearnedTimes(t *testing.T) {
+	at := func(tasks int, age time.Duration) order.Job {
+		return (&work{tasks: tasks, runTime: time.Second, estimate: time.Second, arrival: start.Add(-age)}).job(start)
+	}
+	mistaken := at(2, 0)
+	mistaken.DeclaredLeft = time.Minute
+	for _, test := range []struct {
+		name   string
+		policy order.Policy
+		jobs   []order.Job
+		want   []int
+	}{
+		{"small first", order.Policy{DelayCost: true}, []order.Job{at(50, time.Second), at(2, 0)}, []int{1, 0}},
+		{"a target later", order.Policy{DelayCost: true}, []order.Job{at(50, 0), at(2, -6*time.Second)}, []int{0, 1}},
+		{"learned", order.Policy{LearnedTimes: true, DelayCost: true}, []order.Job{at(2, -time.Second), mistaken}, []int{1, 0}},
+		{"declared", order.Policy{DelayCost: true}, []order.Job{at(2, -time.Second), mistaken}, []int{0, 1}},
+	} {
+		p := order.Planner{Policy: test.policy}
+		var got []int
+		for _, e := range p.Plan(start, test.jobs, order.Room{}) {
+			got = append(got, e.Index)
+		}
+		if !slices.Equal(got, test.want) {
+			t.Errorf("%s: order %v; want %v", test.name, got, test.want)
+		}
+	}
+}
