--- a/internal/ops/metric/catalogue.go
+++ b/internal/ops/metric/catalogue.go
@@ -90,7 +90,7 @@
 	{RunsStarted, Counter, nil, "Runs that this leader commanded workers to start."},
 	{RunsEnded, Counter, []string{"cause"}, "Ended runs that workers reported to this leader, by cause."},
 	{ReleasedRuns, Counter, nil, "Runs that a worker listed after this leader had released them."},
-	{JobsBegun, Counter, []string{"reason"}, "Jobs of steps whose first run this leader started while the jobs that may begin are limited, by why they may begin: Room, First, MovedUp or Unused."},
+	{JobsBegun, Counter, []string{"reason"}, "Jobs of steps whose first run this leader started while the jobs that may begin are limited, by why they may begin: Room, First, MovedUp, Large or Unused."},
 	{JobsMovedUp, Counter, nil, "Jobs of steps that this leader moved up after 30 s without a run."},
 	{JobsWaiting, Gauge, nil, "Jobs of steps that this leader knows and that have had no run."},
 	{StartSeconds, Histogram, nil, "Time from the acceptance of a job of steps to its first run, in seconds."},
