--- a/internal/jobs/order/order_test.go
+++ b/internal/jobs/order/order_test.go
@@ -359,46 +359,29 @@
 	}
 }
 
-// Guards against late jobs that hold up those that can be on time, and against jobs that begin before one is finished
-// that needs little more.
-func TestLateJobsWaitForOthers(t *testing.T) {
-	at := func(age time.Duration) order.Job {
-		return (&work{tasks: 2, runTime: time.Second, estimate: time.Second, arrival: start.Add(-age)}).job(start)
+// Guards against late jobs that hold up those that can be on time, against jobs that begin before one is finished that needs
+// little more, against large jobs that delay small ones of about the same age, against small ones that always overtake, and
+// against jobs that are late only by their declared run times.
+func TestRules(t *testing.T) {
+	at := func(tasks int, arrival time.Duration) order.Job {
+		return (&work{tasks: tasks, runTime: time.Second, estimate: time.Second, arrival: start.Add(arrival)}).job(start)
 	}
-	jobs := []order.Job{
-		at(20 * time.Second), // without value: its target was 5 s
-		at(6 * time.Second),  // late
-		at(0), at(0),
-	}
-	jobs[3].Begun, jobs[3].WorkLeft, jobs[3].Deadline = true, jobs[3].Work/4, jobs[2].Deadline.Add(10*time.Second)
-	p := order.Planner{Policy: allRules}
-	var got []int
-	for _, e := range p.Plan(start, jobs, order.Room{}) {
-		got = append(got, e.Index)
-	}
-	if want := []int{3, 2, 1, 0}; !slices.Equal(got, want) {
-		t.Errorf("order %v; want %v: nearly done, on time, late, without value", got, want)
-	}
-}
-
-// Guards against large jobs that delay small ones of about the same age, against small ones that always overtake, and against
-// late jobs that are so only by their declared run times.
-func TestDelayCostAndLearnedTimes(t *testing.T) {
-	at := func(tasks int, age time.Duration) order.Job {
-		return (&work{tasks: tasks, runTime: time.Second, estimate: time.Second, arrival: start.Add(-age)}).job(start)
-	}
-	mistaken := at(2, 0)
+	mistaken, nearlyDone := at(2, 0), at(2, 10*time.Second)
 	mistaken.DeclaredLeft = time.Minute
+	nearlyDone.Begun, nearlyDone.WorkLeft = true, nearlyDone.Work/4
+	worthless, late := at(2, -20*time.Second), at(2, -6*time.Second) // their targets were 5 s
+	delay, learned := order.Policy{DelayCost: true}, order.Policy{DelayCost: true, LearnedTimes: true}
 	for _, test := range []struct {
 		name   string
 		policy order.Policy
 		jobs   []order.Job
 		want   []int
 	}{
-		{"small first", order.Policy{DelayCost: true}, []order.Job{at(50, time.Second), at(2, 0)}, []int{1, 0}},
-		{"a target later", order.Policy{DelayCost: true}, []order.Job{at(50, 0), at(2, -6*time.Second)}, []int{0, 1}},
-		{"learned", order.Policy{LearnedTimes: true, DelayCost: true}, []order.Job{at(2, -time.Second), mistaken}, []int{1, 0}},
-		{"declared", order.Policy{DelayCost: true}, []order.Job{at(2, -time.Second), mistaken}, []int{0, 1}},
+		{"nearly done, on time, late, without value", allRules, []order.Job{worthless, late, at(2, 0), nearlyDone}, []int{3, 2, 1, 0}},
+		{"small first", delay, []order.Job{at(50, -time.Second), at(2, 0)}, []int{1, 0}},
+		{"small but a target later", delay, []order.Job{at(50, 0), at(2, 6*time.Second)}, []int{0, 1}},
+		{"late as declared", delay, []order.Job{at(2, time.Second), mistaken}, []int{0, 1}},
+		{"on time as learned", learned, []order.Job{at(2, time.Second), mistaken}, []int{1, 0}},
 	} {
 		p := order.Planner{Policy: test.policy}
 		var got []int
