Reset the gauge of waiting jobs when a term ends

Cause: jobs_waiting_to_begin kept its last value on an entry that no longer leads, and counted scheduled jobs that are not due. Measured: tests of jobs/lead (also with -race), ops/metric and role/jobs pass; the gauge itself has no test.

--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -305,6 +305,7 @@
 func (l *Leader) runTerm(ctx context.Context, t *Term) {
 	l.term.Store(t)
 	err := t.run(ctx)
+	l.cfg.Meter.JobsWaiting(0) // the next leader reports them
 	l.term.Store(nil)
 	for name := range t.workers {
 		l.cfg.Network.Disconnect(name)
--- a/internal/jobs/lead/order.go
+++ b/internal/jobs/lead/order.go
@@ -261,11 +261,11 @@
 		zap.Duration("Age", now.Sub(j.acceptedAt)), zap.Duration("Late", now.Sub(j.deadline)))
 }
 
-// countWaiting reports the number of jobs that have had no run.
+// countWaiting reports the number of jobs without a schedule that have had no run.
 func (t *Term) countWaiting() {
 	n := 0
 	for _, j := range t.active {
-		if !j.state.IsFinal() && !j.hasBegun() {
+		if !j.state.IsFinal() && !j.hasBegun() && j.spec.Occurrences == 0 {
 			n++
 		}
 	}
--- a/internal/ops/metric/catalogue.go
+++ b/internal/ops/metric/catalogue.go
@@ -92,7 +92,7 @@
 	{ReleasedRuns, Counter, nil, "Runs that a worker listed after this leader had released them."},
 	{JobsBegun, Counter, []string{"reason"}, "Jobs of steps whose first run this leader started while the jobs that may begin are limited, by why they may begin: Room, First, MovedUp, Large or Unused."},
 	{JobsMovedUp, Counter, nil, "Jobs of steps that this leader moved up after 30 s without a run."},
-	{JobsWaiting, Gauge, nil, "Jobs of steps that this leader knows and that have had no run."},
+	{JobsWaiting, Gauge, nil, "Jobs of steps without a schedule that have had no run; 0 on an entry that does not lead."},
 	{StartSeconds, Histogram, nil, "Time from the acceptance of a job of steps to its first run, in seconds."},
 	{CellTakeovers, Counter, nil, "Cells that this entry took over."},
 	{LogDropped, Gauge, nil, "Log lines dropped because the log queue was full or writing failed."},
