--- a/internal/core/event/jobs.go
+++ b/internal/core/event/jobs.go
@@ -53,6 +53,7 @@
 	ZoneEvacuated       Number = 950
 	ZoneUnknown         Number = 951
 	EvacuationsNotRead  Number = 952
+	JobMovedUp          Number = 957
 )
 
 var jobEvents = []Entry{
@@ -105,4 +106,5 @@
 	{ZoneEvacuated, zapcore.InfoLevel, "zone evacuated or evacuation withdrawn", "The leader has read that the operator evacuated the zone, and starts nothing there, or that the evacuation is withdrawn; Evacuated tells which. Each new leader logs the evacuated zones.", "None."},
 	{ZoneUnknown, zapcore.WarnLevel, "evacuated zone has no workers", "No worker is in the zone of an evacuation, which stays in effect for workers that are added.", "Check the name of the zone in the row."},
 	{EvacuationsNotRead, zapcore.WarnLevel, "evacuations not read", "The leader could not read the evacuated zones; the read is repeated. The last known ones stay in effect, and no run is started anywhere once the last read is older than the bound less one second.", "Check the store if this persists."},
+	{JobMovedUp, zapcore.InfoLevel, "job moved up", "The job had been without a run for 30 s while capacity was insufficient, and gets capacity before jobs that can still be on time.", "Add workers if it is frequent."},
 }
--- a/internal/jobs/lead/leader.go
+++ b/internal/jobs/lead/leader.go
@@ -14,6 +14,7 @@
 	"trefoilramp.org/trefoilramp/internal/core/queue"
 	"trefoilramp.org/trefoilramp/internal/core/stall"
 	"trefoilramp.org/trefoilramp/internal/jobs/impact"
+	"trefoilramp.org/trefoilramp/internal/jobs/order"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 )
@@ -143,7 +144,7 @@
 		workers: make(map[string]*worker), undurable: make(map[*worker]struct{}),
 		dirty: make(map[page]struct{}), restarted: make(map[*worker]struct{}), advice: make(map[stepKey]*advice),
 		interference: impact.NewTable(), loadPeriod: impact.NewPeriodEstimate(time.Now()),
-		runTimeRatios:  make(map[string]*runTimeRatio),
+		runTimes: order.NewRunTimes(), jobSizes: order.NewSizes(), planner: order.Planner{Policy: l.cfg.Order},
 		cancelledEarly: make(map[spec.ID]time.Time), unmatchedEnds: make(map[spec.ID][]unmatchedEnd),
 		evacuation: newEvacuation(l.cfg),
 	}
@@ -310,6 +311,7 @@
 func (l *Leader) runTerm(ctx context.Context, t *Term) {
 	l.term.Store(t)
 	err := t.run(ctx)
+	l.cfg.Meter.JobsWaiting(0) // the next leader reports them
 	l.term.Store(nil)
 	for name := range t.workers {
 		l.cfg.Network.Disconnect(name)
--- a/internal/jobs/lead/link_test.go
+++ b/internal/jobs/lead/link_test.go
@@ -8,6 +8,7 @@
 
 	"trefoilramp.org/trefoilramp/internal/host/driver"
 	"trefoilramp.org/trefoilramp/internal/jobs/lead"
+	"trefoilramp.org/trefoilramp/internal/jobs/order"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/link/frame"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -164,3 +165,6 @@
 func (noMeter) ZonesEvacuated(int)                 {}
 func (m noMeter) StartWithheld()                   { m.withheld.Add(1) }
 func (noMeter) JobEnded(rows.State, time.Duration) {}
+func (noMeter) JobBegun(order.Reason)              {}
+func (noMeter) JobMovedUp()                        {}
+func (noMeter) JobsWaiting(int)                    {}
--- a/internal/jobs/lead/schedule.go
+++ b/internal/jobs/lead/schedule.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"trefoilramp.org/trefoilramp/internal/core/event"
+	"trefoilramp.org/trefoilramp/internal/jobs/order"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
@@ -34,10 +35,14 @@
 			t.waiting = append(t.waiting, j)
 		}
 	}
-	slices.SortStableFunc(t.waiting, compareUrgency)
-	for _, j := range t.waiting {
-		if !j.state.IsFinal() {
-			t.scheduleJob(ctx, j, now)
+	if t.cfg.Order != (order.Policy{}) {
+		t.scheduleByPolicy(ctx, now)
+	} else {
+		slices.SortStableFunc(t.waiting, compareUrgency)
+		for _, j := range t.waiting {
+			if !j.state.IsFinal() {
+				t.scheduleJob(ctx, j, now)
+			}
 		}
 	}
 	t.watchRuns(now)
@@ -106,7 +111,8 @@
 			break
 		}
 		for step := range j.spec.Steps {
-			if j.done[round*len(j.offsets)+step] < j.spec.Steps[step].Count && j.mayStart(round, step, wall) {
+			if j.done[round*len(j.offsets)+step] < j.spec.Steps[step].Count && j.mayStart(round, step, wall) &&
+				t.admission.covers(&j.spec.Steps[step]) {
 				t.scheduleStep(ctx, j, round, step, now)
 			}
 		}
@@ -120,6 +126,19 @@
 	isWithheld bool   // a worker was left out because of an evacuation since the step is blocked
 }
 
+// blockKey identifies the block of a step under an admission.
+type blockKey struct {
+	step      int // index with the round
+	admission admission
+}
+
+// clearBlocks makes all workers be considered again for a step.
+func (j *job) clearBlocks(round, step int) {
+	for a := admitAll; a <= admitSlow; a++ {
+		delete(j.blocks, blockKey{j.stepIndex(round, step), a})
+	}
+}
+
 // scheduleStep starts the waiting tasks of a step. If no worker could run one of them before, only workers that have
 // changed since are considered.
 func (t *Term) scheduleStep(ctx context.Context, j *job, round, step int, now time.Time) {
@@ -127,18 +146,18 @@
 	if j.inherited && t.unreconciled > 0 && !s.Speculative {
 		return // a run that this leader does not know yet may exist
 	}
-	key := j.stepIndex(round, step)
+	key := blockKey{j.stepIndex(round, step), t.admission}
 	last, isBlocked := j.blocks[key]
 	isBlocked = isBlocked && last.isIdle == j.isIdle(now)
 	if isBlocked && last.change == t.fleet.changes {
 		return
 	}
-	ready := t.readyTasks(j, round, step, now)
+	ready := t.limitStarts(t.readyTasks(j, round, step, now), s)
 	if len(ready) == 0 {
 		delete(j.blocks, key)
 		return
 	}
-	c := stepContext{job: j, round: round, step: step, now: now}
+	c := stepContext{job: j, round: round, step: step, now: now, admission: t.admission}
 	if t.isAdvised(j) {
 		var ok bool
 		if c.tickets, ok = t.tickets(ctx, stepKey{j.spec.ID, round, step}, j, now); !ok {
@@ -166,7 +185,7 @@
 		t.requestAdvice(ctx, stepKey{j.spec.ID, round, step}, j, now)
 	}
 	if j.blocks == nil {
-		j.blocks = make(map[int]block)
+		j.blocks = make(map[blockKey]block)
 	}
 	if t.evacuation.isWithheld && !last.isWithheld {
 		t.cfg.Meter.StartWithheld()
@@ -244,6 +263,7 @@
 	if w.reliability.isUnreliable(now) {
 		w.reliability.probeAt = now.Add(probeEvery)
 	}
+	t.recordBegin(j)
 	w.add(r)
 	j.addRun(ordinal, r)
 	t.cfg.Meter.RunStarted(now.Sub(j.addedAt), !j.begun && j.state == rows.Queued)
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -12,6 +12,7 @@
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/queue"
 	"trefoilramp.org/trefoilramp/internal/jobs/impact"
+	"trefoilramp.org/trefoilramp/internal/jobs/order"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -52,7 +53,8 @@
 	Advisor    Advisor // nil if no policy service is used
 	// EvacuationBound is the time after the evacuation of a zone from which nothing may reach its workers.
 	EvacuationBound time.Duration
-	Evacuations     Evacuations // nil if the deployment has no such bound
+	Evacuations     Evacuations  // nil if the deployment has no such bound
+	Order           order.Policy // rules for waiting jobs while capacity is insufficient
 	Meter           Meter
 	Log             *zap.Logger
 }
@@ -71,6 +73,12 @@
 	ZonesEvacuated(n int)
 	// StartWithheld counts a step that waits because a worker which could run a task of it may get no runs at present.
 	StartWithheld()
+	// JobBegun counts a job whose first run was started while the jobs that may begin were limited.
+	JobBegun(reason order.Reason)
+	// JobMovedUp counts a job that was moved up after a long wait.
+	JobMovedUp()
+	// JobsWaiting records the number of jobs without a run since they were accepted.
+	JobsWaiting(n int)
 	// JobEnded records the end of a job and the time since it was added.
 	JobEnded(state rows.State, took time.Duration)
 }
@@ -138,8 +146,16 @@
 	confirmedAt    time.Time            // start of the last confirmed write
 	commitAt       time.Time            // start of the last commit
 	interference   *impact.Table
-	loadPeriod     *impact.PeriodEstimate   // period of the loads of serving tasks
-	runTimeRatios  map[string]*runTimeRatio // by queue
+	loadPeriod     *impact.PeriodEstimate // period of the loads of serving tasks
+	runTimes       *order.RunTimes
+	planner        order.Planner
+	planJobs       []order.Job // of the last call of the planner
+	planned        []*job      // in the order of planJobs
+	lastPlanned    []*job      // in the order of the last plan
+	planCount      int         // jobs that have been planned
+	jobSizes       *order.Sizes
+	admission      admission // of the job that is being scheduled
+	startLimit     int64     // processors that its tasks may still request, in thousandths; 0 for no limit, negative for none
 	advice         map[stepKey]*advice
 	adviceInFlight int       // requests to the policy service
 	wakeAt         time.Time // next iteration of the event loop
