--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -254,10 +254,14 @@
 	if !r.listed {
 		r.job.begun = true
 		r.listed, r.firstSeenAt, r.firstPercent, r.progressedAt = true, now, s.Percent, now
+		if r.resumed || r.commandSeq == 0 {
+			t.creditFirst(r, s.Percent)
+		}
 	}
 	if s.Percent > r.percent {
 		r.progressedAt = now
 	}
+	t.creditProgress(r, s.Percent)
 	r.percent = s.Percent
 	if s.Checkpoint != "" {
 		r.job.tasks[r.ordinal].checkpoint = s.Checkpoint
@@ -269,6 +273,7 @@
 	event.Log(t.cfg.Log, event.RunReleased, zap.String("Task", r.key.Task), zap.Int("Run", r.key.Number),
 		zap.String("Worker", r.worker.state.Incarnation.ID), zap.String("Reason", reason))
 	t.recordReleased(r, reason)
+	t.creditEnd(r, false)
 	r.worker.remove(r)
 	r.job.dropRun(r)
 	t.recordDown(r)
@@ -307,6 +312,7 @@
 		t.addUnmatchedEnd(w, e)
 		return // already released or no longer needed, or its job is not known yet
 	}
+	t.creditEnd(r, e.Cause == wire.EndDone)
 	w.remove(r)
 	j, task := r.job, &r.job.tasks[r.ordinal]
 	j.begun = true
--- a/internal/jobs/lead/intake.go
+++ b/internal/jobs/lead/intake.go
@@ -24,6 +24,7 @@
 	if s.Epoch > t.epoch {
 		return // belongs to a later leader, which does not expect runs started by this one
 	}
+	t.outlook.returns.Forget(s.ID)
 	j := newJob(s, time.Now())
 	j.inherited = s.Epoch < t.epoch // an earlier leader may have started it
 	t.jobs[s.ID] = j
@@ -68,9 +69,16 @@
 	case wire.JobCancelled:
 		t.cancel(spec.ID(ev.m.ID))
 		return
+	case wire.JobRejected:
+		t.recordRejection(ev.m, time.Now())
+		return
 	case wire.JobState:
 		reply.State, reply.Verdict = t.queryState(spec.ID(ev.m.ID), time.Now())
+		reply.Rejections = t.outlook.returns.Count(spec.ID(ev.m.ID))
 	case wire.QueueLength:
+		if ev.m.Sender != "" {
+			reply.Forecast = t.packForecast(ev.m.Sender, time.Now())
+		}
 		for _, j := range t.active {
 			if j.spec.Queue == ev.m.Queue && !j.begun && !j.state.IsFinal() && j.spec.Occurrences == 0 {
 				reply.Waiting++
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -55,6 +55,8 @@
 	remaining     time.Duration            // see remainingTime; negative if unknown
 	blocks        map[int]block            // by round and step
 	forecasts     map[int]*impact.Forecast // load forecasts of serving tasks, by step
+	outlook       jobOutlook
+	credited      [kinds]float64 // work of current runs that the rates include; see outlookCredit
 }
 
 func newJob(s *spec.Job, now time.Time) *job {
@@ -73,9 +75,7 @@
 	if age := time.Since(time.UnixMilli(s.AcceptedAt)); age > 0 && age < time.Minute {
 		accepted = now.Add(-age)
 	}
-	stretch := max(s.Stretch, 1)
-	allowed := min(stretch*float64(s.CriticalPath())+float64(s.Objective), float64(maxDeadline.Milliseconds()))
-	j.deadline = accepted.Add(time.Duration(allowed) * time.Millisecond)
+	j.deadline = accepted.Add(s.Allowed(maxDeadline))
 	return j
 }
 
@@ -126,6 +126,7 @@
 	round, step := j.locate(ordinal)
 	j.done[round*len(j.offsets)+step]++
 	j.remaining = -1
+	j.outlook.isKnown = false
 	j.left--
 }
 
@@ -195,4 +196,5 @@
 	workAt           time.Time // time of the last update of work
 	workStartPercent int       // percent when work was first recorded
 	firstSeenAt      time.Time // time of the first complete report that lists the run
+	credit           outlookCredit
 }
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -148,6 +148,7 @@
 	watchAt        time.Time             // last check of all runs
 	retiring       bool                  // a deletion of expired rows is in flight
 	retireAt       time.Time             // last search for expired rows
+	outlook        outlook
 }
 
 // commit is a write of progress that is in flight.
--- a/internal/jobs/spec/job.go
+++ b/internal/jobs/spec/job.go
@@ -110,6 +110,12 @@
 	return false
 }
 
+// Allowed returns the time that the job may take, Stretch times its critical path plus its objective, and at most limit.
+func (j *Job) Allowed(limit time.Duration) time.Duration {
+	ms := max(j.Stretch, 1)*float64(j.CriticalPath()) + float64(j.Objective)
+	return time.Duration(min(ms, float64(limit.Milliseconds()))) * time.Millisecond
+}
+
 // CriticalPath returns the declared run time of the critical path, the longest chain of dependent steps, in
 // milliseconds.
 func (j *Job) CriticalPath() int64 {
--- a/internal/link/wire/task.go
+++ b/internal/link/wire/task.go
@@ -176,8 +176,9 @@
 	JobCancelled                      // notifies the leader of a stored cancellation
 	JobState
 	QueueLength
-	JobStore  // requests storing a job for an entry whose store requests fail
-	JobRevoke // requests storing a cancellation, likewise
+	JobStore    // requests storing a job for an entry whose store requests fail
+	JobRevoke   // requests storing a cancellation, likewise
+	JobRejected // notifies the leader of a job that the entry has rejected; Packed is a fcast.Rejection
 )
 
 // JobVerdict is the outcome of a JobAsk.
@@ -199,6 +200,7 @@
 	ID     string
 	Queue  string
 	Packed []byte // the encoded job of JobAccepted and JobStore
+	Sender string // address of an entry that asks for a forecast with QueueLength; empty for none
 }
 
 // JobTell is the response to a JobAsk.
@@ -207,6 +209,9 @@
 	Verdict JobVerdict
 	State   uint8 // rows.State of the job, for JobState
 	Waiting int   // jobs in the queue without a started task, for QueueLength
+
+	Rejections int    // of the job, for JobState, as far as the leader remembers them
+	Forecast   []byte // an encoded fcast.Forecast, for QueueLength with a Sender; empty from a leader without forecasts
 }
 
 // Kind implements Message.
