Reject jobs that cannot be done before they have lost all value

Change: with the setting Admission of a cell entry on, the intake decides about a job before it stores anything, by the newest forecast that its probes returned. Submit returns an Outcome instead of a Verdict, to which tests are adapted; the fake leader of the intake's tests is locked, since submissions of one test now run at the same time. E955, E956, jobs_turned_away and forecast_age.

--- a/cmd/trefoilramp/cell.go
+++ b/cmd/trefoilramp/cell.go
@@ -72,8 +72,8 @@
 		Listen: s.Process.Sessions, Key: s.Process.Key.Bytes(),
 		Lease: workerLease(s.Process), LeaseLimit: time.Duration(s.Process.Lease), Retention: time.Duration(s.Retention),
 		TakeoverDelay: takeoverDelay(s), Store: store,
-		Source:  &jobs.RowSource{Store: store, Ref: platform.ConfigRef, Decode: platform.DecodeConfig, Metrics: set, Log: log},
-		Metrics: set, Log: log,
+		Source:    &jobs.RowSource{Store: store, Ref: platform.ConfigRef, Decode: platform.DecodeConfig, Metrics: set, Log: log},
+		Admission: s.Admission == setup.AdmissionOn, Metrics: set, Log: log,
 	}
 	if s.Policies != "" {
 		cfg.Advisor = platform.NewAdvisor(s.Policies)
--- a/internal/conf/setup/cell.go
+++ b/internal/conf/setup/cell.go
@@ -18,6 +18,12 @@
 	maxMemory    = 1 << 20 // MiB
 )
 
+// Values of CellEntry.Admission.
+const (
+	AdmissionOn  = "on"  // jobs that cannot be done before they have lost all value are rejected
+	AdmissionOff = "off" // all jobs are accepted
+)
+
 // CellProcess holds the settings that the processes of a cell share.
 type CellProcess struct {
 	Name             string
@@ -41,6 +47,7 @@
 	Policies   string         // HOST:PORT of the policy service; empty for none
 	Retention  model.Duration // how long callers can query a job after its end
 	Processors float64        // processors available to the process; may be a fraction of one
+	Admission  string         // AdmissionOn or AdmissionOff; empty for AdmissionOff
 }
 
 // CellAgent holds the settings of a cell's agent.
@@ -95,6 +102,9 @@
 	})
 	checkDial(c.Field("Policies"), e.Policies, false)
 	model.CheckDuration(c.Field("Retention"), e.Retention, minRetention, maxRetention)
+	if e.Admission != "" && e.Admission != AdmissionOn && e.Admission != AdmissionOff {
+		c.Field("Admission").Fail(e.Admission, "%q or %q", AdmissionOn, AdmissionOff)
+	}
 	if e.Processors <= 0 {
 		c.Field("Processors").Fail(e.Processors, "more than 0")
 	}
--- a/internal/core/event/jobs.go
+++ b/internal/core/event/jobs.go
@@ -50,6 +50,8 @@
 	AnnouncementRefused Number = 947
 	SessionReplaced     Number = 948
 	WorkerRestarted     Number = 949
+	ForecastUnreadable  Number = 955
+	JobTurnedAway       Number = 956
 )
 
 var jobEvents = []Entry{
@@ -99,4 +101,6 @@
 	{AnnouncementRefused, zapcore.InfoLevel, "announcement refused", "An announced incarnation of the worker is not the one that responds at the worker's address; it had no effect.", "Find its sender if this persists."},
 	{SessionReplaced, zapcore.InfoLevel, "silent session replaced", "The agent did not answer on the open session, but on a new one; the leader uses the new one.", "Check the network, and any proxies that drop idle connections, if this persists."},
 	{WorkerRestarted, zapcore.InfoLevel, "worker restarted under its ID", "Calls to the former process may have extended the lease of the new one; if the worker is lost, its tasks wait for the longest lease that it accepts.", "Check the worker if this persists."},
+	{ForecastUnreadable, zapcore.WarnLevel, "forecast unreadable", "A forecast of the leader could not be decoded, or a field of it was out of range; this entry accepts all jobs until it receives one that it can read.", "Compare the versions of the entries; report the bug with the log if they are the same."},
+	{JobTurnedAway, zapcore.InfoLevel, "job rejected by admission control", "According to the forecast, the job could not be done before it has lost all value; nothing was stored. Wait is the time until the work before it is done, Need its own run time after that, Useful the time after which it has lost all value.", "None; add capacity if this persists."},
 }
--- a/internal/jobs/intake/intake.go
+++ b/internal/jobs/intake/intake.go
@@ -60,6 +60,7 @@
 	HedgeDelay func() time.Duration
 	Leader     Leader
 	OnSubmit   func(Verdict) // called with the outcome of each submission; may be nil
+	Admission  *Admission    // decides which jobs are accepted; nil if all are
 	Log        *zap.Logger
 }
 
@@ -78,8 +79,27 @@
 	j.Advised, j.Version, j.AcceptedAt = q.Advice != nil, version, now.UnixMilli()
 }
 
-// Submit stores a job and notifies the leader. Submitting a stored job again is accepted and does not duplicate it.
-func (in *Intake) Submit(ctx context.Context, j *spec.Job) Verdict {
+// Outcome is the outcome of a submission.
+type Outcome struct {
+	Verdict    Verdict
+	RetryAfter time.Duration // not 0 for a job that admission control has rejected
+}
+
+// Submit stores a job and notifies the leader, unless admission control rejects the job. Submitting a stored job again is
+// accepted and does not duplicate it.
+func (in *Intake) Submit(ctx context.Context, j *spec.Job) Outcome {
+	if in.cfg.Admission == nil {
+		return Outcome{Verdict: in.submit(ctx, j)}
+	}
+	admitted, retryAfter := in.admit(ctx, j)
+	if admitted == nil {
+		return Outcome{Verdict: NotDone, RetryAfter: retryAfter}
+	}
+	defer in.cfg.Admission.stored(j.ID, admitted)
+	return Outcome{Verdict: in.submit(ctx, j)}
+}
+
+func (in *Intake) submit(ctx context.Context, j *spec.Job) Verdict {
 	began := time.Now()
 	j.Epoch = in.cfg.Leader.Epoch()
 	packed, err := rows.Encode(j)
--- a/internal/jobs/intake/intake_test.go
+++ b/internal/jobs/intake/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,14 +18,20 @@
 
 // leader is a fake intake.Leader that records messages and returns a fixed response, or ErrNoLeader without one.
 type leader struct {
+	mu        sync.Mutex
 	response  *wire.JobTell
 	notified  []*wire.JobAsk
 	requested []*wire.JobAsk
 }
 
-func (l *leader) Epoch() uint64                   { return 4 }
-func (l *leader) IsSelf() bool                    { return false }
-func (l *leader) Notify(_ uint64, m *wire.JobAsk) { l.notified = append(l.notified, m) }
+func (l *leader) Epoch() uint64 { return 4 }
+func (l *leader) IsSelf() bool  { return false }
+
+func (l *leader) Notify(_ uint64, m *wire.JobAsk) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.notified = append(l.notified, m)
+}
 func (l *leader) epochOf(t *testing.T, n int) uint64 {
 	t.Helper()
 	var j spec.Job
@@ -35,6 +42,8 @@
 }
 
 func (l *leader) Request(_ context.Context, m *wire.JobAsk) (*wire.JobTell, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.requested = append(l.requested, m)
 	if l.response == nil {
 		return nil, intake.ErrNoLeader
@@ -67,7 +76,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
 	defer cancel()
 	began := time.Now()
-	v := in.Submit(ctx, newJob())
+	v := in.Submit(ctx, newJob()).Verdict
 	return v, time.Since(began)
 }
 
--- a/internal/jobs/lead/cluster_test.go
+++ b/internal/jobs/lead/cluster_test.go
@@ -351,7 +351,7 @@
 	c.t.Helper()
 	ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
 	defer cancel()
-	if v := c.intake().Submit(ctx, j); v != intake.Accepted {
+	if v := c.intake().Submit(ctx, j).Verdict; v != intake.Accepted {
 		c.t.Errorf("job %s: %v", j.ID, v)
 	}
 }
@@ -361,7 +361,7 @@
 	c.t.Helper()
 	for range 30 {
 		ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
-		v := c.intake().Submit(ctx, j)
+		v := c.intake().Submit(ctx, j).Verdict
 		cancel()
 		if v == intake.Accepted {
 			return
--- a/internal/jobs/lead/outcome_test.go
+++ b/internal/jobs/lead/outcome_test.go
@@ -267,7 +267,7 @@
 				c.wg.Go(func() {
 					ctx, cancel := context.WithTimeout(c.ctx, time.Second)
 					defer cancel()
-					if v := c.intakeOf("late").Submit(ctx, j); v != intake.Uncertain {
+					if v := c.intakeOf("late").Submit(ctx, j).Verdict; v != intake.Uncertain {
 						t.Errorf("submission without a response: %v", v)
 					}
 				})
--- /dev/null
+++ b/internal/jobs/lead/outlook_test.go
@@ -0,0 +1,219 @@
+package lead_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"trefoilramp.org/trefoilramp/internal/jobs/fcast"
+	"trefoilramp.org/trefoilramp/internal/jobs/intake"
+	"trefoilramp.org/trefoilramp/internal/jobs/spec"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/stand/runs"
+)
+
+// admitting returns an intake with admission control, which asks the leader for forecasts like the entry of that name.
+func (c *cluster) admitting(name string) *intake.Intake {
+	a := intake.NewAdmission(intake.AdmissionConfig{Random: func() float64 { return float64(c.randN(1000)) / 1000 }, Log: c.log})
+	c.wg.Go(func() {
+		for ctx := c.ctx; ctx.Err() == nil; wait(ctx, 600*time.Millisecond) {
+			began := time.Now()
+			if r := c.forecast(name); r != nil {
+				a.Update(r.Forecast, began)
+			}
+		}
+	})
+	return intake.New(intake.Config{
+		Cell: cell, Store: c.store.Client("caller"), Leader: leaderClient{c}, Log: c.log, Admission: a,
+		FailingSince: func() time.Time { return time.Time{} }, HedgeDelay: func() time.Duration { return hedgeDelay },
+	})
+}
+
+// forecast returns the leader's reply to a probe.
+func (c *cluster) forecast(sender string) *wire.JobTell {
+	limited, cancel := context.WithTimeout(c.ctx, 500*time.Millisecond)
+	defer cancel()
+	r, err := leaderClient{c}.Request(limited, &wire.JobAsk{Number: 1, Action: wire.QueueLength, Sender: sender})
+	if err != nil {
+		return nil
+	}
+	return r
+}
+
+// heavy returns a best-effort job that takes all of the capacity of two hosts for a declared second; it has lost its value
+// after 9 s.
+func heavy(n int) *spec.Job {
+	j := job(n, 1, 10)
+	j.Steps[0].BestEffort = true
+	return j
+}
+
+// caller is a submitted job.
+type caller struct {
+	id         spec.ID
+	attempts   int
+	acceptedAt time.Time // zero if it was never accepted
+}
+
+// offer submits heavy jobs at intervals to entries in turn, and repeats rejected ones as told, up to four times.
+func (c *cluster) offer(entries []*intake.Intake, count int, interval time.Duration) []*caller {
+	list := make([]*caller, count)
+	var wg sync.WaitGroup
+	for i := range list {
+		j := heavy(i + 1)
+		list[i] = &caller{id: j.ID}
+		wg.Go(func() {
+			for list[i].attempts < 5 {
+				ctx, cancel := context.WithTimeout(c.ctx, 3*time.Second)
+				j.AcceptedAt = time.Now().UnixMilli()
+				out := entries[(i+list[i].attempts)%len(entries)].Submit(ctx, j)
+				cancel()
+				list[i].attempts++
+				if out.Verdict == intake.Accepted {
+					list[i].acceptedAt = time.Now()
+					return
+				}
+				time.Sleep(out.RetryAfter)
+			}
+		})
+		time.Sleep(interval)
+	}
+	wg.Wait()
+	return list
+}
+
+// overload offers three jobs a second for 45 s, and returns how many were rejected for good, how many were done before they
+// had lost all value, and how many were accepted at the first attempt while others were expected back.
+func (c *cluster) overload(entries []*intake.Intake, actual func(n int) time.Duration) (rejected, useful, overtaking int) {
+	c.plan = func(r wire.Run) runs.Plan {
+		var n int
+		if _, err := fmt.Sscanf(r.Task, "%x.", &n); err != nil {
+			c.t.Error(err)
+		}
+		return runs.Plan{RunTime: actual(n), ProcessorUsage: 1000}
+	}
+	list := c.offer(entries, 150, 300*time.Millisecond)
+	time.Sleep(10 * time.Minute)
+	hasRejections := false
+	for _, l := range list {
+		if hasRejections = hasRejections || l.attempts > 1; hasRejections && l.attempts == 1 {
+			overtaking++
+		}
+		if l.acceptedAt.IsZero() {
+			rejected++
+			continue
+		}
+		isLate := func(r runs.Record) bool { return r.Ended.Sub(l.acceptedAt) >= 9*time.Second }
+		if !slices.ContainsFunc(runsOf(c, l.id), isLate) {
+			useful++
+		}
+	}
+	return rejected, useful, overtaking
+}
+
+// Guards against admission control that makes things worse when declared run times are wrong by a factor of three either
+// way, that rejects jobs of a cell which is nearly fast enough, and that lets new callers overtake those which return.
+func TestAdmissionWithWrongEstimates(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		isOverloaded bool
+		actual       func(n int) time.Duration // run time of the tasks of a job, declared as 1 s
+	}{
+		{"right", true, func(int) time.Duration { return time.Second }},
+		{"three times as long", true, func(int) time.Duration { return 3 * time.Second }},
+		{"a third", false, func(int) time.Duration { return time.Second / 3 }},
+		{"mixed", true, func(n int) time.Duration { return []time.Duration{time.Second / 3, 3 * time.Second, time.Second}[n%3] }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var without, with, rejected, overtaking int
+			withCluster(t, func(c *cluster) { _, without, _ = c.overload([]*intake.Intake{c.intake()}, test.actual) })
+			withCluster(t, func(c *cluster) {
+				entries := []*intake.Intake{c.admitting("a"), c.admitting("b"), c.admitting("c")}
+				rejected, with, overtaking = c.overload(entries, test.actual)
+			})
+			t.Logf("of 150 jobs, %d useful instead of %d, %d rejected, %d overtook others", with, without, rejected, overtaking)
+			switch {
+			case !test.isOverloaded && rejected > 0:
+				t.Errorf("%d jobs rejected", rejected)
+			case test.isOverloaded && with < 3*without/2:
+				t.Errorf("%d of 150 jobs done in time to have a value; without admission control %d", with, without)
+			}
+			if overtaking > 30 {
+				t.Errorf("%d jobs accepted at their first attempt while others were expected back", overtaking)
+			}
+		})
+	}
+}
+
+// Guards against a forecast of a new leader that rejects jobs by what it has not observed, and against one that goes
+// unnoticed once it has.
+func TestForecastOfNewLeader(t *testing.T) {
+	withCluster(t, func(c *cluster) {
+		c.plan = func(wire.Run) runs.Plan { return runs.Plan{RunTime: time.Second, ProcessorUsage: 1000} }
+		for i := range 30 {
+			c.submit(heavy(i + 1))
+		}
+		check := func(forecasts, want int) {
+			t.Helper()
+			var f fcast.Forecast
+			for range forecasts {
+				f = fcast.Forecast{}
+				if r := c.forecast("a"); r == nil || wire.Unpack(r.Forecast, &f) != nil || f.Check() != nil {
+					t.Fatalf("reply %+v; want a forecast", r)
+				}
+				time.Sleep(200 * time.Millisecond)
+			}
+			if n := len(f.Pools); n != want {
+				t.Errorf("%d pools in forecast %d; want %d", n, forecasts, want)
+			}
+		}
+		check(20, 1)
+		c.stop("entry-1")
+		c.awaitTerm(5 * time.Second)
+		check(1, 0)
+		check(20, 1)
+		if r, err := (leaderClient{c}).Request(c.ctx, &wire.JobAsk{Number: 1, Action: wire.QueueLength}); err != nil || r.Forecast != nil {
+			t.Errorf("a forecast that was not asked for: %v, %v", r, err)
+		}
+	})
+}
+
+// BenchmarkForecast measures the forecast beside 10,000 waiting jobs of many sizes at 300 workers: the reply to a probe with
+// a forecast less one without. The limit is 1 ms.
+func BenchmarkForecast(b *testing.B) {
+	ctx, cancel := context.WithCancel(b.Context())
+	names := make([]string, 300)
+	for i := range names {
+		names[i] = fmt.Sprintf("%04d", i)
+	}
+	term, stop := startLeader(ctx, b, storeWithAgents(b, names...), &echoNetwork{ended: make(chan string, 1<<20)})
+	for i := range 10_000 {
+		j := job(i+1, 3, 20)
+		j.Priority, j.Objective = i%3, 1000*int64(1+i%60)
+		for k := range j.Steps {
+			j.Steps[k].BestEffort, j.Steps[k].Size.Processors = true, int64(50_000+(i*7919)%20_000)
+		}
+		accept(b, term, j)
+	}
+	entry := &endpoint{out: make(chan wire.Message, 1), closed: make(chan struct{}), once: &sync.Once{}}
+	probe := func(sender string) time.Duration {
+		time.Sleep(300 * time.Millisecond) // until the next forecast is due, and the event loop is idle
+		began := time.Now()
+		term.Request(entry, &wire.JobAsk{Number: 1, Action: wire.QueueLength, Sender: sender})
+		<-entry.out
+		return time.Since(began)
+	}
+	probe("entry")
+	var with, without []time.Duration
+	for b.Loop() {
+		with, without = append(with, probe("entry")), append(without, probe(""))
+	}
+	slices.Sort(with)
+	slices.Sort(without)
+	b.ReportMetric(float64((with[len(with)/2] - without[len(without)/2]).Microseconds()), "µs/forecast")
+	cancel()
+	stop()
+}
--- a/internal/ops/metric/catalogue.go
+++ b/internal/ops/metric/catalogue.go
@@ -56,6 +56,8 @@
 	ReleasedRuns   Name = "runs_found_after_release"
 	StartSeconds   Name = "job_start_seconds"
 	CellTakeovers  Name = "cell_terms"
+	JobsTurnedAway Name = "jobs_turned_away"
+	ForecastAge    Name = "forecast_age"
 	LogDropped     Name = "log_lines_dropped"
 )
 
@@ -89,6 +91,8 @@
 	{ReleasedRuns, Counter, nil, "Runs that a worker listed after this leader had released them."},
 	{StartSeconds, Histogram, nil, "Time from the acceptance of a job of steps to its first run, in seconds."},
 	{CellTakeovers, Counter, nil, "Cells that this entry took over."},
+	{JobsTurnedAway, Counter, []string{"reason"}, "Submitted jobs of steps that admission control rejected, by reason: Backlog or Returning."},
+	{ForecastAge, Gauge, nil, "Age of the forecast by which this entry admits jobs, in seconds; -1 without one, and 0 while admission control is off."},
 	{LogDropped, Gauge, nil, "Log lines dropped because the log queue was full or writing failed."},
 }
 
--- a/internal/role/jobs/entry.go
+++ b/internal/role/jobs/entry.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"trefoilramp.org/trefoilramp/internal/conf/queues"
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/ident"
+	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/jobs/intake"
 	"trefoilramp.org/trefoilramp/internal/jobs/lead"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
@@ -21,8 +23,12 @@
 	"trefoilramp.org/trefoilramp/internal/ops/metric"
 )
 
-// readyGrace is how long the store may fail before an entry reports that it is not ready.
-const readyGrace = 1200 * time.Millisecond
+const (
+	// readyGrace is how long the store may fail before an entry reports that it is not ready.
+	readyGrace = 1200 * time.Millisecond
+	// forecastAgeEvery is the interval between updates of the gauge of the forecast's age.
+	forecastAgeEvery = 500 * time.Millisecond
+)
 
 // Source delivers the operator's configuration of queues.
 type Source interface {
@@ -45,6 +51,7 @@
 	Store         *rows.Monitor
 	Source        Source
 	Advisor       lead.Advisor
+	Admission     bool // jobs that cannot be done before they have lost all value are rejected
 	Metrics       *metric.Set
 	Log           *zap.Logger
 }
@@ -55,6 +62,7 @@
 	queues       *queues.Holder
 	leader       *lead.Leader
 	leaderClient *leaderClient
+	admission    *intake.Admission // nil if all jobs are accepted
 	intake       *intake.Intake
 	network      *agentNetwork
 	listener     net.Listener
@@ -84,9 +92,15 @@
 		Meter: meter{cfg.Metrics}, Log: cfg.Log,
 	}, cfg.TakeoverDelay)
 	e.leaderClient = newLeaderClient(cfg.Address, e.leader, e.sessions)
+	if cfg.Admission {
+		e.admission = intake.NewAdmission(intake.AdmissionConfig{
+			Random: rand.Float64, OnReject: meter{cfg.Metrics}.jobRejected, Log: cfg.Log,
+		})
+		e.leaderClient.admission = e.admission
+	}
 	e.intake = intake.New(intake.Config{
 		Cell: cfg.Cell, Store: cfg.Store, FailingSince: cfg.Store.FailingSince, HedgeDelay: cfg.Store.HedgeDelay,
-		Leader: e.leaderClient, OnSubmit: meter{cfg.Metrics}.jobSubmitted, Log: cfg.Log,
+		Leader: e.leaderClient, OnSubmit: meter{cfg.Metrics}.jobSubmitted, Admission: e.admission, Log: cfg.Log,
 	})
 	return e, nil
 }
@@ -94,6 +108,9 @@
 // Intake returns the intake of the entry, which accepts jobs.
 func (e *Entry) Intake() *intake.Intake { return e.intake }
 
+// Admission returns the admission control of the entry, or nil if it accepts all jobs.
+func (e *Entry) Admission() *intake.Admission { return e.admission }
+
 // Queues returns the holder of the configuration in force.
 func (e *Entry) Queues() *queues.Holder { return e.queues }
 
@@ -111,6 +128,10 @@
 	wg.Go(func() { e.cfg.Source.Watch(ctx, e.apply) })
 	wg.Go(func() { e.leader.Run(ctx) })
 	wg.Go(func() { e.leaderClient.run(ctx) })
+	if e.admission != nil {
+		age := e.cfg.Metrics.Gauge(metric.ForecastAge)
+		wg.Go(func() { pause.Every(ctx, forecastAgeEvery, func() { age.Update(e.admission.ForecastAge(time.Now())) }) })
+	}
 	err := sess.Serve(ctx, e.listener, e.sessions, e)
 	wg.Wait()
 	return err
--- a/internal/role/jobs/jobs_test.go
+++ b/internal/role/jobs/jobs_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,7 @@
 	"trefoilramp.org/trefoilramp/internal/core/ident"
 	"trefoilramp.org/trefoilramp/internal/core/sizes"
 	"trefoilramp.org/trefoilramp/internal/host/driver"
+	"trefoilramp.org/trefoilramp/internal/jobs/fcast"
 	"trefoilramp.org/trefoilramp/internal/jobs/intake"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
@@ -61,8 +63,8 @@
 	e, err := jobs.NewEntry(ctx, jobs.EntryConfig{
 		Cell: "main", Name: name, Zone: "agadir", Address: freeAddress(t), Key: key, Lease: lease, Retention: time.Minute,
 		TakeoverDelay: func() time.Duration { return 0 }, Store: store, Log: zap.NewNop(),
-		Metrics: metric.New(nil),
-		Source:  &jobs.RowSource{Store: store, Ref: config, Decode: decode, Metrics: metric.New(nil), Log: zap.NewNop()},
+		Admission: strings.HasPrefix(name, "admitting"), Metrics: metric.New(nil),
+		Source: &jobs.RowSource{Store: store, Ref: config, Decode: decode, Metrics: metric.New(nil), Log: zap.NewNop()},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -169,7 +171,7 @@
 				{Count: 3, Size: sizes.Resources{Processors: 500}, Estimate: 100, After: []int{0}},
 			},
 		}
-		if v := e.Intake().Submit(ctx, j); v != intake.Accepted {
+		if v := e.Intake().Submit(ctx, j).Verdict; v != intake.Accepted {
 			t.Fatalf("job %d: %v", n, v)
 		}
 		return j.ID
@@ -192,6 +194,34 @@
 	await(t, "job accepted after a handover", isDone(second, submit(second, 4)))
 }
 
+// Guards against entries that receive no forecast, be it from another entry or from their own term, and against an entry
+// that goes on using the forecasts of a leader that has gone.
+func TestForecastsReachEntries(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	s := memory.New()
+	putConfig(t, s, 3)
+	first, stopFirst := startEntry(ctx, t, s, "admitting-1", &wg)
+	isFresh := func(e *jobs.Entry) func() bool {
+		return func() bool {
+			age := e.Admission().ForecastAge(time.Now())
+			return age >= 0 && age < fcast.MaxAge.Seconds()
+		}
+	}
+	await(t, "forecast of the leader's own term", isFresh(first))
+	second, _ := startEntry(ctx, t, s, "admitting-2", &wg)
+	plain, _ := startEntry(ctx, t, s, "entry-3", &wg)
+	await(t, "forecast of another entry", isFresh(second))
+	stopFirst()
+	await(t, "age of a forecast after its leader has gone", func() bool { return !isFresh(first)() })
+	await(t, "forecast of the next leader", isFresh(second))
+	if plain.Admission() != nil {
+		t.Error("an entry has admission control although it is off")
+	}
+}
+
 // refusingAgent closes each session of a leader at once, as an agent does that has adopted a newer leader.
 type refusingAgent struct {
 	sessions atomic.Int64
--- a/internal/role/jobs/leader.go
+++ b/internal/role/jobs/leader.go
@@ -28,6 +28,8 @@
 	self   string // address of this entry
 	leader *lead.Leader
 	cfg    sess.Config
+	// admission receives the forecasts of the leader; nil if none are needed.
+	admission *intake.Admission
 
 	mu         sync.Mutex
 	session    *sess.Session
@@ -127,6 +129,9 @@
 	for ctx.Err() == nil {
 		h := c.leader.Head()
 		if h == nil || h.Address == "" || h.Address == c.self {
+			if c.IsSelf() {
+				c.requestForecast(ctx)
+			}
 			pause.For(ctx, leaderPollInterval)
 			continue
 		}
@@ -177,13 +182,39 @@
 func (c *leaderClient) probe(ctx context.Context, epoch uint64) {
 	limited, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	t, err := c.Request(limited, &wire.JobAsk{Action: wire.QueueLength})
+	sentAt := time.Now()
+	t, err := c.Request(limited, c.probeRequest())
 	if err == nil && t.Verdict == wire.VerdictNotReady {
 		c.leader.ReportDown(epoch, true)
 	}
+	if err == nil && c.admission != nil {
+		c.admission.Update(t.Forecast, sentAt)
+	}
 	c.leader.SetSuspected(err != nil)
 }
 
+// probeRequest returns a request that any leader answers, and that asks for a forecast if one is needed.
+func (c *leaderClient) probeRequest() *wire.JobAsk {
+	m := &wire.JobAsk{Action: wire.QueueLength}
+	if c.admission != nil {
+		m.Sender = c.self
+	}
+	return m
+}
+
+// requestForecast requests a forecast from this entry's own term.
+func (c *leaderClient) requestForecast(ctx context.Context) {
+	if c.admission == nil {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	sentAt := time.Now()
+	if t, err := c.Request(limited, c.probeRequest()); err == nil {
+		c.admission.Update(t.Forecast, sentAt)
+	}
+}
+
 func (c *leaderClient) setSession(s *sess.Session, epoch uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/role/jobs/meter.go
+++ b/internal/role/jobs/meter.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"trefoilramp.org/trefoilramp/internal/jobs/fcast"
 	"trefoilramp.org/trefoilramp/internal/jobs/intake"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -43,6 +44,9 @@
 // jobSubmitted counts submitted jobs by verdict.
 func (m meter) jobSubmitted(v intake.Verdict) { m.set.Counter(metric.JobsSubmitted, v.String()).Inc(1) }
 
+// jobRejected counts jobs that admission control has rejected.
+func (m meter) jobRejected(r fcast.Reason) { m.set.Counter(metric.JobsTurnedAway, r.String()).Inc(1) }
+
 // StoreMeter returns a function that records the outcome and the duration of each call to a store.
 func StoreMeter(set *metric.Set) func(call string, took time.Duration, err error) {
 	return func(call string, took time.Duration, err error) {
--- a/internal/role/jobs/silent_test.go
+++ b/internal/role/jobs/silent_test.go
@@ -43,7 +43,7 @@
 		ID: "0000000000000001", Queue: "q", Service: "packing", MaxAttempts: 2,
 		Steps: []spec.Step{{Count: tasks, Size: sizes.Resources{Processors: 500}, Estimate: runTime.Milliseconds()}},
 	}
-	if v := e.Intake().Submit(ctx, j); v != intake.Accepted {
+	if v := e.Intake().Submit(ctx, j).Verdict; v != intake.Accepted {
 		t.Fatalf("job: %v", v)
 	}
 	await(t, "start of all tasks", func() bool { return len(w.Records()) == tasks })
