Learn how long best-effort runs take for admission control

Cause: the completion target is corrected by learned run times, but the leader learned them for counted tasks only.

Change: the ratio of best-effort runs is recorded by queue from the time at full speed; the forecast holds ratios of both kinds. queueRatio is the one place that reads them.

--- a/internal/jobs/fcast/decide.go
+++ b/internal/jobs/fcast/decide.go
@@ -56,7 +56,7 @@
 func Decide(f *Forecast, a Ask, s Since) Decision {
 	ratio := 1.0
 	if f != nil {
-		ratio = f.ratio(a.Queue)
+		ratio = f.ratio(&a)
 	}
 	d := Decision{Admit: true, Useful: a.useful(ratio)}
 	switch {
@@ -189,9 +189,9 @@
 	return len(a.Starts) > 0
 }
 
-func (f *Forecast) ratio(queue string) float64 {
+func (f *Forecast) ratio(a *Ask) float64 {
 	for _, r := range f.Ratios {
-		if r.Queue == queue {
+		if r.Queue == a.Queue && r.BestEffort == a.Pool.BestEffort {
 			return min(max(r.Factor, minRatio), maxRatio)
 		}
 	}
--- a/internal/jobs/fcast/forecast.go
+++ b/internal/jobs/fcast/forecast.go
@@ -44,7 +44,7 @@
 	Age     int64 // ms from its computation until it was sent
 	Entries int   // entries that have asked for a forecast lately
 	Pools   []PoolForecast
-	Ratios  []Ratio // of the queues for which it is known
+	Ratios  []Ratio // where they are known
 }
 
 // PoolForecast describes the work in a pool.
@@ -63,10 +63,12 @@
 	Blocked   []sizes.Resources // sizes of tasks that may start and for which there is no capacity, the smallest ones
 }
 
-// Ratio is the usual ratio of actual to declared run times of a queue.
+// Ratio is the usual ratio of actual to declared run times of a queue's tasks; that of best-effort tasks is of the time at
+// full speed.
 type Ratio struct {
-	Queue  string
-	Factor float64
+	Queue      string
+	BestEffort bool
+	Factor     float64
 }
 
 // DueBucket returns the index in Class.Waiting of work that has lost all value after a given time.
--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -251,17 +251,14 @@
 
 // updateProgress records the progress and the checkpoint of a run as listed in a complete report.
 func (t *Term) updateProgress(r *run, s *wire.RunState, now time.Time) {
+	t.creditReport(r, s.Percent)
 	if !r.listed {
 		r.job.begun = true
 		r.listed, r.firstSeenAt, r.firstPercent, r.progressedAt = true, now, s.Percent, now
-		if r.resumed || r.commandSeq == 0 {
-			t.creditFirst(r, s.Percent)
-		}
 	}
 	if s.Percent > r.percent {
 		r.progressedAt = now
 	}
-	t.creditProgress(r, s.Percent)
 	r.percent = s.Percent
 	if s.Checkpoint != "" {
 		r.job.tasks[r.ordinal].checkpoint = s.Checkpoint
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -56,7 +56,7 @@
 	blocks        map[int]block            // by round and step
 	forecasts     map[int]*impact.Forecast // load forecasts of serving tasks, by step
 	outlook       jobOutlook
-	credited      [kinds]float64 // work of current runs that the rates include; see outlookCredit
+	credited      [workKinds]float64 // work of current runs that the rates include; see outlookCredit
 }
 
 func newJob(s *spec.Job, now time.Time) *job {
--- a/internal/jobs/lead/outlook.go
+++ b/internal/jobs/lead/outlook.go
@@ -21,12 +21,10 @@
 	blockedAfter     = time.Second // for which a job has waited for its first run before its tasks count as blocked
 )
 
-// kind is the index of counted (0) or best-effort (1) work.
-type kind int
+// workKinds is the number of kinds of work: counted (index 0) and best-effort (index 1).
+const workKinds = 2
 
-const kinds = 2
-
-func kindOf(s *spec.Step) kind {
+func workKind(s *spec.Step) int {
 	if s.BestEffort {
 		return 1
 	}
@@ -39,10 +37,18 @@
 	pools    map[fcast.Pool]*outlookPool
 	order    []*outlookPool
 	returns  fcast.Returns
-	at       time.Time // of forecast
+	queues   map[queueKind]struct{}      // of jobs that were added, at most fcast.MaxRatios
+	ratios   map[queueKind]*runTimeRatio // of best-effort tasks
+	at       time.Time                   // of forecast
 	forecast fcast.Forecast
 }
 
+// queueKind identifies the tasks of a queue whose run times have a common ratio to the declared ones.
+type queueKind struct {
+	queue      string
+	bestEffort bool
+}
+
 // outlookPool is a pool with its classes, by priority, of the forecast in computation.
 type outlookPool struct {
 	pool    fcast.Pool
@@ -79,12 +85,12 @@
 // jobOutlook is what the forecast needs of a job. It is computed on first use and after each task that is done.
 type jobOutlook struct {
 	isKnown   bool
-	isCounted bool                   // not of a job with a schedule or with long-running tasks
-	usefulEnd time.Time              // when the job has lost all value
-	work      [kinds]float64         // of the unfinished tasks
-	smallest  [kinds]sizes.Resources // amounts that each task which counts as evidence of a full pool exceeds or equals
-	has       [kinds]bool            // the job has such tasks
-	classes   [kinds]*fcast.Class
+	isCounted bool                       // not of a job with a schedule or with long-running tasks
+	usefulEnd time.Time                  // when the job has lost all value
+	work      [workKinds]float64         // of the unfinished tasks
+	smallest  [workKinds]sizes.Resources // amounts that each task which counts as evidence of a full pool exceeds or equals
+	has       [workKinds]bool            // the job has such tasks
+	classes   [workKinds]*fcast.Class
 }
 
 // outlookOf returns the outlook of a job.
@@ -102,12 +108,13 @@
 		allowed := j.spec.Allowed(maxDeadline)
 		o.usefulEnd = j.deadline.Add(min((fcast.ValueFactor-1)*allowed, maxDeadline))
 	}
-	o.work, o.has = [kinds]float64{}, [kinds]bool{}
+	o.work, o.has = [workKinds]float64{}, [workKinds]bool{}
 	for i := range j.spec.Steps {
 		s := &j.spec.Steps[i]
-		k := kindOf(s)
+		k := workKind(s)
 		if o.classes[k] == nil {
 			o.classes[k] = t.outlook.pool(fcast.Pool{Service: j.spec.Service, BestEffort: s.BestEffort}).class(j.spec.Priority)
+			t.outlook.addQueue(queueKind{j.spec.Queue, s.BestEffort})
 		}
 		left := s.Count - j.done[i]
 		o.work[k] += float64(left) * fcast.TaskWork(s)
@@ -147,13 +154,22 @@
 		return
 	}
 	r.credit.percent = percent
-	r.job.credited[kindOf(r.step)] += work
+	r.job.credited[workKind(r.step)] += work
 	t.outlook.pool(fcast.Pool{Service: r.job.spec.Service, BestEffort: r.step.BestEffort}).rate.Add(work)
 }
 
+// creditReport counts the progress of a run that a complete report lists.
+func (t *Term) creditReport(r *run, percent int) {
+	if !r.listed && (r.resumed || r.commandSeq == 0) {
+		t.creditFirst(r, percent)
+		return
+	}
+	t.creditProgress(r, percent)
+}
+
 // creditFirst records the progress at which a run is first seen.
 func (t *Term) creditFirst(r *run, percent int) {
-	r.job.credited[kindOf(r.step)] += fcast.TaskWork(r.step) * float64(percent-r.credit.percent) / 100
+	r.job.credited[workKind(r.step)] += fcast.TaskWork(r.step) * float64(percent-r.credit.percent) / 100
 	r.credit = outlookCredit{percent: percent, from: percent}
 }
 
@@ -162,10 +178,11 @@
 	switch {
 	case isDone:
 		t.creditProgress(r, 100)
+		t.outlook.recordRatio(r)
 	case !r.step.Checkpoints:
 		t.creditProgress(r, r.credit.from)
 	}
-	r.job.credited[kindOf(r.step)] -= fcast.TaskWork(r.step) * float64(r.credit.percent) / 100
+	r.job.credited[workKind(r.step)] -= fcast.TaskWork(r.step) * float64(r.credit.percent) / 100
 	r.credit = outlookCredit{}
 }
 
@@ -248,9 +265,9 @@
 			classes -= len(f.Classes)
 		}
 	}
-	for queue, r := range t.runTimeRatios {
-		if r.runs >= minRatioRuns && len(o.forecast.Ratios) < fcast.MaxRatios {
-			o.forecast.Ratios = append(o.forecast.Ratios, fcast.Ratio{Queue: queue, Factor: math.Exp(r.logMean)})
+	for q := range o.queues {
+		if ratio, runs := t.queueRatio(q); runs >= minRatioRuns {
+			o.forecast.Ratios = append(o.forecast.Ratios, fcast.Ratio{Queue: q.queue, BestEffort: q.bestEffort, Factor: ratio})
 		}
 	}
 }
@@ -261,7 +278,7 @@
 func (t *Term) addWork(j *job, v *jobOutlook, now time.Time) {
 	running := float64(j.left-j.waiting) / float64(max(1, j.left))
 	left := v.usefulEnd.Sub(now)
-	for k := range kinds {
+	for k := range workKinds {
 		c := v.classes[k]
 		if c == nil {
 			continue
@@ -280,7 +297,7 @@
 		return
 	}
 	isNews := false
-	for k := range kinds {
+	for k := range workKinds {
 		isNews = isNews || v.has[k] && !v.classes[k].IsBlocked(v.smallest[k])
 	}
 	if !isNews {
@@ -289,11 +306,56 @@
 	for i := range j.spec.Steps {
 		s := &j.spec.Steps[i]
 		if _, isBlocked := j.blocks[i]; isPlain(s) && (isBlocked || isWaiting && len(s.After) == 0) {
-			v.classes[kindOf(s)].AddBlocked(s.Size)
+			v.classes[workKind(s)].AddBlocked(s.Size)
 		}
 	}
 }
 
+func (o *outlook) addQueue(q queueKind) {
+	if o.queues == nil {
+		o.queues = make(map[queueKind]struct{})
+	}
+	if len(o.queues) < fcast.MaxRatios {
+		o.queues[q] = struct{}{}
+	}
+}
+
+// minRatioPercent is the progress that must have been observed of a run of which the ratio is recorded.
+const minRatioPercent = 30
+
+// recordRatio records the ratio of a best-effort run that is done.
+func (o *outlook) recordRatio(r *run) {
+	percent := r.percent - r.workStartPercent
+	if !r.step.BestEffort || r.step.Estimate <= 0 || r.work <= 0 || percent < minRatioPercent {
+		return
+	}
+	q := queueKind{r.job.spec.Queue, true}
+	if o.ratios == nil {
+		o.ratios = make(map[queueKind]*runTimeRatio)
+	}
+	u := o.ratios[q]
+	if u == nil {
+		if len(o.ratios) >= fcast.MaxRatios {
+			return
+		}
+		u = &runTimeRatio{}
+		o.ratios[q] = u
+	}
+	u.add(math.Log(r.work * 1000 * 100 / float64(percent) / float64(r.step.Estimate)))
+}
+
+// queueRatio returns the mean ratio of actual to declared run times, and the number of runs of which it is the mean.
+func (t *Term) queueRatio(q queueKind) (ratio float64, runs int) {
+	u := t.runTimeRatios[q.queue]
+	if q.bestEffort {
+		u = t.outlook.ratios[q]
+	}
+	if u == nil {
+		return 1, 0
+	}
+	return math.Exp(u.logMean), u.runs
+}
+
 func (o *outlook) countSenders(now time.Time) int {
 	for sender, at := range o.senders {
 		if now.Sub(at) > senderLifetime {
--- a/internal/jobs/lead/speed.go
+++ b/internal/jobs/lead/speed.go
@@ -76,7 +76,11 @@
 		u = &runTimeRatio{}
 		t.runTimeRatios[r.job.spec.Queue] = u
 	}
-	x := math.Log(took * 1000 / float64(r.step.Estimate))
+	u.add(math.Log(took * 1000 / float64(r.step.Estimate)))
+}
+
+// add adds the logarithm of the ratio of a run.
+func (u *runTimeRatio) add(x float64) {
 	weight := max(ratioSmoothing, 1/float64(u.runs+1))
 	u.logMean += weight * (x - u.logMean)
 	u.runs++
