Send forecasts as a message of their own

Cause: msgpack arrays with another number of fields than the receiver's struct are refused ("number of fields in array-encoded struct has changed"), and the session ends. Fields appended to JobAsk and JobTell would part entries of two versions during a rolling replacement, although the protocol version is the same.

Change: the request for a forecast is in Packed of the probe, which older leaders ignore; the forecast is the new message JobForecast, sent only to an entry that asks; the number of rejections is in State of the reply about an unknown job, which older entries ignore. Work that an entry has accepted is forgotten while no forecast arrives, so that it does not accumulate.

Result: tests of the packages, with the race detector too.

--- a/internal/jobs/fcast/returns.go
+++ b/internal/jobs/fcast/returns.go
@@ -1,6 +1,7 @@
 package fcast
 
 import (
+	"math"
 	"time"
 
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
@@ -57,10 +58,10 @@
 // Forget removes a job that has been accepted.
 func (r *Returns) Forget(id spec.ID) { delete(r.jobs, id) }
 
-// Count returns the number of remembered rejections of a job.
-func (r *Returns) Count(id spec.ID) int {
+// Count returns the number of remembered rejections of a job, at most 255.
+func (r *Returns) Count(id spec.ID) uint8 {
 	if j := r.jobs[id]; j != nil {
-		return j.rejections
+		return uint8(min(j.rejections, math.MaxUint8))
 	}
 	return 0
 }
--- a/internal/jobs/intake/admit.go
+++ b/internal/jobs/intake/admit.go
@@ -63,12 +63,9 @@
 	}
 }
 
-// Update replaces the forecast by an encoded one that was requested at a given time; it ignores an empty one, which is
-// that of a leader without forecasts. A forecast that cannot be read is logged, and all jobs are accepted then.
+// Update replaces the forecast by an encoded one that was requested at a given time. A forecast that cannot be read is
+// logged, and all jobs are accepted then.
 func (a *Admission) Update(packed []byte, requestedAt time.Time) {
-	if len(packed) == 0 {
-		return
-	}
 	f := &fcast.Forecast{}
 	err := wire.Unpack(packed, f)
 	if err == nil {
@@ -148,7 +145,11 @@
 func (a *Admission) stored(id spec.ID, admitted *fcast.Accepted) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.recent.Stored(admitted, time.Now())
+	now := time.Now()
+	a.recent.Stored(admitted, now)
+	if now.Sub(a.computedAt) > fcast.MaxAge {
+		a.recent.Forget(now) // no forecast does it, as none arrives
+	}
 	time.AfterFunc(acceptedTime, func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
@@ -232,5 +233,5 @@
 	if r.err != nil || r.tell.Verdict != wire.VerdictUnknown {
 		return 0, false
 	}
-	return r.tell.Rejections, true
+	return int(r.tell.State), true
 }
--- a/internal/jobs/lead/intake.go
+++ b/internal/jobs/lead/intake.go
@@ -74,11 +74,11 @@
 		return
 	case wire.JobState:
 		reply.State, reply.Verdict = t.queryState(spec.ID(ev.m.ID), time.Now())
-		reply.Rejections = t.outlook.returns.Count(spec.ID(ev.m.ID))
-	case wire.QueueLength:
-		if ev.m.Sender != "" {
-			reply.Forecast = t.packForecast(ev.m.Sender, time.Now())
+		if reply.Verdict == wire.VerdictUnknown {
+			reply.State = t.outlook.returns.Count(spec.ID(ev.m.ID))
 		}
+	case wire.QueueLength:
+		t.sendForecast(ev, time.Now())
 		for _, j := range t.active {
 			if j.spec.Queue == ev.m.Queue && !j.begun && !j.state.IsFinal() && j.spec.Occurrences == 0 {
 				reply.Waiting++
--- a/internal/jobs/lead/outlook.go
+++ b/internal/jobs/lead/outlook.go
@@ -198,13 +198,16 @@
 	}
 }
 
-// packForecast returns the encoded forecast for an entry, and counts the entry.
-func (t *Term) packForecast(sender string, now time.Time) []byte {
+// sendForecast sends a forecast if the request asks for one, and counts the entry.
+func (t *Term) sendForecast(ev requested, now time.Time) {
+	if len(ev.m.Packed) == 0 {
+		return
+	}
 	o := &t.outlook
 	if o.senders == nil {
 		o.senders = make(map[string]time.Time)
 	}
-	o.senders[sender] = now
+	o.senders[string(ev.m.Packed)] = now
 	if o.at.IsZero() || now.Sub(o.at) >= forecastEvery {
 		t.computeForecast(now)
 	}
@@ -212,9 +215,11 @@
 	f.Age = now.Sub(o.at).Milliseconds()
 	packed, err := wire.Pack(&f)
 	if err != nil || len(packed) > maxForecastBytes {
-		return nil // the entry accepts everything
+		return // the entry accepts everything
+	}
+	if err := ev.link.Send(&wire.JobForecast{Number: ev.m.Number, Packed: packed}); err != nil {
+		ev.link.Close(err)
 	}
-	return packed
 }
 
 // computeForecast computes the forecast from the active jobs, and observes which pools are full.
--- a/internal/link/wire/kind.go
+++ b/internal/link/wire/kind.go
@@ -66,6 +66,7 @@
 	KindJobAsk        Kind = 165
 	KindJobTell       Kind = 166
 	KindReportPart    Kind = 167
+	KindJobForecast   Kind = 168
 )
 
 // Message is a typed message between two processes of the system.
--- a/internal/link/wire/kind_string.go
+++ b/internal/link/wire/kind_string.go
@@ -57,6 +57,7 @@
 	_ = x[KindJobAsk-165]
 	_ = x[KindJobTell-166]
 	_ = x[KindReportPart-167]
+	_ = x[KindJobForecast-168]
 }
 
 const (
@@ -64,7 +65,7 @@
 	_Kind_name_1 = "RosterHeartbeatHeartbeatAckTargetsLeavingSummaryConfigChangedConfigFetchConfigDocAgentConfigConfigApplied"
 	_Kind_name_2 = "RequestHeadResponseHeadVerdictTrailers"
 	_Kind_name_3 = "StartTaskStopTaskThrottleTaskTaskReportTaskReportAckAdoptInventoryReconcileShareOfferShareAckShareDoneShareDoneAckJobSubmitJobQueryJobCancelJobReply"
-	_Kind_name_4 = "LeadAdoptWorkerStateRunReportLeaseGrantTaskOrdersJobAskJobTellReportPart"
+	_Kind_name_4 = "LeadAdoptWorkerStateRunReportLeaseGrantTaskOrdersJobAskJobTellReportPartJobForecast"
 )
 
 var (
@@ -72,7 +73,7 @@
 	_Kind_index_1 = [...]uint8{0, 6, 15, 27, 34, 41, 48, 61, 72, 81, 92, 105}
 	_Kind_index_2 = [...]uint8{0, 11, 23, 30, 38}
 	_Kind_index_3 = [...]uint8{0, 9, 17, 29, 39, 52, 57, 66, 75, 85, 93, 102, 114, 123, 131, 140, 148}
-	_Kind_index_4 = [...]uint8{0, 9, 20, 29, 39, 49, 55, 62, 72}
+	_Kind_index_4 = [...]uint8{0, 9, 20, 29, 39, 49, 55, 62, 72, 83}
 )
 
 func (i Kind) String() string {
@@ -89,7 +90,7 @@
 	case 96 <= i && i <= 111:
 		i -= 96
 		return _Kind_name_3[_Kind_index_3[i]:_Kind_index_3[i+1]]
-	case 160 <= i && i <= 167:
+	case 160 <= i && i <= 168:
 		i -= 160
 		return _Kind_name_4[_Kind_index_4[i]:_Kind_index_4[i+1]]
 	default:
--- a/internal/link/wire/task.go
+++ b/internal/link/wire/task.go
@@ -199,19 +199,22 @@
 	Action JobAction
 	ID     string
 	Queue  string
-	Packed []byte // the encoded job of JobAccepted and JobStore
-	Sender string // address of an entry that asks for a forecast with QueueLength; empty for none
+	Packed []byte // the encoded job of JobAccepted and JobStore; for QueueLength, the address of an entry that asks for a forecast
 }
 
 // JobTell is the response to a JobAsk.
 type JobTell struct {
 	Number  uint64
 	Verdict JobVerdict
-	State   uint8 // rows.State of the job, for JobState
+	State   uint8 // rows.State of the job, for JobState; with VerdictUnknown the number of its rejections, at most 255
 	Waiting int   // jobs in the queue without a started task, for QueueLength
+}
 
-	Rejections int    // of the job, for JobState, as far as the leader remembers them
-	Forecast   []byte // an encoded fcast.Forecast, for QueueLength with a Sender; empty from a leader without forecasts
+// JobForecast is sent before the JobTell of the same number to an entry that asks for a forecast. It is a message of its
+// own, since entries and leaders of older versions accept no further fields of JobAsk and JobTell.
+type JobForecast struct {
+	Number uint64
+	Packed []byte // an encoded fcast.Forecast
 }
 
 // Kind implements Message.
@@ -238,6 +241,10 @@
 // Kind implements Message.
 func (*JobTell) Kind() Kind { return KindJobTell }
 
+// Kind implements Message.
+func (*JobForecast) Kind() Kind { return KindJobForecast }
+
 func init() {
-	register(&LeadAdopt{}, &WorkerState{}, &RunReport{}, &LeaseGrant{}, &TaskOrders{}, &JobAsk{}, &JobTell{}, &ReportPart{})
+	register(&LeadAdopt{}, &WorkerState{}, &RunReport{}, &LeaseGrant{}, &TaskOrders{}, &JobAsk{}, &JobTell{}, &ReportPart{},
+		&JobForecast{})
 }
--- a/internal/link/wire/task_string.go
+++ b/internal/link/wire/task_string.go
@@ -83,11 +83,12 @@
 	_ = x[QueueLength-4]
 	_ = x[JobStore-5]
 	_ = x[JobRevoke-6]
+	_ = x[JobRejected-7]
 }
 
-const _JobAction_name = "JobAcceptedJobCancelledJobStateQueueLengthJobStoreJobRevoke"
+const _JobAction_name = "JobAcceptedJobCancelledJobStateQueueLengthJobStoreJobRevokeJobRejected"
 
-var _JobAction_index = [...]uint8{0, 11, 23, 31, 42, 50, 59}
+var _JobAction_index = [...]uint8{0, 11, 23, 31, 42, 50, 59, 70}
 
 func (i JobAction) String() string {
 	idx := int(i) - 1
--- a/internal/role/jobs/leader.go
+++ b/internal/role/jobs/leader.go
@@ -36,6 +36,7 @@
 	epoch      uint64                        // of the leader at the other end of session
 	lastNumber uint64                        // of a request
 	pending    map[uint64]chan *wire.JobTell // requests without a reply, by number
+	forecast   *wire.JobForecast             // last received
 }
 
 func newLeaderClient(self string, l *lead.Leader, cfg sess.Config) *leaderClient {
@@ -182,13 +183,13 @@
 func (c *leaderClient) probe(ctx context.Context, epoch uint64) {
 	limited, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	sentAt := time.Now()
-	t, err := c.Request(limited, c.probeRequest())
+	sentAt, m := time.Now(), c.probeRequest()
+	t, err := c.Request(limited, m)
 	if err == nil && t.Verdict == wire.VerdictNotReady {
 		c.leader.ReportDown(epoch, true)
 	}
 	if err == nil && c.admission != nil {
-		c.admission.Update(t.Forecast, sentAt)
+		c.applyForecast(m.Number, sentAt)
 	}
 	c.leader.SetSuspected(err != nil)
 }
@@ -197,7 +198,7 @@
 func (c *leaderClient) probeRequest() *wire.JobAsk {
 	m := &wire.JobAsk{Action: wire.QueueLength}
 	if c.admission != nil {
-		m.Sender = c.self
+		m.Packed = []byte(c.self)
 	}
 	return m
 }
@@ -209,12 +210,28 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	sentAt := time.Now()
-	if t, err := c.Request(limited, c.probeRequest()); err == nil {
-		c.admission.Update(t.Forecast, sentAt)
+	sentAt, m := time.Now(), c.probeRequest()
+	if _, err := c.Request(limited, m); err == nil {
+		c.applyForecast(m.Number, sentAt)
 	}
 }
 
+// applyForecast passes on the forecast that came with the reply to a request; a leader of an older version sends none.
+func (c *leaderClient) applyForecast(number uint64, sentAt time.Time) {
+	c.mu.Lock()
+	f := c.forecast
+	c.mu.Unlock()
+	if f != nil && f.Number == number {
+		c.admission.Update(f.Packed, sentAt)
+	}
+}
+
+func (c *leaderClient) receiveForecast(f *wire.JobForecast) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.forecast = f
+}
+
 func (c *leaderClient) setSession(s *sess.Session, epoch uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -223,8 +240,11 @@
 
 // HandleMessage implements sess.Handler.
 func (c *leaderClient) HandleMessage(_ *sess.Session, m wire.Message) {
-	if t, ok := m.(*wire.JobTell); ok {
-		c.reply(t)
+	switch m := m.(type) {
+	case *wire.JobTell:
+		c.reply(m)
+	case *wire.JobForecast:
+		c.receiveForecast(m)
 	}
 }
 
@@ -243,9 +263,7 @@
 
 // Send implements lead.Link.
 func (l localLink) Send(m wire.Message) error {
-	if t, ok := m.(*wire.JobTell); ok {
-		l.c.reply(t)
-	}
+	l.c.HandleMessage(nil, m)
 	return nil
 }
 
