Leave tasks larger than any worker out of the forecast's full pools

Cause: one job whose task fits no worker made its pool count as full for ever, so that the rate was measured while the demand limited it, and would have been too low at the start of an overload.

Change: blocked tasks count only if they fit the largest worker of their service.

Result: TestForecastOfNewLeader fails without the condition (1 pool instead of none a minute after the last job).

--- a/internal/jobs/lead/outlook.go
+++ b/internal/jobs/lead/outlook.go
@@ -233,7 +233,7 @@
 			clear(c.Returning)
 		}
 	}
-	mayStart := t.mayGrant(now)
+	mayStart, largest := t.mayGrant(now), t.largestWorkers()
 	for _, j := range t.active {
 		if j.state.IsFinal() {
 			continue
@@ -241,7 +241,7 @@
 		if v := t.outlookOf(j); v.isCounted {
 			t.addWork(j, v, now)
 			if mayStart {
-				t.addBlocked(j, v, now)
+				t.addBlocked(j, v, largest[j.spec.Service], now)
 			}
 		}
 	}
@@ -295,8 +295,9 @@
 }
 
 // addBlocked adds the sizes of the job's tasks that wait for capacity although they may start. A pass without a place for
-// a task shows this, and so does a job that has not begun for blockedAfter.
-func (t *Term) addBlocked(j *job, v *jobOutlook, now time.Time) {
+// a task shows this, and so does a job that has not begun for blockedAfter. Tasks larger than any worker are left out, since
+// they wait however much capacity is free.
+func (t *Term) addBlocked(j *job, v *jobOutlook, largest sizes.Resources, now time.Time) {
 	isWaiting := j.running == 0 && !j.begun && now.Sub(j.addedAt) > blockedAfter
 	if j.waiting == 0 || !isWaiting && len(j.blocks) == 0 || j.inherited && t.unreconciled > 0 || t.isAdvised(j) {
 		return
@@ -310,12 +311,23 @@
 	}
 	for i := range j.spec.Steps {
 		s := &j.spec.Steps[i]
-		if _, isBlocked := j.blocks[i]; isPlain(s) && (isBlocked || isWaiting && len(s.After) == 0) {
+		if _, isBlocked := j.blocks[i]; isPlain(s) && s.Size.Fits(largest) && (isBlocked || isWaiting && len(s.After) == 0) {
 			v.classes[workKind(s)].AddBlocked(s.Size)
 		}
 	}
 }
 
+// largestWorkers returns the largest amount of each resource that a worker has, by service.
+func (t *Term) largestWorkers() map[string]sizes.Resources {
+	found := make(map[string]sizes.Resources)
+	for _, w := range t.workers {
+		if w.synced {
+			found[w.state.Service] = found[w.state.Service].Max(w.state.Capacity)
+		}
+	}
+	return found
+}
+
 func (o *outlook) addQueue(q queueKind) {
 	if o.queues == nil {
 		o.queues = make(map[queueKind]struct{})
