Merge admission control of jobs

Every job was accepted whatever was waiting. An entry can now reject a job that, by the forecast of the leader, cannot be done before it has lost all value to its caller; it is off by default. The learned run times of the order replace those of the forecast.

--- a/internal/conf/setup/cell.go
+++ b/internal/conf/setup/cell.go
@@ -20,6 +20,12 @@
 	maxMemory          = 1 << 20 // MiB
 )
 
+// Values of CellEntry.Admission.
+const (
+	AdmissionOn  = "on"  // jobs that cannot be done before they have lost all value are rejected
+	AdmissionOff = "off" // all jobs are accepted
+)
+
 // CellProcess holds the settings that the processes of a cell share.
 type CellProcess struct {
 	Name             string
@@ -46,6 +52,7 @@
 	// are not evacuated.
 	EvacuationBound *model.Duration
 	Processors      float64 // processors available to the process; may be a fraction of one
+	Admission       string  // AdmissionOn or AdmissionOff; empty for AdmissionOff
 }
 
 // CellAgent holds the settings of a cell's agent.
@@ -104,6 +111,9 @@
 	if e.EvacuationBound != nil {
 		model.CheckDuration(c.Field("EvacuationBound"), *e.EvacuationBound, minEvacuationBound, maxEvacuationBound)
 	}
+	if e.Admission != "" && e.Admission != AdmissionOn && e.Admission != AdmissionOff {
+		c.Field("Admission").Fail(e.Admission, "%q or %q", AdmissionOn, AdmissionOff)
+	}
 	if e.Processors <= 0 {
 		c.Field("Processors").Fail(e.Processors, "more than 0")
 	}
--- a/internal/core/event/jobs.go
+++ b/internal/core/event/jobs.go
@@ -53,6 +53,8 @@
 	ZoneEvacuated       Number = 950
 	ZoneUnknown         Number = 951
 	EvacuationsNotRead  Number = 952
+	ForecastUnreadable  Number = 955
+	JobTurnedAway       Number = 956
 	JobMovedUp          Number = 957
 )
 
@@ -106,5 +108,7 @@
 	{ZoneEvacuated, zapcore.InfoLevel, "zone evacuated or evacuation withdrawn", "The leader has read that the operator evacuated the zone, and starts nothing there, or that the evacuation is withdrawn; Evacuated tells which. Each new leader logs the evacuated zones.", "None."},
 	{ZoneUnknown, zapcore.WarnLevel, "evacuated zone has no workers", "No worker is in the zone of an evacuation, which stays in effect for workers that are added.", "Check the name of the zone in the row."},
 	{EvacuationsNotRead, zapcore.WarnLevel, "evacuations not read", "The leader could not read the evacuated zones; the read is repeated. The last known ones stay in effect, and no run is started anywhere once the last read is older than the bound less one second.", "Check the store if this persists."},
+	{ForecastUnreadable, zapcore.WarnLevel, "forecast unreadable", "A forecast of the leader could not be decoded, or a field of it was out of range; this entry accepts all jobs until it receives one that it can read.", "Compare the versions of the entries; report the bug with the log if they are the same."},
+	{JobTurnedAway, zapcore.InfoLevel, "job rejected by admission control", "According to the forecast, the job could not be done before it has lost all value; nothing was stored. Wait is the time until the work before it is done, Need its own run time after that, Useful the time after which it has lost all value.", "None; add capacity if this persists."},
 	{JobMovedUp, zapcore.InfoLevel, "job moved up", "The job had been without a run for 30 s while capacity was insufficient, and gets capacity before jobs that can still be on time.", "Add workers if it is frequent."},
 }
--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -252,6 +252,7 @@
 
 // updateProgress records the progress and the checkpoint of a run as listed in a complete report.
 func (t *Term) updateProgress(r *run, s *wire.RunState, now time.Time) {
+	t.creditReport(r, s.Percent)
 	if !r.listed {
 		r.job.begun = true
 		r.listed, r.firstSeenAt, r.firstPercent, r.progressedAt = true, now, s.Percent, now
@@ -270,6 +271,7 @@
 	event.Log(t.cfg.Log, event.RunReleased, zap.String("Task", r.key.Task), zap.Int("Run", r.key.Number),
 		zap.String("Worker", r.worker.state.Incarnation.ID), zap.String("Reason", reason))
 	t.recordReleased(r, reason)
+	t.creditEnd(r, false)
 	r.worker.remove(r)
 	r.job.dropRun(r)
 	t.recordDown(r)
@@ -308,6 +310,7 @@
 		t.addUnmatchedEnd(w, e)
 		return // already released or no longer needed, or its job is not known yet
 	}
+	t.creditEnd(r, e.Cause == wire.EndDone)
 	w.remove(r)
 	j, task := r.job, &r.job.tasks[r.ordinal]
 	j.begun = true
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"trefoilramp.org/trefoilramp/internal/jobs/fcast"
 	"trefoilramp.org/trefoilramp/internal/jobs/impact"
 	"trefoilramp.org/trefoilramp/internal/jobs/order"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
@@ -63,6 +64,8 @@
 	remaining     time.Duration // see remainingTime; negative if unknown
 	blocks        map[blockKey]block
 	forecasts     map[int]*impact.Forecast // load forecasts of serving tasks, by step
+	outlook       jobOutlook
+	credited      [workKinds]float64 // work of current runs that the rates include; see outlookCredit
 }
 
 func newJob(s *spec.Job, now time.Time) *job {
@@ -81,12 +84,9 @@
 	if age := time.Since(time.UnixMilli(s.AcceptedAt)); age > 0 && age < time.Minute {
 		accepted = now.Add(-age)
 	}
-	stretch := max(s.Stretch, 1)
-	allowed := min(stretch*float64(s.CriticalPath())+float64(s.Objective), float64(maxDeadline.Milliseconds()))
-	j.acceptedAt = accepted
-	j.deadline = accepted.Add(time.Duration(allowed) * time.Millisecond)
-	useful := min(usefulTargets*allowed, float64(maxDeadline.Milliseconds()))
-	j.lastUseful = accepted.Add(time.Duration(useful) * time.Millisecond)
+	allowed := s.Allowed(maxDeadline)
+	j.acceptedAt, j.deadline = accepted, accepted.Add(allowed)
+	j.lastUseful = accepted.Add(min(fcast.ValueFactor*allowed, maxDeadline))
 	return j
 }
 
@@ -137,7 +137,7 @@
 	round, step := j.locate(ordinal)
 	j.done[round*len(j.offsets)+step]++
 	j.remaining = -1
-	j.demand.isKnown = false
+	j.demand.isKnown, j.outlook.isKnown = false, false
 	j.left--
 }
 
@@ -209,4 +209,5 @@
 	workAt           time.Time // time of the last update of work
 	workStartPercent int       // percent when work was first recorded
 	firstSeenAt      time.Time // time of the first complete report that lists the run
+	credit           outlookCredit
 }
--- a/internal/jobs/lead/order.go
+++ b/internal/jobs/lead/order.go
@@ -12,9 +12,6 @@
 	"trefoilramp.org/trefoilramp/internal/jobs/spec"
 )
 
-// usefulTargets is the multiple of its completion target until which the end of a job has value to its caller.
-const usefulTargets = 3
-
 // admission restricts which steps of a job are scheduled.
 type admission uint8
 
--- a/internal/link/wire/task.go
+++ b/internal/link/wire/task.go
@@ -178,8 +178,9 @@
 	JobCancelled                      // notifies the leader of a stored cancellation
 	JobState
 	QueueLength
-	JobStore  // requests storing a job for an entry whose store requests fail
-	JobRevoke // requests storing a cancellation, likewise
+	JobStore    // requests storing a job for an entry whose store requests fail
+	JobRevoke   // requests storing a cancellation, likewise
+	JobRejected // notifies the leader of a job that the entry has rejected; Packed is a fcast.Rejection
 )
 
 // JobVerdict is the outcome of a JobAsk.
@@ -200,17 +201,24 @@
 	Action JobAction
 	ID     string
 	Queue  string
-	Packed []byte // the encoded job of JobAccepted and JobStore
+	Packed []byte // the encoded job of JobAccepted and JobStore; for QueueLength, the address of an entry that asks for a forecast
 }
 
 // JobTell is the response to a JobAsk.
 type JobTell struct {
 	Number  uint64
 	Verdict JobVerdict
-	State   uint8 // rows.State of the job, for JobState
+	State   uint8 // rows.State of the job, for JobState; with VerdictUnknown the number of its rejections, at most 255
 	Waiting int   // jobs in the queue without a started task, for QueueLength
 }
 
+// JobForecast is sent before the JobTell of the same number to an entry that asks for a forecast. It is a message of its
+// own, since entries and leaders of older versions accept no further fields of JobAsk and JobTell.
+type JobForecast struct {
+	Number uint64
+	Packed []byte // an encoded fcast.Forecast
+}
+
 // Kind implements Message.
 func (*LeadAdopt) Kind() Kind { return KindLeadAdopt }
 
@@ -235,6 +243,10 @@
 // Kind implements Message.
 func (*JobTell) Kind() Kind { return KindJobTell }
 
+// Kind implements Message.
+func (*JobForecast) Kind() Kind { return KindJobForecast }
+
 func init() {
-	register(&LeadAdopt{}, &WorkerState{}, &RunReport{}, &LeaseGrant{}, &TaskOrders{}, &JobAsk{}, &JobTell{}, &ReportPart{})
+	register(&LeadAdopt{}, &WorkerState{}, &RunReport{}, &LeaseGrant{}, &TaskOrders{}, &JobAsk{}, &JobTell{}, &ReportPart{},
+		&JobForecast{})
 }
--- a/internal/ops/metric/catalogue.go
+++ b/internal/ops/metric/catalogue.go
@@ -61,6 +61,8 @@
 	CellTakeovers  Name = "cell_terms"
 	ZonesEvacuated Name = "zones_evacuated"
 	StartsWithheld Name = "starts_withheld"
+	JobsTurnedAway Name = "jobs_turned_away"
+	ForecastAge    Name = "forecast_age"
 	LogDropped     Name = "log_lines_dropped"
 )
 
@@ -99,6 +101,8 @@
 	{CellTakeovers, Counter, nil, "Cells that this entry took over."},
 	{ZonesEvacuated, Gauge, nil, "Evacuated zones that this entry, as the leader, has read; 0 for other entries."},
 	{StartsWithheld, Counter, nil, "Steps of jobs that had to wait because of an evacuation, or because evacuations could not be read; each counts once until its tasks start."},
+	{JobsTurnedAway, Counter, []string{"reason"}, "Submitted jobs of steps that admission control rejected, by reason: Backlog or Returning."},
+	{ForecastAge, Gauge, nil, "Age of the forecast by which this entry admits jobs, in seconds; -1 without one, and 0 while admission control is off."},
 	{LogDropped, Gauge, nil, "Log lines dropped because the log queue was full or writing failed."},
 }
 
