--- a/cmd/trefoilramp/cell_test.go
+++ b/cmd/trefoilramp/cell_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -56,6 +57,7 @@
 	host    string          // loopback address on which its processes listen
 	used    map[string]bool // addresses of its processes
 	binary  string
+	limits  object // settings that replace those of every process
 	rows    *memory.Store
 	entries []*cellMember
 	agents  []*cellMember
@@ -161,12 +163,14 @@
 // processSettings returns the settings that entries and agents have in common.
 func (c *cell) processSettings(name string) object {
 	sessions := c.freeAddress()
-	return object{
+	s := object{
 		"Name": name, "AvailabilityZone": processZone, "Cell": "main", "Sessions": sessions,
 		"Advertise": c.addRelay("sessions of "+name, sessions), "Administration": c.freeAddress(),
 		"Store": c.addRelay("store of "+name, c.serve(adapter.StoreHandler(c.rows.Client(name)))),
 		"Key":   secretOf(processKey), "Lease": cellLease.String(), "Grace": "6s", "MemoryMiB": 284,
 	}
+	maps.Copy(s, c.limits)
+	return s
 }
 
 func (c *cell) addEntry(name string) {
--- a/cmd/trefoilramp/process_test.go
+++ b/cmd/trefoilramp/process_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -133,6 +134,16 @@
 	}
 }
 
+// hasExited reports whether the process has exited.
+func (p *process) hasExited() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // terminate sends SIGTERM, waits for the process to exit and returns the exit code.
 func (p *process) terminate(t *testing.T) int {
 	t.Helper()
@@ -152,20 +163,23 @@
 // not restarted.
 type basicCluster struct {
 	*deployment
-	store   string // base URL
-	entries []*process
-	callers []string // base URLs
-	api     []*admin.Client
-	agents  []*process
-	session string // address of the newest entry for sessions
+	settings map[string]object // settings of every process of a role that replace or add to the usual ones
+	store    string            // base URL
+	entries  []*process
+	callers  []string // base URLs
+	api      []*admin.Client
+	agents   []*process
+	session  string // address of the newest entry for sessions
 }
 
 func (p *basicCluster) addEntry(name string) {
-	e, l := p.start(name, event.ProcessStarted, object{
+	settings := object{
 		"Name": name, "AvailabilityZone": processZone, "Callers": "127.0.0.1:0", "Administration": "127.0.0.1:0",
 		"Sessions": "127.0.0.1:0", "Store": p.store, "Key": secretOf(processKey), "ReadToken": secretOf(readToken),
 		"ChangeToken": secretOf(changeToken),
-	}, "entry")
+	}
+	maps.Copy(settings, p.settings["entry"])
+	e, l := p.start(name, event.ProcessStarted, settings, "entry")
 	p.entries = append(p.entries, e)
 	p.callers = append(p.callers, "http://"+l.Callers)
 	p.api = append(p.api, admin.NewClient("http://"+l.Administration, changeToken, "test", nil))
@@ -177,10 +191,12 @@
 		"Worker": name, "AvailabilityZone": processZone, "Rack": "rack-1", "Address": "127.0.0.1:0", "Store": p.store,
 		"Total": object{"Processors": 4000, "Memory": int64(workerMemory), "Slots": 8, "Connections": 64}, "Lag": "500ms",
 	}, "standin", "worker")
-	a, al := p.start("agent-"+name, event.ProcessStarted, object{
+	settings := object{
 		"Name": name, "AvailabilityZone": processZone, "Rack": "rack-1", "Announcements": "127.0.0.1:0",
 		"Balancer": p.session, "Worker": "http://" + l.Address, "Key": secretOf(processKey),
-	}, "agent")
+	}
+	maps.Copy(settings, p.settings["agent"])
+	a, al := p.start("agent-"+name, event.ProcessStarted, settings, "agent")
 	p.agents = append(p.agents, a)
 	p.start("target-"+name, event.StandInStarted, object{
 		"Target": "booking-" + name, "Service": "booking", "Address": "127.0.0.1:0", "Agent": "http://" + al.Announcements,
@@ -201,6 +217,12 @@
 
 func newBasicCluster(t testing.TB, entries, workers int) *basicCluster {
 	p := &basicCluster{deployment: newDeployment(t)}
+	p.launch(entries, workers)
+	return p
+}
+
+// launch starts all processes and returns when every entry knows all targets.
+func (p *basicCluster) launch(entries, workers int) {
 	_, l := p.start("store", event.StandInStarted, object{
 		"Address": "127.0.0.1:0", "WritesPerSecond": 300, "ReadsPerSecond": 2000, "Latency": "2ms",
 	}, "standin", "store")
@@ -208,22 +230,21 @@
 	for i := range entries {
 		p.addEntry(fmt.Sprintf("entry-%d", i+1))
 	}
-	if _, err := p.api[0].Apply(t.Context(), 0, p.document()); err != nil {
-		t.Fatalf("apply configuration: %v", err)
+	if _, err := p.api[0].Apply(p.t.Context(), 0, p.document()); err != nil {
+		p.t.Fatalf("apply configuration: %v", err)
 	}
 	for i := range workers {
 		p.addWorker(fmt.Sprintf("w%d", i+1))
 	}
 	p.await("every entry knows all targets", func() bool {
 		for _, api := range p.api {
-			st, err := api.Status(t.Context())
+			st, err := api.Status(p.t.Context())
 			if err != nil || st.InForce == 0 || len(st.Services) == 0 || len(st.Services[0].Targets) < workers {
 				return false
 			}
 		}
 		return true
 	})
-	return p
 }
 
 func (p *basicCluster) await(what string, done func() bool) {
