Enlarge the crowd with long lists of dependencies

The peak depends on how many bodies are decoded at the same time.

Change: 600 clients, as for the other bodies. Bounds are unchanged; sizes are final.

--- a/cmd/trefoilramp/crowd_clients_test.go
+++ b/cmd/trefoilramp/crowd_clients_test.go
@@ -70,7 +70,7 @@
 	overLength  = crowdKind{"body over the limit", crowdSize, func(c *crowdClient) error { return c.send(c.post(crowdOver, ""), blanks) }}
 	overChunks  = crowdKind{"chunks over the limit", crowdSize, func(c *crowdClient) error { return c.sendChunks(crowdOverSent) }}
 	emptySteps  = crowdKind{"empty steps", crowdSizeSmall, func(c *crowdClient) error { return c.sendBody(emptyStepsBody) }}
-	longAfter   = crowdKind{"long lists of dependencies", crowdSize / 2, func(c *crowdClient) error { return c.sendBody(longAfterBody) }}
+	longAfter   = crowdKind{"long lists of dependencies", crowdSize, func(c *crowdClient) error { return c.sendBody(longAfterBody) }}
 	manyLabels  = crowdKind{"labels", crowdSize, func(c *crowdClient) error { return c.sendBody(manyLabelsBody) }}
 	manyFields  = crowdKind{"header fields", crowdSize, (*crowdClient).sendFields}
 	pipelined   = crowdKind{"pipelined without reading", crowdSizeMedium, (*crowdClient).pipeline}
