Add limits for clients that nobody controls

Cause: a process holds whatever its clients send. 3,000 submissions of 256 KiB that stop one byte short of their end took 1,131 MB on entries with 284 MB, and 15,000 bytes of header in short fields allocate 393,071 bytes in net/http.

Package link/guard counts connections, bytes and progress. Its ledger, without network or clock, names the connections to close when a limit is reached: those that hold the most for their recent progress. The limits follow from the memory and the descriptors of the process; settings override each. Events E960 to E964, clients_turned_away, client_connections and client_bytes show what they did. Nothing uses the package yet.

--- a/internal/conf/setup/agent.go
+++ b/internal/conf/setup/agent.go
@@ -19,6 +19,9 @@
 	ReadToken        Secret         // token for reading metrics; optional
 	TLS              *TLS           // TLS of sessions; absent for plain TCP
 	KillDeadline     model.Duration // longest drain after a stop signal; 0 means DefaultKillDeadline
+	MemoryMiB        int64          // memory limit of the process in MiB; 0 means DefaultMemoryMiB
+	Descriptors      int64          // limit of open descriptors; 0 means DefaultDescriptors
+	Clients          *Clients       // overrides of the limits for clients; optional
 }
 
 // LoadAgent reads and checks the settings file of an agent. The error wraps a *strict.FaultsError unless the file
@@ -50,4 +53,5 @@
 	a.ReadToken.check(c.Field("ReadToken"), base, false)
 	a.TLS.check(c.Field("TLS"), base)
 	checkKillDeadline(c.Field("KillDeadline"), &a.KillDeadline)
+	checkProcess(c, a.MemoryMiB, a.Descriptors, a.Clients)
 }
--- a/internal/conf/setup/cell.go
+++ b/internal/conf/setup/cell.go
@@ -31,6 +31,8 @@
 	Lease            model.Duration // how long a worker continues its runs without a renewal
 	Grace            model.Duration // time between SIGTERM and the end of the process
 	MemoryMiB        int64          // memory limit of the process in MiB
+	Descriptors      int64          // limit of open descriptors; 0 for that of the operating system
+	Clients          *Clients       // overrides of the limits for clients; optional
 }
 
 // CellEntry holds the settings of a cell's entry.
@@ -84,6 +86,8 @@
 	if s.MemoryMiB < minMemory || s.MemoryMiB > maxMemory {
 		c.Field("MemoryMiB").Fail(s.MemoryMiB, "%d to %d", minMemory, maxMemory)
 	}
+	checkOverride(c.Field("Descriptors"), s.Descriptors, minDescriptors, maxDescriptors)
+	s.Clients.check(c.Field("Clients"), s.Descriptors)
 }
 
 func (e *CellEntry) check(c strict.Check, base string) {
--- a/internal/conf/setup/cell_test.go
+++ b/internal/conf/setup/cell_test.go
@@ -10,7 +10,8 @@
 )
 
 const cellProcess = `"Process": {"Name": "edge-1", "AvailabilityZone": "agadir", "Cell": "main", "Sessions": "10.0.0.1:7720",
-	"Store": "10.0.0.9:8169", "Key": {"Value": "key-0123456789abcdef"}, "Lease": "10000ms", "Grace": "6s", "MemoryMiB": 284}`
+	"Store": "10.0.0.9:8169", "Key": {"Value": "key-0123456789abcdef"}, "Lease": "10000ms", "Grace": "6s", "MemoryMiB": 284,
+	"Descriptors": 4100, "Clients": {"Bytes": 1048576, "Connections": 100, "PerAddress": 90, "StallTimeout": "2s"}}`
 
 func writeSettings(t *testing.T, s string) string {
 	t.Helper()
@@ -36,6 +37,15 @@
 		{"short lease", `"10000ms"`, `"10ms"`, "$.Process.Lease"},
 		{"no port of the advertised address", `"Cell": "main"`, `"Cell": "main", "Advertise": "10.0.0.1"`, "$.Process.Advertise"},
 		{"no memory", `284`, `0`, "$.Process.MemoryMiB"},
+		{"few descriptors", `4100`, `100`, "$.Process.Descriptors"},
+		{"few bytes", `1048576`, `1000`, "$.Process.Clients.Bytes"},
+		{"negative number of connections", `"Connections": 100`, `"Connections": -1`, "$.Process.Clients.Connections"},
+		{"more connections than descriptors", `"Connections": 100`, `"Connections": 5000`, "$.Process.Clients.Connections"},
+		{"more from an address than in all", `90`, `101`, "$.Process.Clients.PerAddress"},
+		{"long timeout", `"2s"`, `"2h"`, "$.Process.Clients.StallTimeout"},
+		{"short timeout", `"StallTimeout": "2s"`, `"IdleTimeout": "1ms"`, "$.Process.Clients.IdleTimeout"},
+		{"header of any length", `"PerAddress": 90`, `"HeaderBytes": 9000000`, "$.Process.Clients.HeaderBytes"},
+		{"too many handshakes", `"PerAddress": 90`, `"Handshakes": 1`, "$.Process.Clients.Handshakes"},
 		{"no store", `"10.0.0.9:8169"`, `""`, "$.Process.Store"},
 		{"unknown field", `"Callers"`, `"Caller"`, "$.Caller"},
 		{"same listeners", `"10.0.0.1:2"`, `"10.0.0.1:1"`, "$.Readiness"},
--- a/internal/conf/setup/entry.go
+++ b/internal/conf/setup/entry.go
@@ -32,6 +32,9 @@
 	TLS              *TLS           // TLS of sessions; absent for plain TCP
 	OperatorTLS      *ServerTLS     // TLS of Administration and Console; absent for plain TCP
 	KillDeadline     model.Duration // longest drain after a stop signal; 0 means DefaultKillDeadline
+	MemoryMiB        int64          // memory limit of the process in MiB; 0 means DefaultMemoryMiB
+	Descriptors      int64          // limit of open descriptors; 0 means DefaultDescriptors
+	Clients          *Clients       // overrides of the limits for clients; optional
 }
 
 // LoadEntry reads and checks the settings file of an entry. The error wraps a *strict.FaultsError unless the file
@@ -74,6 +77,7 @@
 	e.TLS.check(c.Field("TLS"), base)
 	e.OperatorTLS.check(c.Field("OperatorTLS"), base)
 	checkKillDeadline(c.Field("KillDeadline"), &e.KillDeadline)
+	checkProcess(c, e.MemoryMiB, e.Descriptors, e.Clients)
 }
 
 // checkKillDeadline sets the default if d is 0 and checks the bounds.
--- a/internal/core/event/jobs.go
+++ b/internal/core/event/jobs.go
@@ -50,6 +50,11 @@
 	AnnouncementRefused Number = 947
 	SessionReplaced     Number = 948
 	WorkerRestarted     Number = 949
+	ClientLimits        Number = 960
+	ClientsExceeded     Number = 961
+	ClientBytesExceeded Number = 962
+	ClientStalled       Number = 963
+	ClientInputExceeded Number = 964
 )
 
 var jobEvents = []Entry{
@@ -99,4 +104,9 @@
 	{AnnouncementRefused, zapcore.InfoLevel, "announcement refused", "An announced incarnation of the worker is not the one that responds at the worker's address; it had no effect.", "Find its sender if this persists."},
 	{SessionReplaced, zapcore.InfoLevel, "silent session replaced", "The agent did not answer on the open session, but on a new one; the leader uses the new one.", "Check the network, and any proxies that drop idle connections, if this persists."},
 	{WorkerRestarted, zapcore.InfoLevel, "worker restarted under its ID", "Calls to the former process may have extended the lease of the new one; if the worker is lost, its tasks wait for the longest lease that it accepts.", "Check the worker if this persists."},
+	{ClientLimits, zapcore.InfoLevel, "limits for clients", "The limits of this process for clients that nobody controls, from its memory, its descriptors and its settings.", "None."},
+	{ClientsExceeded, zapcore.WarnLevel, "connections closed for new ones", "A limit of connections was reached; the connections that hold the most, or have waited longest, were closed. Count is since the last line for this reason and listener.", "Find out who opens the connections, by Remote; raise the limit if the callers are legitimate."},
+	{ClientBytesExceeded, zapcore.WarnLevel, "byte budget for clients used up", "Requests and responses in progress hold all bytes that clients may use; the connections that held the most for their progress were closed, or requests refused that had stored nothing.", "Find out who sends, by Remote; add entries or memory if the callers are legitimate."},
+	{ClientStalled, zapcore.InfoLevel, "stalled connection closed", "No byte of a body or a response has moved for the stall timeout.", "Check the client, by Remote, and the network if this persists."},
+	{ClientInputExceeded, zapcore.InfoLevel, "request over a limit refused", "A body, or a list in it, is longer than allowed; the request had no effect.", "Check the client, by Remote."},
 }
--- /dev/null
+++ b/internal/link/guard/server_test.go
@@ -0,0 +1,202 @@
+package guard_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"trefoilramp.org/trefoilramp/internal/link/guard"
+)
+
+const bodyLimit = 256 << 10
+
+// pipeListener accepts in-memory connections.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error   { close(l.done); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// site is a server behind a guard in a synctest bubble.
+type site struct {
+	*pipeListener
+	read atomic.Int64 // bodies read
+}
+
+// serve starts a server whose handler reads bodies at /read only.
+func serve(t *testing.T, l guard.Limits) *site {
+	t.Helper()
+	s := &site{pipeListener: &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}}
+	g := guard.New(guard.Config{Limits: l, Log: zap.NewNop()})
+	srv := g.Server(guard.ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/read" {
+			http.Error(w, "no route", http.StatusNotFound)
+			return
+		}
+		b, err := guard.ReadBody(r, bodyLimit)
+		if large := (*http.MaxBytesError)(nil); errors.As(err, &large) {
+			http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+			return
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		s.read.Add(1)
+		fmt.Fprint(w, len(b))
+	})})
+	ctx, cancel := context.WithCancel(t.Context())
+	go g.Run(ctx)
+	go srv.Serve(g.Wrap(s, "test")) //nolint:errcheck // ends with the listener
+	t.Cleanup(func() {
+		cancel()
+		srv.Close()
+		time.Sleep(time.Second) // net/http closes the connection of a refused request after 500 ms
+	})
+	return s
+}
+
+// dial connects and sends a request without waiting for its response.
+func (s *site) dial(t *testing.T, request string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, peer := net.Pipe()
+	s.conns <- peer
+	go io.WriteString(c, request) //nolint:errcheck // the server may close the connection
+	t.Cleanup(func() { c.Close() })
+	return c, bufio.NewReader(c)
+}
+
+// expectOK reads a response with status 200.
+func expectOK(t *testing.T, r *bufio.Reader) {
+	t.Helper()
+	res, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	if res.Body.Close(); res.StatusCode != http.StatusOK {
+		t.Errorf("status %d, want 200", res.StatusCode)
+	}
+}
+
+func post(path string, length int, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", path, length, body)
+}
+
+// Guards against leftover bodies that are read, refusals that wait for a body, and connections that are closed after a
+// request that was read to its end.
+func TestBodies(t *testing.T) {
+	for name, tc := range map[string]struct {
+		request  string
+		status   int
+		isClosed bool
+		body     string
+	}{
+		"read":               {post("/read", 5, "12345"), 200, false, "5"},
+		"empty":              {post("/read", 0, ""), 200, false, "0"},
+		"longest":            {post("/read", bodyLimit, strings.Repeat("x", bodyLimit)), 200, false, "262144"},
+		"chunked":            {"POST /read HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n", 200, false, "3"},
+		"declared too long":  {post("/read", bodyLimit+1, ""), 413, true, "http: request body too large\n"},
+		"chunked too long":   {"POST /read HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n40001\r\n" + strings.Repeat("x", bodyLimit+1), 413, true, "http: request body too large\n"},
+		"no route":           {post("/other", 1000, "x"), 404, true, "no route\n"},
+		"no route, no body":  {"GET /other HTTP/1.1\r\nHost: a\r\n\r\n", 404, false, "no route\n"},
+		"no route, expected": {"POST /other HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 9\r\n\r\n", 404, true, "no route\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := serve(t, guard.Derive(284, 4100))
+				_, r := s.dial(t, tc.request)
+				began := time.Now()
+				res, err := http.ReadResponse(r, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				b, err := io.ReadAll(res.Body)
+				if res.Body.Close(); res.StatusCode != tc.status || res.Close != tc.isClosed || string(b) != tc.body || err != nil {
+					t.Errorf("status %d, closed %v, body %q, %v; want %+v", res.StatusCode, res.Close, b, err, tc)
+				}
+				if took := time.Since(began); took != 0 {
+					t.Errorf("response after %v", took)
+				}
+			})
+		})
+	}
+}
+
+// Load: uploads that stop one byte short of their end, four times what the budget holds. Guards against memory without a
+// bound, stalled connections that stay, and an ordinary request that is not served beside them.
+func TestStoppedUploads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := serve(t, guard.Derive(32, 4100))
+		for range 100 {
+			s.dial(t, post("/read", bodyLimit, strings.Repeat("x", bodyLimit-1)))
+			synctest.Wait()
+		}
+		time.Sleep(time.Second)
+		_, r := s.dial(t, post("/read", 5, "12345"))
+		if expectOK(t, r); s.read.Load() != 1 {
+			t.Errorf("%d bodies read, want 1", s.read.Load())
+		}
+		c, r := s.dial(t, post("/read", 5, "1"))
+		for range 4 {
+			time.Sleep(10 * time.Second)
+			if _, err := io.WriteString(c, "x"); err != nil {
+				t.Errorf("a slow upload was closed: %v", err)
+			}
+		}
+		expectOK(t, r)
+		_, r = s.dial(t, post("/read", 5, "1"))
+		began := time.Now()
+		_, err := r.Peek(1)
+		if took := time.Since(began); took < 15*time.Second || took > 17*time.Second {
+			t.Errorf("stalled upload ended after %v, %v; want 15 s", took, err)
+		}
+	})
+}
+
+// Load: headers of very many short fields that stop before their end. Guards against the memory of their map entries.
+func TestHeadersOfShortFields(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := guard.Derive(32, 4100)
+		l.Bytes = 1 << 20
+		s := serve(t, l)
+		var fields strings.Builder
+		for i := range 2500 {
+			fmt.Fprintf(&fields, "%x:\r\n", i)
+		}
+		var first *bufio.Reader
+		for i := range 4 {
+			_, r := s.dial(t, "GET / HTTP/1.1\r\nHost: a\r\n"+fields.String())
+			if synctest.Wait(); i == 0 {
+				first = r
+			}
+		}
+		if _, err := first.Peek(1); err == nil {
+			t.Error("the first connection got a response")
+		}
+		_, r := s.dial(t, post("/read", 5, "12345"))
+		expectOK(t, r)
+	})
+}
--- a/internal/ops/metric/catalogue.go
+++ b/internal/ops/metric/catalogue.go
@@ -57,6 +57,10 @@
 	StartSeconds   Name = "job_start_seconds"
 	CellTakeovers  Name = "cell_terms"
 	LogDropped     Name = "log_lines_dropped"
+
+	ClientsTurnedAway Name = "clients_turned_away"
+	ClientConnections Name = "client_connections"
+	ClientBytes       Name = "client_bytes"
 )
 
 var catalogue = []Entry{
@@ -90,6 +94,9 @@
 	{StartSeconds, Histogram, nil, "Time from the acceptance of a job of steps to its first run, in seconds."},
 	{CellTakeovers, Counter, nil, "Cells that this entry took over."},
 	{LogDropped, Gauge, nil, "Log lines dropped because the log queue was full or writing failed."},
+	{ClientsTurnedAway, Counter, []string{"reason", "listener"}, "Connections closed and requests refused for a limit for clients, by limit and listener."},
+	{ClientConnections, Gauge, nil, "Open connections of clients, with those to the listener of sessions before their handshake has ended."},
+	{ClientBytes, Gauge, nil, "Bytes that requests and responses in progress may use."},
 }
 
 // Catalogue returns all metrics in the order of the documentation.
