Apply the limits for clients to the listeners of a cell

All listeners of cell entry and cell agent are wrapped by the guard: callers, readiness, announcements, metrics, and sessions until the peer has proved the key. The Go runtime also stays 24 MiB below the memory limit, which matters below 80 MiB only: the program itself is resident beside its heap.

--- a/cmd/trefoilramp/cell.go
+++ b/cmd/trefoilramp/cell.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -19,6 +18,7 @@
 	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/jobs/lead"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
+	"trefoilramp.org/trefoilramp/internal/link/guard"
 	"trefoilramp.org/trefoilramp/internal/ops/logs"
 	"trefoilramp.org/trefoilramp/internal/ops/metric"
 	"trefoilramp.org/trefoilramp/internal/role/jobs"
@@ -40,13 +40,14 @@
 const (
 	drainTime         = 2 * time.Second  // for which a draining entry serves requests on open connections
 	droppedInterval   = 10 * time.Second // between updates of the gauge of dropped log lines
-	cellIdleTimeout   = 15 * time.Second
-	cellHeaderTimeout = 3 * time.Second
-	memoryShare       = 0.7 // of the memory limit of the process that the Go runtime may use
+	memoryShare       = 0.7              // of the memory limit of the process that the Go runtime may use
+	minMemoryShare    = 0.25
+	outsideHeap       = 24  // MiB of the process outside the Go runtime, most of it the program itself
 	gcPercent         = 300 // heap growth that triggers a collection; processors are scarcer than memory
 	maxTakeoverDelay  = 300 * time.Millisecond
 	noDelayProcessors = 0.5                    // with which an entry takes a cell over without delay except its offset
 	takeoverSpread    = 100 * time.Millisecond // range of the offset
+	metricsBytes      = 1 << 20                // of the text of all metrics and the values that it is made of
 )
 
 func cellCommand() *cli.Command {
@@ -59,21 +60,22 @@
 // limitMemory sets a soft limit for the Go runtime below the memory limit of the process, given in MiB.
 func limitMemory(mib int64) {
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(float64(mib<<20) * memoryShare))
+	limitHeap(mib)
 }
 
 func runCellEntry(ctx context.Context, s setup.CellEntry, _ *zap.Logger) error {
 	limitMemory(s.Process.MemoryMiB)
 	log, out := cellLog(zap.String("Instance", s.Process.Name))
 	set := metric.New(log)
+	g := newGuard(s.Process, set, log)
 	store := rows.NewMonitor(platform.NewStore(s.Process.Store), log, jobs.StoreMeter(set))
 	cfg := jobs.EntryConfig{
 		Cell: s.Process.Cell, Name: s.Process.Name, Zone: s.Process.AvailabilityZone, Address: s.Process.PeerAddress(),
 		Listen: s.Process.Sessions, Key: s.Process.Key.Bytes(),
 		Lease: workerLease(s.Process), LeaseLimit: time.Duration(s.Process.Lease), Retention: time.Duration(s.Retention),
 		TakeoverDelay: takeoverDelay(s), Store: store,
-		Source:  &jobs.RowSource{Store: store, Ref: platform.ConfigRef, Decode: platform.DecodeConfig, Metrics: set, Log: log},
-		Metrics: set, Log: log,
+		Source: &jobs.RowSource{Store: store, Ref: platform.ConfigRef, Decode: platform.DecodeConfig, Metrics: set, Log: log},
+		Guard:  g, Metrics: set, Log: log,
 	}
 	if s.Policies != "" {
 		cfg.Advisor = platform.NewAdvisor(s.Policies)
@@ -85,12 +87,12 @@
 	callers := &platform.JobHandler{Jobs: e.Intake(), Queues: e.Queues(), Log: log}
 	d := &drainer{ready: e.IsReady}
 	servers := []*server{
-		{address: s.Callers, handler: d.wrap(callers)},
-		{address: s.Readiness, handler: platform.ReadinessHandler(d.isReady)},
+		{name: "callers", address: s.Callers, handler: d.wrap(callers)},
+		{name: "readiness", address: s.Readiness, handler: platform.ReadinessHandler(d.isReady)},
 	}
 	servers = append(servers, metricServer(s.Process.Administration, set)...)
 	return runCell(ctx, cellProcess{
-		log: log, out: out, set: set, role: "entry", run: e.Run, servers: servers, drainer: d,
+		log: log, out: out, set: set, guard: g, role: "entry", run: e.Run, servers: servers, drainer: d,
 		grace:  time.Duration(s.Process.Grace),
 		reload: func() error { _, err := setup.LoadCellEntry(settingsPath); return err },
 	})
@@ -118,23 +120,30 @@
 	limitMemory(s.Process.MemoryMiB)
 	log, out := cellLog(zap.String("Instance", s.Process.Name))
 	set := metric.New(log)
+	g := newGuard(s.Process, set, log)
 	a, err := jobs.NewAgent(ctx, jobs.AgentConfig{
 		Cell: s.Process.Cell, Name: s.Process.Name, Zone: s.Process.AvailabilityZone, Address: s.Process.PeerAddress(),
 		Listen: s.Process.Sessions, Key: s.Process.Key.Bytes(),
 		Lease: workerLease(s.Process), Worker: platform.NewWorker(s.Worker),
-		Store: rows.NewMonitor(platform.NewStore(s.Process.Store), log, jobs.StoreMeter(set)), Log: log,
+		Store: rows.NewMonitor(platform.NewStore(s.Process.Store), log, jobs.StoreMeter(set)), Guard: g, Log: log,
 	})
 	if err != nil {
 		return err
 	}
-	servers := []*server{{address: s.Announcements, handler: platform.AnnouncementHandler(a.Driver(), s.Service, log)}}
+	servers := []*server{{name: "announcements", address: s.Announcements, handler: platform.AnnouncementHandler(a.Driver(), s.Service, log)}}
 	servers = append(servers, metricServer(s.Process.Administration, set)...)
 	return runCell(ctx, cellProcess{
-		log: log, out: out, set: set, role: "agent", run: a.Run, servers: servers, grace: time.Duration(s.Process.Grace),
+		log: log, out: out, set: set, guard: g, role: "agent", run: a.Run, servers: servers, grace: time.Duration(s.Process.Grace),
 		reload: func() error { _, err := setup.LoadCellAgent(settingsPath); return err },
 	})
 }
 
+// newGuard returns the guard of the listeners of a process.
+func newGuard(p setup.CellProcess, set *metric.Set, log *zap.Logger) *guard.Guard {
+	limits := guard.Derive(p.MemoryMiB, p.Descriptors).With(p.Clients)
+	return guard.New(guard.Config{Limits: limits, Metrics: set, Log: log})
+}
+
 // metricServer returns a server for metrics, or none if the address is empty.
 func metricServer(address string, set *metric.Set) []*server {
 	if address == "" {
@@ -142,7 +151,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", set.Handler())
-	return []*server{{address: address, handler: mux}}
+	return []*server{{name: "administration", address: address, handler: mux, response: metricsBytes}}
 }
 
 // settingsPath is the file in which the platform places the settings; SIGHUP validates it.
@@ -152,9 +161,11 @@
 
 // server is one HTTP listener of a process.
 type server struct {
-	address string
-	handler http.Handler
-	http    *http.Server
+	name     string // in logs and metrics
+	address  string
+	handler  http.Handler
+	response int64 // bytes that a response may use; 0 for little
+	http     *http.Server
 }
 
 // drainer makes an entry unready once it drains, and closes each connection after its next response.
@@ -192,6 +203,7 @@
 	log     *zap.Logger
 	out     *logs.Writer
 	set     *metric.Set
+	guard   *guard.Guard
 	role    string
 	run     func(context.Context) error
 	servers []*server
@@ -209,7 +221,7 @@
 	defer cancel()
 	failed := make(chan error, len(p.servers)+1)
 	for _, s := range p.servers {
-		if err := s.start(ctx, failed); err != nil {
+		if err := s.start(ctx, p.guard, failed); err != nil {
 			return err
 		}
 	}
@@ -220,6 +232,7 @@
 			failed <- err
 		}
 	}()
+	go p.guard.Run(ctx)
 	go pause.Every(ctx, droppedInterval, func() { p.set.Gauge(metric.LogDropped).Update(float64(p.out.Dropped())) })
 	event.Log(p.log, event.ProcessStarted, zap.String("Role", p.role))
 	for {
@@ -253,13 +266,12 @@
 	return nil
 }
 
-func (s *server) start(ctx context.Context, failed chan<- error) error {
-	var lc net.ListenConfig
-	ln, err := lc.Listen(ctx, "tcp", s.address)
+func (s *server) start(ctx context.Context, g *guard.Guard, failed chan<- error) error {
+	ln, err := g.Listen(ctx, s.name, s.address)
 	if err != nil {
 		return err
 	}
-	s.http = &http.Server{Handler: s.handler, ReadHeaderTimeout: cellHeaderTimeout, IdleTimeout: cellIdleTimeout}
+	s.http = g.Server(guard.ServerConfig{Handler: s.handler, Response: s.response})
 	go func() {
 		if err := s.http.Serve(ln); err != nil && err != http.ErrServerClosed {
 			failed <- err
--- a/cmd/trefoilramp/role.go
+++ b/cmd/trefoilramp/role.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -62,6 +63,14 @@
 	}
 }
 
+// limitHeap sets a soft limit for the Go runtime below the memory limit of the process, given in MiB; 0 sets none.
+func limitHeap(mib int64) {
+	if mib > 0 {
+		limit := min(float64(mib)*memoryShare, float64(mib-outsideHeap))
+		debug.SetMemoryLimit(int64(max(limit, float64(mib)*minMemoryShare) * (1 << 20)))
+	}
+}
+
 // runProcess runs a role until it ends, drainRequested is closed, or SIGTERM or SIGINT arrives. The channel and the
 // signals drain it for at most killDeadline; a further signal stops it at once.
 func runProcess(ctx context.Context, p process, killDeadline time.Duration, drainRequested <-chan struct{}) error {
--- a/internal/link/sess/session.go
+++ b/internal/link/sess/session.go
@@ -111,6 +111,9 @@
 		logFailure(ctx, cfg.Log, raw, err)
 		return nil, fmt.Errorf("session with %v: %w", raw.RemoteAddr(), err)
 	}
+	if c, ok := raw.(authenticatedConn); ok {
+		c.Authenticated()
+	}
 	s := &Session{
 		conn: conn, raw: raw, reader: hs.reader, handler: h, peer: hs.peerHello,
 		log: cfg.Log.With(zap.String("Peer", hs.peerHello.Name), zap.Stringer("PeerRole", hs.peerHello.Role),
@@ -142,6 +145,11 @@
 	return s, nil
 }
 
+// authenticatedConn is a connection that learns when its peer has authenticated; guard.Conn implements it.
+type authenticatedConn interface {
+	Authenticated()
+}
+
 func logFailure(ctx context.Context, log *zap.Logger, conn net.Conn, err error) {
 	if ctx.Err() != nil {
 		return // cancelled by the caller, so not a fault of the peer
--- a/internal/role/jobs/agent.go
+++ b/internal/role/jobs/agent.go
@@ -16,6 +16,7 @@
 	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/host/driver"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
+	"trefoilramp.org/trefoilramp/internal/link/guard"
 	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
@@ -40,6 +41,7 @@
 	Lease   time.Duration
 	Worker  driver.Worker
 	Store   rows.Store
+	Guard   *guard.Guard // of the listener for sessions; nil for no limits
 	Log     *zap.Logger
 }
 
@@ -71,6 +73,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for sessions: %w", err)
 	}
+	if cfg.Guard != nil {
+		ln = cfg.Guard.WrapSessions(ln)
+	}
 	a.listener = ln
 	return a, nil
 }
--- a/internal/role/jobs/entry.go
+++ b/internal/role/jobs/entry.go
@@ -16,6 +16,7 @@
 	"trefoilramp.org/trefoilramp/internal/jobs/intake"
 	"trefoilramp.org/trefoilramp/internal/jobs/lead"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
+	"trefoilramp.org/trefoilramp/internal/link/guard"
 	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/ops/metric"
@@ -45,6 +46,7 @@
 	Store         *rows.Monitor
 	Source        Source
 	Advisor       lead.Advisor
+	Guard         *guard.Guard // of the listener for sessions; nil for no limits
 	Metrics       *metric.Set
 	Log           *zap.Logger
 }
@@ -76,6 +78,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for sessions: %w", err)
 	}
+	if cfg.Guard != nil {
+		ln = cfg.Guard.WrapSessions(ln)
+	}
 	e.listener = ln
 	e.network = newAgentNetwork(e.sessions, cfg.Log)
 	e.leader = lead.NewLeader(lead.Config{
