Apply the limits for clients to the older entry and agent

The listeners of entry and agent are wrapped like those of a cell; headers, idle and progress timeouts keep their former values, and a handler that enables full duplex reads its body on beside the response as before. MemoryMiB, if given, also limits the heap.

--- a/cmd/trefoilramp/agent.go
+++ b/cmd/trefoilramp/agent.go
@@ -24,6 +24,7 @@
 }
 
 func runAgent(ctx context.Context, s setup.Agent, log *zap.Logger) error {
+	limitHeap(s.MemoryMiB)
 	a, err := agent.New(ctx, agent.Config{
 		Settings: s,
 		Worker:   worker.NewClient(remote.Options{URL: s.Worker, Name: s.Name}),
--- a/cmd/trefoilramp/entry.go
+++ b/cmd/trefoilramp/entry.go
@@ -23,6 +23,7 @@
 }
 
 func runEntry(ctx context.Context, s setup.Entry, log *zap.Logger) error {
+	limitHeap(s.MemoryMiB)
 	e, err := entry.New(ctx, entry.Config{
 		Settings: s,
 		Store:    table.NewClient(table.Options{URL: s.Store, Name: s.Name, Log: log}),
--- a/internal/role/agent/agent.go
+++ b/internal/role/agent/agent.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -20,6 +21,7 @@
 	"trefoilramp.org/trefoilramp/internal/host/ledger"
 	"trefoilramp.org/trefoilramp/internal/host/runner"
 	"trefoilramp.org/trefoilramp/internal/host/target"
+	"trefoilramp.org/trefoilramp/internal/link/guard"
 	"trefoilramp.org/trefoilramp/internal/link/roster"
 	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -30,7 +32,8 @@
 const (
 	workerInfoRetryDelay = 500 * time.Millisecond // between attempts to reach the worker at startup
 	drainPollInterval    = 50 * time.Millisecond
-	headerTimeout        = 5 * time.Second // for the header of an HTTP request
+	headerTimeout        = 5 * time.Second // default of the limit for the header of an HTTP request
+	idleTimeout          = time.Minute     // default of the limit for an idle HTTP connection
 
 	// leaveGrace is the minimum time for which a draining agent keeps its sessions open. An entry that has not yet
 	// received the Leaving message sends requests for about another round trip; they get NotRun while the session is
@@ -62,6 +65,7 @@
 	interference   lockedController
 	listener       net.Listener // for announcements of targets
 	admin          net.Listener // for health checks; nil if disabled
+	guard          *guard.Guard // of both listeners
 	roster         *roster.Roster
 	leaving        atomic.Bool
 	drainRequested chan struct{} // closed when an operator requests a drain
@@ -81,6 +85,9 @@
 		sessions:       make(map[*sess.Session]*entrySession),
 		drainRequested: make(chan struct{}),
 	}
+	limits := guard.Derive(cfg.Settings.MemoryMiB, cmp.Or(cfg.Settings.Descriptors, setup.DefaultDescriptors))
+	limits.HeaderTimeout, limits.IdleTimeout = headerTimeout, idleTimeout
+	a.guard = guard.New(guard.Config{Limits: limits.With(cfg.Settings.Clients), Log: cfg.Log})
 	var err error
 	if a.workerInfo, err = readWorkerInfo(ctx, cfg); err != nil {
 		return nil, err
@@ -94,16 +101,15 @@
 		Ledger: requestLedger{a.ledger}, Targets: targets{a.registry}, Limits: &a.activeConfig, Log: cfg.Log, Hook: cfg.Hook,
 		OnResponse: a.interference.observeRequest,
 	})
-	var lc net.ListenConfig
-	if a.listener, err = lc.Listen(ctx, "tcp", cfg.Settings.Announcements); err != nil {
-		return nil, fmt.Errorf("listen for announcements: %w", err)
+	if a.listener, err = a.guard.Listen(ctx, "announcements", cfg.Settings.Announcements); err != nil {
+		return nil, err
 	}
 	if cfg.Settings.Administration == "" {
 		return a, nil
 	}
-	if a.admin, err = lc.Listen(ctx, "tcp", cfg.Settings.Administration); err != nil {
+	if a.admin, err = a.guard.Listen(ctx, "administration", cfg.Settings.Administration); err != nil {
 		a.listener.Close()
-		return nil, fmt.Errorf("listen for administration: %w", err)
+		return nil, err
 	}
 	return a, nil
 }
@@ -135,6 +141,7 @@
 	event.Log(a.cfg.Log, event.ProcessStarted, zap.String("Role", "agent"),
 		zap.String("Announcements", a.Announcements()))
 	var wg sync.WaitGroup
+	wg.Go(func() { a.guard.Run(ctx) })
 	wg.Go(func() { a.runner.Run(ctx) })
 	wg.Go(func() { a.sendHeartbeats(ctx) })
 	wg.Go(func() { a.limitInterference(ctx) })
@@ -150,7 +157,7 @@
 
 // serve runs an HTTP server until ctx ends.
 func (a *Agent) serve(ctx context.Context, ln net.Listener, h http.Handler) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: time.Minute}
+	s := a.guard.Server(guard.ServerConfig{Handler: h})
 	stop := context.AfterFunc(ctx, func() { s.Close() })
 	defer stop()
 	if err := s.Serve(ln); err != nil && ctx.Err() == nil {
--- a/internal/role/agent/listen.go
+++ b/internal/role/agent/listen.go
@@ -1,13 +1,16 @@
 package agent
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"trefoilramp.org/trefoilramp/internal/core/event"
+	"trefoilramp.org/trefoilramp/internal/link/guard"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/plat/notice"
 )
@@ -23,9 +26,17 @@
 
 func (a *Agent) announce(w http.ResponseWriter, r *http.Request) {
 	var n notice.Announcement
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+	b, err := guard.ReadBody(r, maxAnnouncement)
+	if errors.Is(err, guard.ErrOverload) {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	d := json.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
-	if err := d.Decode(&n); err != nil {
+	if err == nil {
+		err = d.Decode(&n)
+	}
+	if err != nil {
 		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
 		return
 	}
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"fmt"
@@ -16,10 +17,12 @@
 	"trefoilramp.org/trefoilramp/internal/batch/commit"
 	"trefoilramp.org/trefoilramp/internal/batch/owner"
 	"trefoilramp.org/trefoilramp/internal/conf/head"
+	"trefoilramp.org/trefoilramp/internal/conf/model"
 	"trefoilramp.org/trefoilramp/internal/conf/setup"
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/ident"
 	"trefoilramp.org/trefoilramp/internal/core/point"
+	"trefoilramp.org/trefoilramp/internal/link/guard"
 	"trefoilramp.org/trefoilramp/internal/link/roster"
 	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
@@ -31,10 +34,15 @@
 )
 
 const (
-	summaryInterval = time.Second     // between summaries to other entries, and between updates of the gauges
-	headerTimeout   = 5 * time.Second // for the header of an HTTP request
-	idleTimeout     = 2 * time.Minute // for an idle HTTP connection
-	maxHeaderBytes  = 64 << 10
+	summaryInterval = time.Second // between summaries to other entries, and between updates of the gauges
+	// headerTimeout, idleTimeout and maxHeaderBytes are the defaults of the limits for clients; callers may stream, so the
+	// timeout for progress is as long as that for idle connections.
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+	streamedBytes  = 256 << 10 // of a body in memory: what front buffers, and the window of a stream
+	maxClientBytes = 64 << 20  // default of the byte budget; front may buffer twice as much, since its buffers grow by doubling
+	responseBytes  = 1 << 20   // of a response of the administration API or the console
 	// journalWriteRate limits the writes per second of the journals of all partitions of the deployment. The store
 	// sustains several hundred; the rest is left for claims, membership, configuration and audit.
 	journalWriteRate = 240
@@ -66,6 +74,7 @@
 	front       *front.Front
 	jobs        *jobs
 	metrics     *metric.Set
+	guard       *guard.Guard
 	api         *admin.API
 	listeners   listeners
 	network     *network
@@ -95,10 +104,12 @@
 	if cfg.ClaimStore == nil {
 		cfg.ClaimStore = cfg.Store
 	}
+	e.metrics = metric.New(cfg.Log)
+	limits := clientLimits(cfg.Settings)
+	e.guard = guard.New(guard.Config{Limits: limits, Metrics: e.metrics, Log: cfg.Log})
 	if err := e.listen(ctx); err != nil {
 		return nil, err
 	}
-	e.metrics = metric.New(cfg.Log)
 	e.cfg.Store = meteredStore{cfg.Store, e.metrics}
 	cfg.Store = e.cfg.Store
 	e.holder = head.New(cfg.Store, head.Options{
@@ -130,6 +141,7 @@
 		Log:       cfg.Log,
 		Hook:      cfg.Hook,
 		Seed:      cfg.Seed,
+		Memory:    2 * limits.Bytes,
 	})
 	e.api = e.newAPI()
 	return e, nil
@@ -155,7 +167,11 @@
 			e.listeners.close()
 			return fmt.Errorf("listen for %s: %w", l.name, err)
 		}
-		*l.to = ln
+		if l.name == "sessions" {
+			*l.to = e.guard.WrapSessions(ln)
+		} else {
+			*l.to = e.guard.Wrap(ln, l.name)
+		}
 	}
 	return nil
 }
@@ -212,10 +228,16 @@
 			e.cfg.Log.Error("session listener failed", zap.Error(err))
 		}
 	})
-	wg.Go(func() { e.serve(ctx, e.listeners.callers, e.callerHandler()) })
-	wg.Go(func() { e.serve(ctx, e.operatorListener(e.listeners.admin), e.api) })
+	wg.Go(func() { e.guard.Run(ctx) })
+	wg.Go(func() {
+		e.serve(ctx, e.listeners.callers, guard.ServerConfig{Handler: e.callerHandler(), Streamed: streamedBytes})
+	})
+	operators := guard.ServerConfig{Handler: e.api, Streamed: model.MaxDocument, Response: responseBytes}
+	wg.Go(func() { e.serve(ctx, e.operatorListener(e.listeners.admin), operators) })
 	if e.listeners.console != nil {
-		wg.Go(func() { e.serve(ctx, e.operatorListener(e.listeners.console), e.consoleHandler()) })
+		console := operators
+		console.Handler = e.consoleHandler()
+		wg.Go(func() { e.serve(ctx, e.operatorListener(e.listeners.console), console) })
 	}
 	wg.Wait()
 	e.closeSessions()
@@ -228,6 +250,14 @@
 	return nil
 }
 
+// clientLimits returns the limits for clients: those of the settings, else the defaults of an entry.
+func clientLimits(s setup.Entry) guard.Limits {
+	l := guard.Derive(s.MemoryMiB, cmp.Or(s.Descriptors, setup.DefaultDescriptors))
+	l.Bytes = min(l.Bytes, maxClientBytes)
+	l.HeaderTimeout, l.IdleTimeout, l.StallTimeout, l.HeaderBytes = headerTimeout, idleTimeout, idleTimeout, maxHeaderBytes
+	return l.With(s.Clients)
+}
+
 // operatorListener adds TLS to a listener for operators if the settings enable it.
 func (e *Entry) operatorListener(ln net.Listener) net.Listener {
 	if cfg := e.cfg.Settings.OperatorTLS.Config(); cfg != nil {
@@ -237,10 +267,8 @@
 }
 
 // serve runs an HTTP server until ctx ends.
-func (e *Entry) serve(ctx context.Context, ln net.Listener, h http.Handler) {
-	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
+func (e *Entry) serve(ctx context.Context, ln net.Listener, cfg guard.ServerConfig) {
+	s := e.guard.Server(cfg)
 	stop := context.AfterFunc(ctx, func() { s.Close() })
 	defer stop()
 	if err := s.Serve(ln); err != nil && ctx.Err() == nil {
