Charge streamed bodies twice and lower the byte budget

The byte budget is an eighth of the memory instead of a sixth. The tests of crowds now fill in the settings MemoryMiB and Descriptors.

--- a/cmd/trefoilramp/crowd_test.go
+++ b/cmd/trefoilramp/crowd_test.go
@@ -26,7 +26,7 @@
 
 	// hasLimitSettings is to be set once all roles have the settings MemoryMiB and Descriptors. The strict settings of
 	// cells accept only MemoryMiB today, and those of the older roles neither.
-	hasLimitSettings = false
+	hasLimitSettings = true
 )
 
 // limits returns the settings that limit a process.
--- a/internal/link/guard/conn.go
+++ b/internal/link/guard/conn.go
@@ -12,7 +12,7 @@
 	// A connection is charged for its header only beyond freeLines and freeHeader; less is part of connectionBytes.
 	freeLines  = 64
 	freeHeader = 4 << 10 // the read buffer of net/http
-	lineCost   = 160     // bytes of memory for a header field, however short: keys, values and a map entry
+	lineCost   = 200     // bytes that net/http allocates for a header field, however short (measured: 157 to 209)
 )
 
 type listener struct {
--- a/internal/link/guard/limits.go
+++ b/internal/link/guard/limits.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// bytesDivisor and connectionsDivisor give a sixth and a fifth of the memory limit to bodies and to connections. With
-	// what the collector adds, both fit below the 0.7 of the limit that the Go runtime may use.
-	bytesDivisor       = 6
+	// bytesDivisor and connectionsDivisor give an eighth and a fifth of the memory limit to bodies and to connections. With
+	// what the collector adds, both fit below the 0.7 of the limit that the Go runtime may use. With a sixth for bodies, one
+	// of six crowds of 600 connections took an older entry with 64 MiB to 68 MiB.
+	bytesDivisor       = 8
 	connectionsDivisor = 5
 	// connectionBytes is the memory of an HTTP connection without a large header or body: 20 to 40 KiB for its goroutines
 	// and buffers.
--- a/internal/link/guard/server.go
+++ b/internal/link/guard/server.go
@@ -16,6 +16,7 @@
 const (
 	firstBuffer  = 2 << 10 // of a body of unknown length
 	exactBuffer  = 4 << 10 // bodies up to this declared length get a buffer of their length at once
+	streamFactor = 2       // memory of a body that a handler reads into a buffer that doubles, in lengths of the body
 	decodeFactor = 2       // memory of a decoded body, in lengths of the body
 	bodyShare    = 4       // a body may use at most a fourth of the byte budget
 )
@@ -28,7 +29,8 @@
 // ServerConfig configures an HTTP server for clients.
 type ServerConfig struct {
 	Handler http.Handler
-	// Streamed is how many bytes of a body that a handler reads as a stream may be in memory; 0 if handlers use ReadBody.
+	// Streamed is how many bytes a handler may use for a body that it reads as a stream, streamFactor for each byte read; 0 if
+	// handlers use ReadBody.
 	Streamed int64
 	// Response is how many bytes a response may use while it is written; 0 if responses are small.
 	Response int64
@@ -94,7 +96,7 @@
 	http.ResponseWriter
 	conn     *Conn
 	body     io.ReadCloser
-	streamed int64       // bytes of the body still to be charged when they are read
+	streamed int64       // bytes still to be charged for the body when it is read
 	duplex   bool        // the handler reads the body while it writes the response
 	begun    bool        // the header of the response has been written
 	ended    atomic.Bool // the body has been read to its end, perhaps in another goroutine than the response is written in
@@ -111,7 +113,7 @@
 	if err == io.EOF {
 		x.ended.Store(true)
 	}
-	if charge := min(int64(n), x.streamed); charge > 0 {
+	if charge := min(streamFactor*int64(n), x.streamed); charge > 0 {
 		x.streamed -= charge
 		if !x.conn.pool.reserve(x.conn, charge) {
 			return 0, ErrOverload
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -40,8 +40,8 @@
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
-	streamedBytes  = 256 << 10 // of a body in memory: what front buffers, and the window of a stream
-	maxClientBytes = 64 << 20  // default of the byte budget; front may buffer twice as much, since its buffers grow by doubling
+	streamedBytes  = 512 << 10 // for the body of a request: what front buffers for a retry, in a buffer that doubles
+	maxClientBytes = 64 << 20  // default of the byte budget, which front's buffers share
 	responseBytes  = 1 << 20   // of a response of the administration API or the console
 	// journalWriteRate limits the writes per second of the journals of all partitions of the deployment. The store
 	// sustains several hundred; the rest is left for claims, membership, configuration and audit.
@@ -141,7 +141,7 @@
 		Log:       cfg.Log,
 		Hook:      cfg.Hook,
 		Seed:      cfg.Seed,
-		Memory:    2 * limits.Bytes,
+		Memory:    limits.Bytes,
 	})
 	e.api = e.newAPI()
 	return e, nil
@@ -232,7 +232,7 @@
 	wg.Go(func() {
 		e.serve(ctx, e.listeners.callers, guard.ServerConfig{Handler: e.callerHandler(), Streamed: streamedBytes})
 	})
-	operators := guard.ServerConfig{Handler: e.api, Streamed: model.MaxDocument, Response: responseBytes}
+	operators := guard.ServerConfig{Handler: e.api, Streamed: 2 * model.MaxDocument, Response: responseBytes}
 	wg.Go(func() { e.serve(ctx, e.operatorListener(e.listeners.admin), operators) })
 	if e.listeners.console != nil {
 		console := operators
