--- a/cmd/trefoilramp/crowd_test.go
+++ b/cmd/trefoilramp/crowd_test.go
@@ -23,22 +23,10 @@
 	crowdHold        = time.Second      // for which a crowd holds its connections
 	crowdTimeout     = 60 * time.Second // after which a process that has not answered counts as hung
 	crowdBody        = 256 << 10        // bytes, limit of a request body
-
-	// hasLimitSettings is to be set once all roles have the settings MemoryMiB and Descriptors. The strict settings of
-	// cells accept only MemoryMiB today, and those of the older roles neither.
-	hasLimitSettings = true
 )
 
 // limits returns the settings that limit a process.
-func limits(inCell bool) object {
-	if hasLimitSettings {
-		return object{"MemoryMiB": crowdMemory, "Descriptors": crowdDescriptors}
-	}
-	if inCell {
-		return object{"MemoryMiB": crowdMemory}
-	}
-	return object{}
-}
+func limits() object { return object{"MemoryMiB": crowdMemory, "Descriptors": crowdDescriptors} }
 
 // crowdSubject is a process that receives a crowd, and the work that it must do meanwhile and afterwards.
 type crowdSubject struct {
@@ -177,7 +165,7 @@
 func startCellSubject(t *testing.T, binary, role string) *crowdSubject {
 	c := &cell{
 		t: t, dir: t.TempDir(), host: fmt.Sprintf("127.0.%d.1", 1+cellCount.Add(1)%250), used: make(map[string]bool),
-		binary: binary, rows: memory.New(), relays: make(map[string]*netsim.Relay), limits: limits(true),
+		binary: binary, rows: memory.New(), relays: make(map[string]*netsim.Relay), limits: limits(),
 	}
 	c.configure(1, 0)
 	c.addEntry("entry-1")
@@ -206,7 +194,7 @@
 func startOlderSubject(t *testing.T, binary, role string) *crowdSubject {
 	free := &cell{t: t, host: fmt.Sprintf("127.0.%d.1", 1+cellCount.Add(1)%250), used: make(map[string]bool)}
 	p := &basicCluster{deployment: &deployment{t: t, binary: binary, dir: t.TempDir()}}
-	p.settings = map[string]object{"entry": limits(false), "agent": limits(false)}
+	p.settings = map[string]object{"entry": limits(), "agent": limits()}
 	for _, l := range []string{"Callers", "Administration", "Console", "Sessions"} {
 		p.settings["entry"][l] = free.freeAddress()
 	}
--- a/internal/link/guard/ledger.go
+++ b/internal/link/guard/ledger.go
@@ -11,7 +11,7 @@
 	// holderBytes is what a connection must hold to be closed before idle ones.
 	holderBytes = 16 << 10
 	// closingDivisor: connections that are being closed may hold a quarter of the budget before a holder is refused more.
-	// Their memory is in use until their goroutines have run: 600 headers of 2,500 fields took 98 MiB of 64 without this.
+	// Their memory is in use until their goroutines have run: 600 headers of 2,200 fields took 96 MiB of 64 without this.
 	closingDivisor = 4
 )
 
