--- a/internal/link/guard/server_test.go
+++ b/internal/link/guard/server_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -15,8 +16,10 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"trefoilramp.org/trefoilramp/internal/link/guard"
+	"trefoilramp.org/trefoilramp/internal/ops/metric"
 )
 
 const bodyLimit = 256 << 10
@@ -42,14 +45,18 @@
 // site is a server behind a guard in a synctest bubble.
 type site struct {
 	*pipeListener
-	read atomic.Int64 // bodies read
+	read    atomic.Int64 // bodies read
+	lines   *observer.ObservedLogs
+	metrics *metric.Set
 }
 
 // serve starts a server whose handler reads bodies at /read only.
 func serve(t *testing.T, l guard.Limits) *site {
 	t.Helper()
 	s := &site{pipeListener: &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}}
-	g := guard.New(guard.Config{Limits: l, Log: zap.NewNop()})
+	core, lines := observer.New(zap.InfoLevel)
+	s.lines, s.metrics = lines, metric.New(nil)
+	g := guard.New(guard.Config{Limits: l, Metrics: s.metrics, Log: zap.New(core)})
 	srv := g.Server(guard.ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/read" {
 			http.Error(w, "no route", http.StatusNotFound)
@@ -73,6 +80,9 @@
 	t.Cleanup(func() {
 		cancel()
 		srv.Close()
+		if err := s.metrics.Close(); err != nil {
+			t.Error(err)
+		}
 		time.Sleep(time.Second) // net/http closes the connection of a refused request after 500 ms
 	})
 	return s
@@ -146,7 +156,8 @@
 }
 
 // Load: uploads that stop one byte short of their end, four times what the budget holds. Guards against memory without a
-// bound, stalled connections that stay, and an ordinary request that is not served beside them.
+// bound, stalled connections that stay, an ordinary request that is not served beside them, and limits that are not counted
+// or are logged for each client.
 func TestStoppedUploads(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := serve(t, guard.Derive(32, 4100))
@@ -173,6 +184,19 @@
 		if took := time.Since(began); took < 15*time.Second || took > 17*time.Second {
 			t.Errorf("stalled upload ended after %v, %v; want 15 s", took, err)
 		}
+		for _, message := range []string{"limits for clients", "byte budget for clients used up", "stalled connection closed"} {
+			if n := s.lines.FilterMessage(message).Len(); n < 1 || n > 3 {
+				t.Errorf("%q logged %d times", message, n)
+			}
+		}
+		time.Sleep(3 * time.Second) // metrics are reported once a second
+		w := httptest.NewRecorder()
+		s.metrics.Handler().ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/metrics", nil))
+		for _, line := range []string{`clients_turned_away{listener="test",reason="Bytes"} `, `reason="Stalled"} `, "client_connections 0\n", "client_bytes 0\n"} {
+			if !strings.Contains(w.Body.String(), line) {
+				t.Errorf("metrics lack %s", line)
+			}
+		}
 	})
 }
 
