--- a/internal/core/event/jobs.go
+++ b/internal/core/event/jobs.go
@@ -56,6 +56,11 @@
 	ForecastUnreadable  Number = 955
 	JobTurnedAway       Number = 956
 	JobMovedUp          Number = 957
+	ClientLimits        Number = 960
+	ClientsExceeded     Number = 961
+	ClientBytesExceeded Number = 962
+	ClientStalled       Number = 963
+	ClientInputExceeded Number = 964
 )
 
 var jobEvents = []Entry{
@@ -111,4 +116,9 @@
 	{ForecastUnreadable, zapcore.WarnLevel, "forecast unreadable", "A forecast of the leader could not be decoded, or a field of it was out of range; this entry accepts all jobs until it receives one that it can read.", "Compare the versions of the entries; report the bug with the log if they are the same."},
 	{JobTurnedAway, zapcore.InfoLevel, "job rejected by admission control", "According to the forecast, the job could not be done before it has lost all value; nothing was stored. Wait is the time until the work before it is done, Need its own run time after that, Useful the time after which it has lost all value.", "None; add capacity if this persists."},
 	{JobMovedUp, zapcore.InfoLevel, "job moved up", "The job had been without a run for 30 s while capacity was insufficient, and gets capacity before jobs that can still be on time.", "Add workers if it is frequent."},
+	{ClientLimits, zapcore.InfoLevel, "limits for clients", "The limits of this process for clients that nobody controls, from its memory, its descriptors and its settings.", "None."},
+	{ClientsExceeded, zapcore.WarnLevel, "connections closed for new ones", "A limit of connections was reached; the connections that hold the most, or have waited longest, were closed. Count is since the last line for this reason and listener.", "Find out who opens the connections, by Remote; raise the limit if the callers are legitimate."},
+	{ClientBytesExceeded, zapcore.WarnLevel, "byte budget for clients used up", "Requests and responses in progress hold all bytes that clients may use; the connections that held the most for their progress were closed, or requests refused that had stored nothing.", "Find out who sends, by Remote; add entries or memory if the callers are legitimate."},
+	{ClientStalled, zapcore.InfoLevel, "stalled connection closed", "No byte of a body or a response has moved for the stall timeout.", "Check the client, by Remote, and the network if this persists."},
+	{ClientInputExceeded, zapcore.InfoLevel, "request over a limit refused", "A body, or a list in it, is longer than allowed; the request had no effect.", "Check the client, by Remote."},
 }
--- a/internal/ops/metric/catalogue.go
+++ b/internal/ops/metric/catalogue.go
@@ -64,6 +64,10 @@
 	JobsTurnedAway Name = "jobs_turned_away"
 	ForecastAge    Name = "forecast_age"
 	LogDropped     Name = "log_lines_dropped"
+
+	ClientsTurnedAway Name = "clients_turned_away"
+	ClientConnections Name = "client_connections"
+	ClientBytes       Name = "client_bytes"
 )
 
 var catalogue = []Entry{
@@ -104,6 +108,9 @@
 	{JobsTurnedAway, Counter, []string{"reason"}, "Submitted jobs of steps that admission control rejected, by reason: Backlog or Returning."},
 	{ForecastAge, Gauge, nil, "Age of the forecast by which this entry admits jobs, in seconds; -1 without one, and 0 while admission control is off."},
 	{LogDropped, Gauge, nil, "Log lines dropped because the log queue was full or writing failed."},
+	{ClientsTurnedAway, Counter, []string{"reason", "listener"}, "Connections closed and requests refused for a limit for clients, by limit and listener."},
+	{ClientConnections, Gauge, nil, "Open connections of clients, with those to the listener of sessions before their handshake has ended."},
+	{ClientBytes, Gauge, nil, "Bytes that requests and responses in progress may use."},
 }
 
 // Catalogue returns all metrics in the order of the documentation.
--- a/internal/role/jobs/entry.go
+++ b/internal/role/jobs/entry.go
@@ -19,6 +19,7 @@
 	"trefoilramp.org/trefoilramp/internal/jobs/lead"
 	"trefoilramp.org/trefoilramp/internal/jobs/order"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
+	"trefoilramp.org/trefoilramp/internal/link/guard"
 	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/ops/metric"
@@ -57,6 +58,7 @@
 	EvacuationBound time.Duration
 	Order           order.Policy // rules for waiting jobs while capacity is insufficient
 	Admission       bool         // jobs that cannot be done before they have lost all value are rejected
+	Guard           *guard.Guard // of the listener for sessions; nil for no limits
 	Metrics         *metric.Set
 	Log             *zap.Logger
 }
@@ -89,6 +91,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for sessions: %w", err)
 	}
+	if cfg.Guard != nil {
+		ln = cfg.Guard.WrapSessions(ln)
+	}
 	e.listener = ln
 	e.network = newAgentNetwork(e.sessions, cfg.Log)
 	e.leader = lead.NewLeader(lead.Config{
