--- a/cmd/trefoilramp/cell.go
+++ b/cmd/trefoilramp/cell.go
@@ -17,6 +17,7 @@
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/jobs/lead"
+	"trefoilramp.org/trefoilramp/internal/jobs/order"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/link/guard"
 	"trefoilramp.org/trefoilramp/internal/ops/logs"
@@ -75,7 +76,10 @@
 		Lease: workerLease(s.Process), LeaseLimit: time.Duration(s.Process.Lease), Retention: time.Duration(s.Retention),
 		TakeoverDelay: takeoverDelay(s), Store: store,
 		Source:    &jobs.RowSource{Store: store, Ref: platform.ConfigRef, Decode: platform.DecodeConfig, Metrics: set, Log: log},
-		Admission: s.Admission == setup.AdmissionOn, Guard: g, Metrics: set, Log: log,
+		Admission: s.Admission == setup.On, Guard: g, Metrics: set, Log: log,
+	}
+	if s.Order == setup.On {
+		cfg.Order = order.AllRules()
 	}
 	if s.Policies != "" {
 		cfg.Advisor = platform.NewAdvisor(s.Policies)
--- a/cmd/trefoilramp/cell_test.go
+++ b/cmd/trefoilramp/cell_test.go
@@ -177,7 +177,7 @@
 	callers := c.freeAddress()
 	p := &cellMember{name: name, role: "entry", base: "http://" + callers, settings: object{
 		"Process": c.processSettings(name), "Callers": callers, "Readiness": c.freeAddress(), "Policies": "",
-		"Retention": "120s", "Processors": 0.16, "EvacuationBound": "5s",
+		"Retention": "120s", "Processors": 0.16, "EvacuationBound": "5s", "Order": "on",
 	}}
 	c.entries = append(c.entries, p)
 	c.launch(p)
--- a/internal/conf/setup/cell.go
+++ b/internal/conf/setup/cell.go
@@ -20,10 +20,10 @@
 	maxMemory          = 1 << 20 // MiB
 )
 
-// Values of CellEntry.Admission.
+// Values of CellEntry.Admission and CellEntry.Order.
 const (
-	AdmissionOn  = "on"  // jobs that cannot be done before they have lost all value are rejected
-	AdmissionOff = "off" // all jobs are accepted
+	On  = "on"
+	Off = "off"
 )
 
 // CellProcess holds the settings that the processes of a cell share.
@@ -54,7 +54,8 @@
 	// are not evacuated.
 	EvacuationBound *model.Duration
 	Processors      float64 // processors available to the process; may be a fraction of one
-	Admission       string  // AdmissionOn or AdmissionOff; empty for AdmissionOff
+	Admission       string  // On to reject jobs that cannot be done before they have lost all value; empty for Off
+	Order           string  // On to order waiting jobs by their cost to callers while capacity is insufficient; empty for Off
 }
 
 // CellAgent holds the settings of a cell's agent.
@@ -116,14 +117,19 @@
 	if e.EvacuationBound != nil {
 		model.CheckDuration(c.Field("EvacuationBound"), *e.EvacuationBound, minEvacuationBound, maxEvacuationBound)
 	}
-	if e.Admission != "" && e.Admission != AdmissionOn && e.Admission != AdmissionOff {
-		c.Field("Admission").Fail(e.Admission, "%q or %q", AdmissionOn, AdmissionOff)
-	}
+	checkSwitch(c.Field("Admission"), e.Admission)
+	checkSwitch(c.Field("Order"), e.Order)
 	if e.Processors <= 0 {
 		c.Field("Processors").Fail(e.Processors, "more than 0")
 	}
 }
 
+func checkSwitch(at strict.Check, v string) {
+	if v != "" && v != On && v != Off {
+		at.Fail(v, "%q or %q", On, Off)
+	}
+}
+
 func (a *CellAgent) check(c strict.Check, base string) {
 	a.Process.check(c.Field("Process"), base)
 	checkListen(c.Field("Announcements"), a.Announcements, true)
--- a/internal/conf/setup/cell_test.go
+++ b/internal/conf/setup/cell_test.go
@@ -25,7 +25,7 @@
 
 // Guards against settings of a cell's processes that are rejected although valid, and against faults that are accepted.
 func TestCellSettings(t *testing.T) {
-	entry := "{" + cellProcess + `, "Callers": "10.0.0.1:1", "Readiness": "10.0.0.1:2", "Retention": "120s", "Processors": 0.16, "Admission": "on"}`
+	entry := "{" + cellProcess + `, "Callers": "10.0.0.1:1", "Readiness": "10.0.0.1:2", "Retention": "120s", "Processors": 0.16, "Admission": "on", "Order": "off"}`
 	agent := "{" + cellProcess + `, "Announcements": "10.0.0.1:1", "Worker": "10.0.0.1:2"}`
 	if _, err := setup.LoadCellEntry(writeSettings(t, entry)); err != nil {
 		t.Error(err)
@@ -52,6 +52,7 @@
 		{"same listeners", `"10.0.0.1:2"`, `"10.0.0.1:1"`, "$.Readiness"},
 		{"no processors", `0.16`, `0`, "$.Processors"},
 		{"unknown admission", `"on"`, `"yes"`, "$.Admission"},
+		{"unknown order", `"off"`, `"yes"`, "$.Order"},
 		{"short retention", `"120s"`, `"1ms"`, "$.Retention"},
 		{"no bound", `"Retention"`, `"EvacuationBound": "0ms", "Retention"`, "$.EvacuationBound"},
 		{"short bound", `"Retention"`, `"EvacuationBound": "1999ms", "Retention"`, "$.EvacuationBound"},
--- a/internal/jobs/lead/soak_test.go
+++ b/internal/jobs/lead/soak_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/jobs/order"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/stand/memory"
@@ -80,6 +81,9 @@
 	c := newCluster(ctx, t, seed)
 	c.store.SetRate(rate)
 	c.usesEvacuations = true
+	if seed%2 == 1 {
+		c.policy = order.AllRules()
+	}
 	c.plan = func(r wire.Run) runs.Plan {
 		runTime := 300*time.Millisecond + time.Duration(len(r.Task)*7919%900)*time.Millisecond
 		return runs.Plan{Size: sizes.Resources{Processors: 1000}, RunTime: runTime}
--- a/internal/jobs/order/policy.go
+++ b/internal/jobs/order/policy.go
@@ -39,6 +39,14 @@
 	UseSlow      bool // let jobs in progress use processors that leave their tasks less than half speed
 }
 
+// AllRules returns the policy with all rules.
+func AllRules() Policy {
+	return Policy{
+		LearnedTimes: true, ValueClasses: true, DelayCost: true, FinishBegun: true, MoveUp: true, LargeShare: true, LimitBegun: true,
+		UseSlow: true,
+	}
+}
+
 // reorders reports whether a rule changes the order of jobs. Long-running and scheduled jobs are then first among those that
 // can be on time, so that no rule delays them.
 func (p Policy) reorders() bool {
