Return the reason why a worker may not run a task

Cause: mayRun only reported that a worker is left out, so that nothing could tell operators why. Change: exclusionOf returns the reason and mayRun is built on it, so that an explanation cannot differ from the decision. The urgency of a job and a job without its tasks can be computed without changing the term. No decision changes.

--- a/internal/jobs/lead/cost.go
+++ b/internal/jobs/lead/cost.go
@@ -47,32 +47,73 @@
 // mayRun reports whether a worker may run a task of the step in addition to its current runs, and the share of full speed
 // at which a best-effort task would run there. Unreliable workers are not left out.
 func (t *Term) mayRun(c stepContext, w *worker) (speed float64, ok bool) {
-	s := c.spec()
-	if !w.acceptsRuns() || w.state.Service != c.job.spec.Service {
-		return 0, false
+	speed, e := t.exclusionOf(c, w)
+	if e == excludeEvacuated {
+		t.evacuation.isWithheld = true
 	}
-	if c.rack != "" && w.state.Rack != c.rack || s.Label != "" && !w.hasLabel(s.Label) {
-		return 0, false
+	return speed, e == 0
+}
+
+// exclusion is the reason why a worker may not run a task.
+type exclusion uint8
+
+const (
+	excludeDisconnected exclusion = iota + 1 // no session, draining or not accepting runs
+	excludeService
+	excludeRack
+	excludeLabel
+	excludeTicket // the policy service has issued no ticket
+	excludeProcessors
+	excludeMemory
+	excludeAccelerators
+	excludePerWorker
+	excludeEvacuated  // the zone is evacuated, or evacuations are not known
+	excludeLoad       // a best-effort task would be too slow beside the other tasks
+	excludeUnreliable // no probe is due; see placement.evaluate
+	endOfExclusions   = iota + 1
+)
+
+//go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type exclusion -trimprefix exclude -output exclusion_string.go
+
+// exclusionOf returns why a worker may not run a task of the step, or 0, and the speed that mayRun returns. It changes
+// nothing but caches.
+func (t *Term) exclusionOf(c stepContext, w *worker) (speed float64, e exclusion) {
+	s := c.spec()
+	switch {
+	case !w.acceptsRuns():
+		return 0, excludeDisconnected
+	case w.state.Service != c.job.spec.Service:
+		return 0, excludeService
+	case c.rack != "" && w.state.Rack != c.rack:
+		return 0, excludeRack
+	case s.Label != "" && !w.hasLabel(s.Label):
+		return 0, excludeLabel
 	}
 	if c.tickets != nil {
 		if _, ok := c.tickets[w.state.Incarnation.ID]; !ok {
-			return 0, false
+			return 0, excludeTicket
 		}
 	}
-	if !s.Reserved().Fits(w.free()) {
-		return 0, false
-	}
-	if s.PerWorker > 0 && w.countRuns(c.job, c.round, c.step) >= s.PerWorker {
-		return 0, false
-	}
-	if !t.allowsStart(w, c.now) { // last, since it marks a worker that could run the task otherwise
-		t.evacuation.isWithheld = true
-		return 0, false
+	need, free := s.Reserved(), w.free()
+	switch {
+	case need.Processors > free.Processors:
+		return 0, excludeProcessors
+	case need.Memory > free.Memory:
+		return 0, excludeMemory
+	case !need.Fits(free): // steps request no other resources
+		return 0, excludeAccelerators
+	case s.PerWorker > 0 && w.countRuns(c.job, c.round, c.step) >= s.PerWorker:
+		return 0, excludePerWorker
+	case !t.allowsStart(w, c.now): // last, since mayRun marks a worker that could run the task otherwise
+		return 0, excludeEvacuated
+	case !s.BestEffort:
+		return 1, 0
 	}
-	if !s.BestEffort {
-		return 1, true
+	speed, ok := t.fitsBestEffort(c, w)
+	if !ok {
+		e = excludeLoad
 	}
-	return t.fitsBestEffort(c, w)
+	return speed, e
 }
 
 // fitsBestEffort returns the speed of a best-effort task on a worker, and whether that is fast enough. Any speed is once
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -69,17 +69,24 @@
 }
 
 func newJob(s *spec.Job, now time.Time) *job {
-	j := &job{spec: s, offsets: make([]int, len(s.Steps)), addedAt: now, tasksPerPage: tasksPerPage(s)}
+	j := newJobWithoutTasks(s, now)
+	j.tasksPerPage = tasksPerPage(s)
+	j.tasks = make([]task, j.tasksPerRound*s.Rounds())
+	j.left = len(j.tasks)
+	j.waiting = j.left
+	return j
+}
+
+// newJobWithoutTasks returns a job to which the conditions and costs of its steps apply, without the memory of its tasks.
+func newJobWithoutTasks(s *spec.Job, now time.Time) *job {
+	j := &job{spec: s, offsets: make([]int, len(s.Steps)), addedAt: now}
 	for i := range s.Steps {
 		j.offsets[i] = j.tasksPerRound
 		j.tasksPerRound += s.Steps[i].Count
 	}
-	j.tasks = make([]task, j.tasksPerRound*s.Rounds())
 	j.done = make([]int, len(s.Steps)*s.Rounds())
-	j.left = len(j.tasks)
 	j.idleSince = now
 	j.remaining = -1
-	j.waiting = j.left
 	accepted := now
 	if age := time.Since(time.UnixMilli(s.AcceptedAt)); age > 0 && age < time.Minute {
 		accepted = now.Add(-age)
--- a/internal/jobs/lead/schedule.go
+++ b/internal/jobs/lead/schedule.go
@@ -57,9 +57,12 @@
 
 // updateUrgency recomputes the urgency of a job. Jobs with long-running tasks are never late, since their value accrues
 // from the start.
-func (j *job) updateUrgency(now time.Time) {
-	j.urgency = urgency{priority: j.spec.Priority, deadline: j.deadline}
-	j.urgency.late = !j.spec.IsLongRunning() && now.Add(j.remainingTime()).After(j.deadline)
+func (j *job) updateUrgency(now time.Time) { j.urgency = j.urgencyAt(now) }
+
+func (j *job) urgencyAt(now time.Time) urgency {
+	u := urgency{priority: j.spec.Priority, deadline: j.deadline}
+	u.late = !j.spec.IsLongRunning() && now.Add(j.remainingTime()).After(j.deadline)
+	return u
 }
 
 // remainingTime returns the declared run time of the longest chain of unfinished steps, and 0 for a job of several
@@ -88,8 +91,9 @@
 }
 
 // compareUrgency returns a negative number if a is more urgent than b.
-func compareUrgency(a, b *job) int {
-	x, y := &a.urgency, &b.urgency
+func compareUrgency(a, b *job) int { return a.urgency.compare(&b.urgency) }
+
+func (x *urgency) compare(y *urgency) int {
 	if c := cmp.Compare(x.priority, y.priority); c != 0 {
 		return c
 	}
