--- a/internal/jobs/intake/admit.go
+++ b/internal/jobs/intake/admit.go
@@ -103,17 +103,31 @@
 	if a.accepting[id] > 0 {
 		return fcast.Decision{Admit: true, Reason: fcast.AlreadyStored}, a.accept(id, &fcast.Ask{})
 	}
-	rejectedAt := a.rejecting[rejectedClass{ask.Pool, ask.Priority}]
-	d := fcast.Decide(a.forecast, *ask, fcast.Since{
-		Age: now.Sub(a.computedAt), Work: a.recent.Work(ask.Pool, ask.Priority),
-		IsRejecting: !rejectedAt.IsZero() && now.Sub(rejectedAt) < rejectingTime,
-	})
+	d := a.evaluate(ask, now)
 	if !d.Admit {
 		return d, nil
 	}
 	return d, a.accept(id, ask)
 }
 
+// evaluate decides about a job without recording the decision; a.mu is held.
+func (a *Admission) evaluate(ask *fcast.Ask, now time.Time) fcast.Decision {
+	rejectedAt := a.rejecting[rejectedClass{ask.Pool, ask.Priority}]
+	return fcast.Decide(a.forecast, *ask, fcast.Since{
+		Age: now.Sub(a.computedAt), Work: a.recent.Work(ask.Pool, ask.Priority),
+		IsRejecting: !rejectedAt.IsZero() && now.Sub(rejectedAt) < rejectingTime,
+	})
+}
+
+// Preview returns the decision about a job that would be submitted now for the first time, and changes nothing. RetryAfter
+// is the shortest that its caller could get.
+func (a *Admission) Preview(j *spec.Job) fcast.Decision {
+	ask := fcast.NewAsk(j)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.evaluate(&ask, time.Now())
+}
+
 // accept counts a job as being stored; a.mu is held.
 func (a *Admission) accept(id spec.ID, ask *fcast.Ask) *fcast.Accepted {
 	a.accepting[id]++
--- a/internal/jobs/intake/admit_test.go
+++ b/internal/jobs/intake/admit_test.go
@@ -100,6 +100,9 @@
 				a, j := newAdmission(memory.New()), heavyJob(1)
 				a.update(t, 20*time.Second)
 				test.prepare(t, a, j)
+				if d := a.Preview(j); test.rejected && (d.Admit || d.Wait != 20*time.Second) {
+					t.Errorf("preview %+v; want a rejection for 20 s of work", d)
+				}
 				began := time.Now()
 				out := a.submit(t, j)
 				took := time.Since(began)
--- a/internal/role/jobs/entry.go
+++ b/internal/role/jobs/entry.go
@@ -74,6 +74,7 @@
 	network      *agentNetwork
 	listener     net.Listener
 	sessions     sess.Config
+	explaining   sync.Mutex // held while a request of Explain is in progress
 }
 
 // NewEntry returns an entry and opens its listener for sessions; it returns an error if the address cannot be bound.
--- a/internal/role/jobs/leader.go
+++ b/internal/role/jobs/leader.go
@@ -37,6 +37,7 @@
 	lastNumber uint64                        // of a request
 	pending    map[uint64]chan *wire.JobTell // requests without a reply, by number
 	forecast   *wire.JobForecast             // last received
+	explained  *wire.JobExplained            // last received
 }
 
 func newLeaderClient(self string, l *lead.Leader, cfg sess.Config) *leaderClient {
@@ -245,6 +246,10 @@
 		c.reply(m)
 	case *wire.JobForecast:
 		c.receiveForecast(m)
+	case *wire.JobExplained:
+		c.mu.Lock()
+		c.explained = m
+		c.mu.Unlock()
 	}
 }
 
