--- a/cmd/trefoilramp/cell.go
+++ b/cmd/trefoilramp/cell.go
@@ -54,6 +54,7 @@
 	return group("cell", "run multi-step jobs on the users' platform",
 		roleCommand("entry", "accept jobs and lead the cell", cellEntryUsage, setup.LoadCellEntry, runCellEntry),
 		roleCommand("agent", "execute commands of the leader on a worker", cellAgentUsage, setup.LoadCellAgent, runCellAgent),
+		cellExplainCommand(),
 	)
 }
 
@@ -93,7 +94,8 @@
 		{name: "callers", address: s.Callers, handler: d.wrap(callers)},
 		{name: "readiness", address: s.Readiness, handler: platform.ReadinessHandler(d.isReady)},
 	}
-	servers = append(servers, metricServer(s.Process.Administration, set)...)
+	explain := &platform.ExplainHandler{Explainer: e, Queues: e.Queues()}
+	servers = append(servers, administrationServer(s.Process.Administration, set, explain)...)
 	return runCell(ctx, cellProcess{
 		log: log, out: out, set: set, guard: g, role: "entry", run: e.Run, servers: servers, drainer: d,
 		grace:  time.Duration(s.Process.Grace),
@@ -134,7 +136,7 @@
 		return err
 	}
 	servers := []*server{{name: "announcements", address: s.Announcements, handler: platform.AnnouncementHandler(a.Driver(), s.Service, log)}}
-	servers = append(servers, metricServer(s.Process.Administration, set)...)
+	servers = append(servers, administrationServer(s.Process.Administration, set, nil)...)
 	return runCell(ctx, cellProcess{
 		log: log, out: out, set: set, guard: g, role: "agent", run: a.Run, servers: servers, grace: time.Duration(s.Process.Grace),
 		reload: func() error { _, err := setup.LoadCellAgent(settingsPath); return err },
@@ -147,13 +149,16 @@
 	return guard.New(guard.Config{Limits: limits, Metrics: set, Log: log})
 }
 
-// metricServer returns a server for metrics, or none if the address is empty.
-func metricServer(address string, set *metric.Set) []*server {
+// administrationServer returns a server for metrics and, unless it is nil, explain, or none if the address is empty.
+func administrationServer(address string, set *metric.Set, explain http.Handler) []*server {
 	if address == "" {
 		return nil
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", set.Handler())
+	if explain != nil {
+		mux.Handle("POST "+platform.ExplainPath, explain)
+	}
 	return []*server{{name: "administration", address: address, handler: mux, response: metricsBytes}}
 }
 
--- a/cmd/trefoilramp/main_test.go
+++ b/cmd/trefoilramp/main_test.go
@@ -122,6 +122,11 @@
 		{"load --experiment missing.json", 2, "", "name a readable file"},
 		{"load --experiment doc.json", 2, "", "correct it and check it again with --check"},
 		{"load --compare doc.json missing.json", 2, "", "report"},
+		{"cell explain --address 127.0.0.1:1 --queue q", 2, "", "needs FILE"},
+		{"cell explain --address 127.0.0.1 --queue q doc.json", 2, "", "is not HOST:PORT"},
+		{"cell explain --address 127.0.0.1:1 --queue q missing.json", 2, "", "name a readable file"},
+		{"cell explain --address 127.0.0.1:1 --queue q doc.json", 1, "", "connection refused"},
+		{"cell explain --address " + strings.TrimPrefix(p.env[0], "TREFOILRAMP_ADDRESS=http://") + " --queue q doc.json", 2, "", "is not the Administration"},
 		{"version", 0, "trefoilramp", ""},
 	}
 	for _, tt := range tests {
