Reserve processors for more urgent jobs first

Cause: the shares for jobs that have moved up and for large ones were divided by age over all priorities. Older jobs of a lower priority, which get no capacity before more urgent ones, could take the whole allowance, so that a more urgent job that had waited for MaxWait did not move up for as long as the overload lasted.

Change: reservations are sorted by priority first.

Result: TestLowerPriorityLeavesShare fails before (the more urgent job is not moved up) and passes now; the values of TestOverload, which has one priority, are as before by construction.

--- a/internal/jobs/order/order_test.go
+++ b/internal/jobs/order/order_test.go
@@ -297,6 +297,19 @@
 	}
 }
 
+// Guards against a job that never moves up because older jobs of a lower priority, which get no capacity before it, take the
+// share of the processors for jobs that have moved up.
+func TestLowerPriorityLeavesShare(t *testing.T) {
+	urgent := (&work{tasks: 20, runTime: time.Second, estimate: time.Second, arrival: start.Add(-order.MaxWait)}).job(start)
+	older := (&work{tasks: 20, runTime: time.Second, estimate: time.Second, arrival: start.Add(-2 * order.MaxWait)}).job(start)
+	older.Priority = 1
+	older.Sequence = 1
+	p := order.Planner{Policy: order.Policy{MoveUp: true}}
+	if e := p.Plan(start, []order.Job{older, urgent}, order.Room{BestEffort: 10_000})[0]; e.Index != 1 || !e.MovedUp {
+		t.Errorf("first in the order is %+v; want the job of the higher priority, moved up", e)
+	}
+}
+
 // Guards against decisions by a few outliers, against images without runs that ignore their queue, and against unbounded
 // memory for images that callers name.
 func TestRunTimes(t *testing.T) {
--- a/internal/jobs/order/reserve.go
+++ b/internal/jobs/order/reserve.go
@@ -8,6 +8,7 @@
 
 // reservation holds the criteria by which reserved processors are given to a job.
 type reservation struct {
+	priority int
 	class    class // 0 for a job that has begun
 	deadline int64 // ns since 1970
 	sequence int
@@ -18,7 +19,9 @@
 	if j.Begun {
 		c = 0
 	}
-	return reservation{class: c, deadline: j.Deadline.UnixNano(), sequence: j.Sequence, index: int32(index)}
+	return reservation{
+		priority: j.Priority, class: c, deadline: j.Deadline.UnixNano(), sequence: j.Sequence, index: int32(index),
+	}
 }
 
 // moveUp reserves movedUpShare of the processors for the jobs that have waited for MaxWait, the oldest first. A job that
@@ -73,10 +76,12 @@
 	p.raise(jobs, &allowed, ReasonLarge)
 }
 
-// raise puts the jobs in p.reserve first that the allowance suffices for: those that have begun, then by class and deadline.
+// raise puts the jobs in p.reserve first that the allowance suffices for: by priority, then those that have begun, then by class
+// and deadline. A less urgent job gets no capacity before more urgent ones, so it must not take their allowance either.
 func (p *Planner) raise(jobs []Job, allowed *allowance, reason Reason) {
 	slices.SortFunc(p.reserve, func(a, b reservation) int {
-		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.deadline, b.deadline), cmp.Compare(a.sequence, b.sequence))
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.class, b.class), cmp.Compare(a.deadline, b.deadline),
+			cmp.Compare(a.sequence, b.sequence))
 	})
 	for _, r := range p.reserve {
 		j := &jobs[r.index]
