Reject forecasts whose age overflows a duration

Cause: an age of math.MaxInt64 ms passed Check and became -1 ms, so that a forecast of any age counted as new.

Change: Check limits the age to an hour; leaders send at most some hundred ms.

Result: the new case of TestForecastOutOfRange fails before and passes now.

--- a/internal/jobs/fcast/fcast_test.go
+++ b/internal/jobs/fcast/fcast_test.go
@@ -204,7 +204,7 @@
 // Guards against a decision that depends on a forecast with figures out of range.
 func TestForecastOutOfRange(t *testing.T) {
 	for name, change := range map[string]func(f *fcast.Forecast){
-		"Age": func(f *fcast.Forecast) { f.Age = -1 }, "Entries": func(f *fcast.Forecast) { f.Entries = 1 << 40 },
+		"Age": func(f *fcast.Forecast) { f.Age = -1 }, "Age that overflows a duration": func(f *fcast.Forecast) { f.Age = math.MaxInt64 }, "Entries": func(f *fcast.Forecast) { f.Entries = 1 << 40 },
 		"Rate": func(f *fcast.Forecast) { f.Pools[0].Rate = math.NaN() }, "Running": func(f *fcast.Forecast) { f.Pools[0].Classes[0].Running = math.Inf(1) },
 		"Waiting": func(f *fcast.Forecast) { f.Pools[0].Classes[0].Waiting = nil }, "Factor": func(f *fcast.Forecast) { f.Ratios = []fcast.Ratio{{}} },
 	} {
--- a/internal/jobs/fcast/forecast.go
+++ b/internal/jobs/fcast/forecast.go
@@ -29,6 +29,7 @@
 	MaxRatios = 128
 
 	maxEntries = 10_000
+	maxAgeSent = int64(time.Hour / time.Millisecond) // largest Forecast.Age; a duration of any number of ms could overflow
 )
 
 // Pool identifies the capacity that tasks compete for: the workers of a service, and for best-effort tasks what other
@@ -78,7 +79,7 @@
 
 // Check returns an error that names the first invalid field.
 func (f *Forecast) Check() error {
-	if f.Age < 0 || f.Entries < 0 || f.Entries > maxEntries {
+	if f.Age < 0 || f.Age > maxAgeSent || f.Entries < 0 || f.Entries > maxEntries {
 		return errors.Newf("Age %d or Entries %d is out of range", f.Age, f.Entries)
 	}
 	if len(f.Pools) > MaxClasses || len(f.Ratios) > MaxRatios {
