Keep the learned run times of queues when callers name many images

Cause: queues and images share a limit of 1,024 means. Runs of as many images, whose names callers choose, removed the mean of a queue without runs in between, by which the speed of workers is judged.

Change: only images are replaced.

Result: the new check of TestRunTimes fails before (0 of 41 runs are known) and passes now.

--- a/internal/jobs/order/order_test.go
+++ b/internal/jobs/order/order_test.go
@@ -310,8 +310,8 @@
 	}
 }
 
-// Guards against decisions by a few outliers, against images without runs that ignore their queue, and against unbounded
-// memory for images that callers name.
+// Guards against decisions by a few outliers, against images without runs that ignore their queue, against unbounded
+// memory for images that callers name, and against a queue that is forgotten for them.
 func TestRunTimes(t *testing.T) {
 	const second = time.Second
 	k := order.Kind{Queue: "heavy", Image: "a", BestEffort: true}
@@ -342,6 +342,9 @@
 	if n := times.Len(); n > 1024 {
 		t.Errorf("%d means; want at most 1024", n)
 	}
+	if _, runs := times.Queue("heavy", true); runs != 41 {
+		t.Errorf("%d runs of a queue are known after those of 5000 images of its reserved tasks; want 41", runs)
+	}
 }
 
 // Guards against a burst of heavy jobs that are all begun at once and all late, and against a bound that leaves capacity to
--- a/internal/jobs/order/runtimes.go
+++ b/internal/jobs/order/runtimes.go
@@ -10,7 +10,7 @@
 	priorRuns   = 4    // runs that the fallback of a mean counts as, so that single runs decide little
 	maxResidual = 1.5  // natural logarithm by which one run may differ from the mean of an image; larger ones are clipped
 	maxRatio    = 10   // largest factor by which a declared run time is corrected either way
-	maxMeans    = 1024 // queues and images with a mean of their own; callers choose the names of images
+	maxMeans    = 1024 // queues and images with a mean; callers choose the names of images, the operator those of queues
 	// versionChange is the change of the logarithm of a ratio, about a tenth, that makes callers compute estimates again.
 	versionChange = 0.1
 )
@@ -85,8 +85,8 @@
 // Len returns the number of queues and images with a mean.
 func (t *RunTimes) Len() int { return len(t.means) }
 
-// mean returns the mean of a kind and creates it on first use, in place of the one that has been without runs for the
-// longest time if there are maxMeans.
+// mean returns the mean of a kind and creates it on first use, in place of the image that has been without runs for the
+// longest time if there are maxMeans. Means of queues stay, since the speed of workers is judged by them.
 func (t *RunTimes) mean(k Kind) *mean {
 	m := t.means[k]
 	if m != nil {
@@ -96,11 +96,13 @@
 		var oldest Kind
 		at := uint64(math.MaxUint64)
 		for o, v := range t.means {
-			if v.usedAt < at {
+			if o.Image != "" && v.usedAt < at {
 				oldest, at = o, v.usedAt
 			}
 		}
-		delete(t.means, oldest)
+		if oldest.Image != "" {
+			delete(t.means, oldest)
+		}
 	}
 	m = &mean{}
 	t.means[k] = m
