Bound the work and processors of a job in the order of jobs

Cause: callers may declare 2^40 thousandths of a processor and 2^33 ms for each of 20,000 tasks.

Change: order.Work and order.Processors bound the amounts of a step at 2^40.

Result: TestLargestJobsAreAShortage fails with the products as before (work 0) and passes now.

--- a/internal/jobs/lead/order.go
+++ b/internal/jobs/lead/order.go
@@ -156,8 +156,7 @@
 		if t.cfg.Order.LearnedTimes {
 			runTime = time.Duration(float64(runTime) * t.runTimes.Ratio(kindOf(j, s)))
 		}
-		perTask := s.Size.Processors * runTime.Milliseconds() / 1000
-		d.total += perTask * int64(s.Count)
+		d.total += order.Work(s.Size.Processors, runTime, s.Count)
 		isReady := true
 		for _, a := range s.After {
 			ends[i] = max(ends[i], ends[a])
@@ -165,7 +164,7 @@
 		}
 		if left := s.Count - j.done[i]; left > 0 {
 			ends[i] += runTime
-			d.work += perTask * int64(left)
+			d.work += order.Work(s.Size.Processors, runTime, left)
 			if isReady {
 				d.addReady(j, i)
 			}
@@ -180,7 +179,7 @@
 func (d *demand) addReady(j *job, step int) {
 	s := &j.spec.Steps[step]
 	first, end := j.span(0, step)
-	var waiting, running int64
+	waiting, running := 0, 0
 	for i := first; i < end; i++ {
 		switch task := &j.tasks[i]; {
 		case task.done:
@@ -191,11 +190,11 @@
 		}
 	}
 	if s.BestEffort {
-		d.using.BestEffort += running * s.Size.Processors
-		d.wanted.BestEffort += waiting * s.Size.Processors
+		d.using.BestEffort += order.Processors(s.Size.Processors, running)
+		d.wanted.BestEffort += order.Processors(s.Size.Processors, waiting)
 	} else {
-		d.using.Counted += running * s.Size.Processors
-		d.wanted.Counted += waiting * s.Size.Processors
+		d.using.Counted += order.Processors(s.Size.Processors, running)
+		d.wanted.Counted += order.Processors(s.Size.Processors, waiting)
 	}
 }
 
--- a/internal/jobs/order/order_test.go
+++ b/internal/jobs/order/order_test.go
@@ -310,6 +310,21 @@
 	}
 }
 
+// Guards against the largest jobs that callers may declare, whose sums overflow: capacity then seems to suffice.
+func TestLargestJobsAreAShortage(t *testing.T) {
+	jobs := make([]order.Job, 1000)
+	for i := range jobs {
+		jobs[i].Wanted.Counted = order.Processors(1<<40, 20_000)
+		jobs[i].WorkLeft = order.Work(1<<40, (1<<33)*time.Millisecond, 20_000)
+		if jobs[i].WorkLeft <= 0 {
+			t.Fatalf("work %d", jobs[i].WorkLeft)
+		}
+	}
+	if !order.IsShort(jobs, order.Room{Counted: 1 << 40}) {
+		t.Errorf("the requests of %d jobs of %d processors do not exceed those of one", len(jobs), jobs[0].Wanted.Counted/1000)
+	}
+}
+
 // Guards against decisions by a few outliers, against images without runs that ignore their queue, against unbounded
 // memory for images that callers name, and against a queue that is forgotten for them.
 func TestRunTimes(t *testing.T) {
--- a/internal/jobs/order/policy.go
+++ b/internal/jobs/order/policy.go
@@ -70,6 +70,20 @@
 	Counted, BestEffort int64
 }
 
+// maxAmount bounds the work and the processors of a step. Callers may declare 2^40 thousandths of a processor and 2^33 ms for
+// each of 20,000 tasks; with this bound, the sums over 80,000 jobs of 100 steps fit into 63 bits.
+const maxAmount = 1 << 40
+
+// Work returns the work of some tasks of a step, in processor-milliseconds, and maxAmount for more.
+func Work(processors int64, runTime time.Duration, tasks int) int64 {
+	return int64(min(maxAmount, float64(processors)/1000*float64(runTime.Milliseconds())*float64(tasks)))
+}
+
+// Processors returns the processors of some tasks of a step, in thousandths, and maxAmount for more.
+func Processors(perTask int64, tasks int) int64 {
+	return int64(min(maxAmount, float64(perTask)*float64(tasks)))
+}
+
 func (r Room) sum() int64 { return r.Counted + r.BestEffort }
 
 // Reason states why a job may begin.
