Leave steps that no worker can run out of the requests in the order of jobs

Cause: a job whose tasks are larger than all workers, or need a label that none has, waits for ever with the earliest deadline. After 30 s without a run it took the whole share for jobs that have moved up, so that no other job moved up; it also counted as a shortage, and as the one job that may begin without room.

Change: the leader knows the largest worker by service and label, and the tasks of other steps count as requested only if they fit.

Result: TestJobWithoutWorkerDoesNotMoveUp fails before (the job moves up) and passes now.

--- a/internal/jobs/lead/fleet.go
+++ b/internal/jobs/lead/fleet.go
@@ -4,6 +4,8 @@
 	"container/list"
 	"math/rand/v2"
 	"slices"
+
+	"trefoilramp.org/trefoilramp/internal/core/sizes"
 )
 
 // fleet orders the workers of a cell so that a placement looks at a bounded number of them.
@@ -110,3 +112,27 @@
 	}
 	return found
 }
+
+// workerSet identifies the workers of a service with a label, or all of them if the label is empty.
+type workerSet struct {
+	service, label string
+}
+
+// largestWorkers returns the largest amount of each resource that a worker has, by set of workers.
+func (t *Term) largestWorkers() map[workerSet]sizes.Resources {
+	found := make(map[workerSet]sizes.Resources)
+	for _, w := range t.workers {
+		if !w.synced {
+			continue
+		}
+		add := func(label string) {
+			k := workerSet{w.state.Service, label}
+			found[k] = found[k].Max(w.state.Capacity)
+		}
+		add("")
+		for _, l := range w.state.Labels {
+			add(l)
+		}
+	}
+	return found
+}
--- a/internal/jobs/lead/order.go
+++ b/internal/jobs/lead/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,6 +31,7 @@
 type demand struct {
 	isKnown       bool
 	version       uint64 // of the learned run times
+	fleetVersion  uint64 // see Term.largestVersion
 	chain         time.Duration
 	work, total   int64 // processor-milliseconds
 	isLarge       bool
@@ -40,6 +42,10 @@
 // begin start last, on processors that no job in progress could use.
 func (t *Term) scheduleByPolicy(ctx context.Context, now time.Time) {
 	t.updatePlanned()
+	if largest := t.largestWorkers(); !maps.Equal(largest, t.largest) {
+		t.largest = largest
+		t.largestVersion++
+	}
 	t.planJobs = t.planJobs[:0]
 	for _, j := range t.planned {
 		t.planJobs = append(t.planJobs, t.planJob(j))
@@ -145,10 +151,10 @@
 // demandOf returns the demand of a job without a schedule.
 func (t *Term) demandOf(j *job) *demand {
 	d := &j.demand
-	if d.isKnown && d.version == t.runTimes.Version() {
+	if d.isKnown && d.version == t.runTimes.Version() && d.fleetVersion == t.largestVersion {
 		return d
 	}
-	*d = demand{isKnown: true, version: t.runTimes.Version()}
+	*d = demand{isKnown: true, version: t.runTimes.Version(), fleetVersion: t.largestVersion}
 	ends := make([]time.Duration, len(j.spec.Steps))
 	for i := range j.spec.Steps {
 		s := &j.spec.Steps[i]
@@ -166,7 +172,7 @@
 			ends[i] += runTime
 			d.work += order.Work(s.Size.Processors, runTime, left)
 			if isReady {
-				d.addReady(j, i)
+				d.addReady(j, i, t.hasLargeEnough(j, s))
 			}
 		}
 		d.chain = max(d.chain, ends[i])
@@ -175,8 +181,18 @@
 	return d
 }
 
-// addReady adds the tasks of a step that run or may start.
-func (d *demand) addReady(j *job, step int) {
+// hasLargeEnough reports whether the tasks of a step fit into a worker, as far as its capacity and labels tell. Other tasks
+// request nothing: they would take the reserved shares from jobs that can use them, for as long as they wait.
+func (t *Term) hasLargeEnough(j *job, s *spec.Step) bool {
+	largest, ok := t.largest[workerSet{j.spec.Service, s.Label}]
+	if !ok || !s.Reserved().Fits(largest) {
+		return false
+	}
+	return !s.BestEffort || float64(s.Size.Processors) <= (1+maxOvercommit)*float64(largest.Processors)
+}
+
+// addReady adds the tasks of a step that run, and those that may start if a worker is large enough for them.
+func (d *demand) addReady(j *job, step int, mayStart bool) {
 	s := &j.spec.Steps[step]
 	first, end := j.span(0, step)
 	waiting, running := 0, 0
@@ -185,7 +201,7 @@
 		case task.done:
 		case len(task.runs) > 0:
 			running++
-		default:
+		case mayStart:
 			waiting++
 		}
 	}
--- a/internal/jobs/lead/order_test.go
+++ b/internal/jobs/lead/order_test.go
@@ -142,6 +142,30 @@
 	})
 }
 
+// Guards against a job that no worker can run and that takes the share of the processors for old jobs as long as it waits.
+func TestJobWithoutWorkerDoesNotMoveUp(t *testing.T) {
+	core, logged := observer.New(zapcore.InfoLevel)
+	large, labelled, late := heavyJob(1), heavyJob(2), heavyJob(3)
+	large.Steps[0].Size.Processors, labelled.Steps[0].Label = 6000, "missing"
+	inCluster(t, func(c *cluster) {
+		c.log, c.policy = zap.New(core), allRules
+		c.plan = func(wire.Run) runs.Plan { return runs.Plan{RunTime: time.Second, ProcessorUsage: 1000} }
+		c.addEntry("entry-1")
+		c.addHost("host-1", 4000)
+		time.Sleep(3 * time.Second)
+		c.submit(large)
+		c.submit(labelled)
+		time.Sleep(order.MaxWait + 2*time.Second)
+		if n := logged.FilterMessage("job moved up").Len(); n > 0 {
+			t.Errorf("%d jobs moved up that no worker could run", n)
+		}
+		c.addHost("host-2", 16_000)
+		c.submit(late)
+		c.awaitState(large.ID, rows.Done, time.Minute)
+		c.awaitState(late.ID, rows.Done, time.Minute)
+	})
+}
+
 // Guards against best-effort runs that count by their elapsed time: runs that got a quarter of their processors took four
 // times as long and needed what was declared.
 func TestRunTimesCountProcessorTime(t *testing.T) {
--- a/internal/jobs/lead/outlook.go
+++ b/internal/jobs/lead/outlook.go
@@ -238,7 +238,7 @@
 		if v := t.outlookOf(j); v.isCounted {
 			t.addWork(j, v, now)
 			if mayStart {
-				t.addBlocked(j, v, largest[j.spec.Service], now)
+				t.addBlocked(j, v, largest[workerSet{service: j.spec.Service}], now)
 			}
 		}
 	}
@@ -314,17 +314,6 @@
 	}
 }
 
-// largestWorkers returns the largest amount of each resource that a worker has, by service.
-func (t *Term) largestWorkers() map[string]sizes.Resources {
-	found := make(map[string]sizes.Resources)
-	for _, w := range t.workers {
-		if w.synced {
-			found[w.state.Service] = found[w.state.Service].Max(w.state.Capacity)
-		}
-	}
-	return found
-}
-
 func (o *outlook) addQueue(q queueKind) {
 	if o.queues == nil {
 		o.queues = make(map[queueKind]struct{})
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -11,6 +11,7 @@
 	"trefoilramp.org/trefoilramp/internal/conf/queues"
 	"trefoilramp.org/trefoilramp/internal/core/event"
 	"trefoilramp.org/trefoilramp/internal/core/queue"
+	"trefoilramp.org/trefoilramp/internal/core/sizes"
 	"trefoilramp.org/trefoilramp/internal/jobs/impact"
 	"trefoilramp.org/trefoilramp/internal/jobs/order"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
@@ -149,10 +150,12 @@
 	loadPeriod     *impact.PeriodEstimate // period of the loads of serving tasks
 	runTimes       *order.RunTimes
 	planner        order.Planner
-	planJobs       []order.Job // of the last call of the planner
-	planned        []*job      // in the order of planJobs
-	lastPlanned    []*job      // in the order of the last plan
-	planCount      int         // jobs that have been planned
+	planJobs       []order.Job                   // of the last call of the planner
+	planned        []*job                        // in the order of planJobs
+	lastPlanned    []*job                        // in the order of the last plan
+	planCount      int                           // jobs that have been planned
+	largest        map[workerSet]sizes.Resources // see largestWorkers, at the last plan
+	largestVersion uint64                        // number of changes of largest
 	jobSizes       *order.Sizes
 	admission      admission // of the job that is being scheduled
 	startLimit     int64     // processors that its tasks may still request, in thousandths; 0 for no limit, negative for none
