Use one time at which a job has lost its value

The forecast computed again what job.lastUseful holds; the two differed only for jobs with a target of more than six years.

--- a/internal/jobs/lead/outlook.go
+++ b/internal/jobs/lead/outlook.go
@@ -84,7 +84,6 @@
 type jobOutlook struct {
 	isKnown   bool
 	isCounted bool                       // not of a job with a schedule or with long-running tasks
-	usefulEnd time.Time                  // when the job has lost all value
 	work      [workKinds]float64         // of the unfinished tasks
 	smallest  [workKinds]sizes.Resources // amounts that each task which counts as evidence of a full pool exceeds or equals
 	has       [workKinds]bool            // the job has such tasks
@@ -102,10 +101,6 @@
 	if !o.isCounted {
 		return o
 	}
-	if o.usefulEnd.IsZero() {
-		allowed := j.spec.Allowed(maxDeadline)
-		o.usefulEnd = j.deadline.Add(min((fcast.ValueFactor-1)*allowed, maxDeadline))
-	}
 	o.work, o.has = [workKinds]float64{}, [workKinds]bool{}
 	for i := range j.spec.Steps {
 		s := &j.spec.Steps[i]
@@ -279,7 +274,7 @@
 // of 130 of 200 jobs were done while they had value (TestAdmissionWithWrongEstimates, run times right, 60 s).
 func (t *Term) addWork(j *job, v *jobOutlook, now time.Time) {
 	running := float64(j.left-j.waiting) / float64(max(1, j.left))
-	left := v.usefulEnd.Sub(now)
+	left := j.lastUseful.Sub(now)
 	for k := range workKinds {
 		c := v.classes[k]
 		if c == nil {
--- a/internal/jobs/order/plan.go
+++ b/internal/jobs/order/plan.go
@@ -14,7 +14,7 @@
 	classReserved              // gets a share of the processors that is reserved for jobs that have moved up or are large
 	classOnTime
 	classLateExempt
-	classLate      // has still value to its caller
+	classLate      // still has value to its caller
 	classWorthless // is expected to end after LastUseful
 )
 
