Leave evacuated zones out of the capacity in the order of jobs

Cause: the free processors of workers in evacuated zones, which get no runs, counted as present. Under an evacuation the leader took capacity for sufficient and applied no rules, which are made for this case.

Change: Term.room counts only workers that may get runs. serveAt serves on all hosts of a cluster instead of two.

Result: TestBurstDuringEvacuation fails before (8 of 8 jobs in progress instead of at most 2, three times of three) and passes now, ten times of ten with the race detector.

--- a/internal/jobs/lead/order.go
+++ b/internal/jobs/lead/order.go
@@ -214,11 +214,11 @@
 	}
 }
 
-// room returns the capacity of the cell that is not in use.
+// room returns the capacity that is not in use, without that of evacuated zones.
 func (t *Term) room(now time.Time) order.Room {
 	var r order.Room
 	for _, w := range t.workers {
-		if !w.acceptsRuns() {
+		if !w.acceptsRuns() || !t.allowsStart(w, now) {
 			continue
 		}
 		r.Counted += max(0, w.free().Processors)
--- a/internal/jobs/lead/order_test.go
+++ b/internal/jobs/lead/order_test.go
@@ -86,7 +86,7 @@
 func serveAt(c *cluster, tail int) {
 	serving := job(100, 1, 2)
 	serving.Steps[0] = spec.Step{
-		Count: 2, PerWorker: 1, Size: sizes.Resources{Processors: 4000}, LongRunning: true, Image: "serving", Target: 100,
+		Count: len(c.hosts), PerWorker: 1, Size: sizes.Resources{Processors: 4000}, LongRunning: true, Image: "serving", Target: 100,
 	}
 	bestEffort := c.plan
 	c.plan = func(r wire.Run) runs.Plan {
@@ -123,6 +123,31 @@
 	}
 }
 
+// Guards against processors of an evacuated zone that count as present, so that all jobs of a burst begin on the other workers.
+func TestBurstDuringEvacuation(t *testing.T) {
+	const jobs, most = 8, 2
+	inCluster(t, func(c *cluster) {
+		c.policy, c.usesEvacuations = order.Policy{LimitBegun: true}, true
+		c.plan = func(wire.Run) runs.Plan { return runs.Plan{RunTime: time.Second, ProcessorUsage: 1000} }
+		c.addEntry("entry-1")
+		c.addHost("host-1", 4000)
+		time.Sleep(3 * time.Second)
+		serveAt(c, 85)
+		c.addHostIn("evacuated", "host-2", 64_000)
+		c.evacuate("evacuated", true)
+		time.Sleep(evacBound)
+		for n := range jobs {
+			c.submit(heavyJob(1 + n))
+		}
+		for n := range jobs {
+			c.awaitState(heavyJob(1+n).ID, rows.Done, 10*time.Minute)
+		}
+		if n := maxInProgress(c, jobs); n > most {
+			t.Errorf("%d of %d jobs in progress; want at most %d", n, jobs, most)
+		}
+	})
+}
+
 // Guards against a new leader that begins the jobs of a burst again from the first, or that leaves begun ones behind.
 func TestTakeoverDuringBurst(t *testing.T) {
 	const jobs, most = 12, 4 // one more than without a takeover, as a run of each may have just ended
