--- a/internal/jobs/lead/order_test.go
+++ b/internal/jobs/lead/order_test.go
@@ -86,7 +86,7 @@
 func serveAt(c *cluster, tail int) {
 	serving := job(100, 1, 2)
 	serving.Steps[0] = spec.Step{
-		Count: 2, PerWorker: 1, Size: sizes.Resources{Processors: 4000}, LongRunning: true, Image: "serving", Target: 100,
+		Count: len(c.hosts), PerWorker: 1, Size: sizes.Resources{Processors: 4000}, LongRunning: true, Image: "serving", Target: 100,
 	}
 	bestEffort := c.plan
 	c.plan = func(r wire.Run) runs.Plan {
@@ -123,6 +123,31 @@
 	}
 }
 
+// Guards against processors of an evacuated zone that count as present, so that all jobs of a burst begin on the other workers.
+func TestBurstDuringEvacuation(t *testing.T) {
+	const jobs, most = 8, 2
+	inCluster(t, func(c *cluster) {
+		c.policy, c.usesEvacuations = order.Policy{LimitBegun: true}, true
+		c.plan = func(wire.Run) runs.Plan { return runs.Plan{RunTime: time.Second, ProcessorUsage: 1000} }
+		c.addEntry("entry-1")
+		c.addHost("host-1", 4000)
+		time.Sleep(3 * time.Second)
+		serveAt(c, 85)
+		c.addHostIn("evacuated", "host-2", 64_000)
+		c.evacuate("evacuated", true)
+		time.Sleep(evacBound)
+		for n := range jobs {
+			c.submit(heavyJob(1 + n))
+		}
+		for n := range jobs {
+			c.awaitState(heavyJob(1+n).ID, rows.Done, 10*time.Minute)
+		}
+		if n := maxInProgress(c, jobs); n > most {
+			t.Errorf("%d of %d jobs in progress; want at most %d", n, jobs, most)
+		}
+	})
+}
+
 // Guards against a new leader that begins the jobs of a burst again from the first, or that leaves begun ones behind.
 func TestTakeoverDuringBurst(t *testing.T) {
 	const jobs, most = 12, 4 // one more than without a takeover, as a run of each may have just ended
@@ -142,6 +167,30 @@
 	})
 }
 
+// Guards against a job that no worker can run and that takes the share of the processors for old jobs as long as it waits.
+func TestJobWithoutWorkerDoesNotMoveUp(t *testing.T) {
+	core, logged := observer.New(zapcore.InfoLevel)
+	large, labelled, late := heavyJob(1), heavyJob(2), heavyJob(3)
+	large.Steps[0].Size.Processors, labelled.Steps[0].Label = 6000, "missing"
+	inCluster(t, func(c *cluster) {
+		c.log, c.policy = zap.New(core), allRules
+		c.plan = func(wire.Run) runs.Plan { return runs.Plan{RunTime: time.Second, ProcessorUsage: 1000} }
+		c.addEntry("entry-1")
+		c.addHost("host-1", 4000)
+		time.Sleep(3 * time.Second)
+		c.submit(large)
+		c.submit(labelled)
+		time.Sleep(order.MaxWait + 2*time.Second)
+		if n := logged.FilterMessage("job moved up").Len(); n > 0 {
+			t.Errorf("%d jobs moved up that no worker could run", n)
+		}
+		c.addHost("host-2", 16_000)
+		c.submit(late)
+		c.awaitState(large.ID, rows.Done, time.Minute)
+		c.awaitState(late.ID, rows.Done, time.Minute)
+	})
+}
+
 // Guards against best-effort runs that count by their elapsed time: runs that got a quarter of their processors took four
 // times as long and needed what was declared.
 func TestRunTimesCountProcessorTime(t *testing.T) {
--- a/internal/jobs/order/order_test.go
+++ b/internal/jobs/order/order_test.go
@@ -297,8 +297,36 @@
 	}
 }
 
-// Guards against decisions by a few outliers, against images without runs that ignore their queue, and against unbounded
-// memory for images that callers name.
+// Guards against a job that never moves up because older jobs of a lower priority, which get no capacity before it, take the
+// share of the processors for jobs that have moved up.
+func TestLowerPriorityLeavesShare(t *testing.T) {
+	urgent := (&work{tasks: 20, runTime: time.Second, estimate: time.Second, arrival: start.Add(-order.MaxWait)}).job(start)
+	older := (&work{tasks: 20, runTime: time.Second, estimate: time.Second, arrival: start.Add(-2 * order.MaxWait)}).job(start)
+	older.Priority = 1
+	older.Sequence = 1
+	p := order.Planner{Policy: order.Policy{MoveUp: true}}
+	if e := p.Plan(start, []order.Job{older, urgent}, order.Room{BestEffort: 10_000})[0]; e.Index != 1 || !e.MovedUp {
+		t.Errorf("first in the order is %+v; want the job of the higher priority, moved up", e)
+	}
+}
+
+// Guards against the largest jobs that callers may declare, whose sums overflow: capacity then seems to suffice.
+func TestLargestJobsAreAShortage(t *testing.T) {
+	jobs := make([]order.Job, 1000)
+	for i := range jobs {
+		jobs[i].Wanted.Counted = order.Processors(1<<40, 20_000)
+		jobs[i].WorkLeft = order.Work(1<<40, (1<<33)*time.Millisecond, 20_000)
+		if jobs[i].WorkLeft <= 0 {
+			t.Fatalf("work %d", jobs[i].WorkLeft)
+		}
+	}
+	if !order.IsShort(jobs, order.Room{Counted: 1 << 40}) {
+		t.Errorf("the requests of %d jobs of %d processors do not exceed those of one", len(jobs), jobs[0].Wanted.Counted/1000)
+	}
+}
+
+// Guards against decisions by a few outliers, against images without runs that ignore their queue, against unbounded
+// memory for images that callers name, and against a queue that is forgotten for them.
 func TestRunTimes(t *testing.T) {
 	const second = time.Second
 	k := order.Kind{Queue: "heavy", Image: "a", BestEffort: true}
@@ -329,6 +357,9 @@
 	if n := times.Len(); n > 1024 {
 		t.Errorf("%d means; want at most 1024", n)
 	}
+	if _, runs := times.Queue("heavy", true); runs != 41 {
+		t.Errorf("%d runs of a queue are known after those of 5000 images of its reserved tasks; want 41", runs)
+	}
 }
 
 // Guards against a burst of heavy jobs that are all begun at once and all late, and against a bound that leaves capacity to
