Bound the queue of log lines in bytes

Cause: the queue was bounded by 8,192 lines only. A refused request logs its path, up to 16 KiB (agents: the quoted worker ID, longer still), so clients could make a process hold over 128 MiB while its output is slow. Change: lines beyond 4 MiB in the queue are dropped and counted like others.

--- a/internal/ops/logs/logs_test.go
+++ b/internal/ops/logs/logs_test.go
@@ -49,6 +49,24 @@
 	}
 }
 
+// Load: lines of 64 KiB while the output blocks. Guards against a queue whose memory clients determine by what they make a
+// process log, 512 MiB of such lines.
+func TestQueueIsBoundedInBytes(t *testing.T) {
+	o := &output{release: make(chan struct{})}
+	w := logs.NewWriter(o)
+	line := append(bytes.Repeat([]byte("x"), 64<<10), '\n')
+	for range 200 {
+		if _, err := w.Write(line); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := w.Dropped(); n < 100 {
+		t.Errorf("%d lines dropped; want at least 100, so that at most 6.25 MiB are queued", n)
+	}
+	close(o.release)
+	w.Flush()
+}
+
 // sizes records the size of each write.
 type sizes struct {
 	mu      sync.Mutex
--- a/internal/ops/logs/writer.go
+++ b/internal/ops/logs/writer.go
@@ -11,6 +11,7 @@
 
 const (
 	ringLines  = 8192                  // capacity of the queue
+	ringBytes  = 4 << 20               // limit of its lines; those of refused requests can be longer than a header
 	batchBytes = 4 << 10               // limit of a batch: what a pipe takes whole (PIPE_BUF)
 	batchDelay = 20 * time.Millisecond // delay between the first line of a batch and its write
 )
@@ -19,6 +20,7 @@
 type Writer struct {
 	out           io.Writer
 	lines         *queue.Ring[[]byte]
+	queued        atomic.Int64 // bytes of lines
 	dropped       atomic.Uint64
 	flushRequests chan chan struct{}
 }
@@ -32,7 +34,9 @@
 
 // Write queues a copy of line, or drops it when the queue is full; it never blocks and never fails.
 func (w *Writer) Write(line []byte) (int, error) {
-	if !w.lines.TryPut(bytes.Clone(line)) {
+	n := int64(len(line))
+	if w.queued.Add(n) > ringBytes || !w.lines.TryPut(bytes.Clone(line)) {
+		w.queued.Add(-n)
 		w.dropped.Add(1)
 	}
 	return len(line), nil
@@ -59,6 +63,7 @@
 	for {
 		select {
 		case line := <-w.lines.Items():
+			w.queued.Add(-int64(len(line)))
 			batch.Write(line)
 			time.Sleep(batchDelay)
 			w.flush(&batch)
@@ -82,6 +87,7 @@
 		if !ok {
 			return
 		}
+		w.queued.Add(-int64(len(line)))
 		batch.Write(line)
 	}
 }
