Keep connections until the response is written, and charge pipelined headers

Cause: the phase Handling ended when the handler returned, but net/http writes a small response after that. A connection whose job had been stored could be closed for a new one, or for bytes, before or during that write. The fields of a pipelined header that arrives with the request before it were not charged while its body is read, up to 200 KiB a connection. A header that the byte budget has no space for got the response 400, which is false for a header within the limits. Change: Handling lasts until net/http reports the connection as idle or closes it, and a write counts as waiting for the client after 500 ms without progress. Each handler charges the fields of its own header. A refused header closes the connection.

--- a/internal/link/guard/conn.go
+++ b/internal/link/guard/conn.go
@@ -41,7 +41,7 @@
 	isExempt   atomic.Bool  // the peer has authenticated
 	isRefused  atomic.Bool  // the rest of the body is not read
 	isClosed   atomic.Bool  // removed from the ledger
-	isHandling atomic.Bool  // a handler runs
+	isHandling atomic.Bool  // a handler runs; unlike the phase Handling, it ends before the response is written
 	requests   atomic.Int64 // handled requests
 	headerHeld atomic.Int64 // bytes reserved for the header that is being read
 
@@ -66,7 +66,7 @@
 		c.seen = n
 		c.lines, c.size = c.lastFill, 0
 		if !c.chargeHeader() {
-			return 0, ErrOverload
+			return 0, c.refuseHeader()
 		}
 	}
 	n, err := c.Conn.Read(p)
@@ -80,13 +80,19 @@
 			c.lines += c.lastFill
 			c.size += n
 			if !c.chargeHeader() {
-				return 0, ErrOverload
+				return 0, c.refuseHeader()
 			}
 		}
 	}
 	return n, err
 }
 
+// refuseHeader closes the connection, so that net/http can't respond with 400, which is false for a header within the limits.
+func (c *Conn) refuseHeader() error {
+	c.abort()
+	return ErrOverload
+}
+
 // chargeHeader reserves the memory of a header with many lines or bytes.
 func (c *Conn) chargeHeader() bool {
 	var want int64
@@ -131,6 +137,7 @@
 // CloseWrite closes the direction to the client, after which net/http waits before it closes the connection, so that the
 // client can read a response that it gets before it has sent its whole request.
 func (c *Conn) CloseWrite() error {
+	c.pool.leave(c.id, Handling)
 	if t, ok := c.Conn.(*net.TCPConn); ok {
 		if err := t.CloseWrite(); err != nil {
 			return fmt.Errorf("close for writing: %w", err)
@@ -159,18 +166,23 @@
 	c.Conn.Close()
 }
 
-// begin records that a handler runs; fields is the number of fields of the header, which stays in memory meanwhile.
-func (c *Conn) begin(fields int) {
+// begin records that a handler runs. It reserves the memory of the header's fields, which stays in use meanwhile, and reports
+// false if it is not granted. Less may be held for a header that arrived with the request before it.
+func (c *Conn) begin(fields int) bool {
 	c.isHandling.Store(true)
 	c.pool.enter(c.id, Handling)
+	var want int64
+	if fields > freeLines {
+		want = int64(fields) * lineCost
+	}
 	held := c.headerHeld.Swap(0)
-	if held == 0 {
-		return
+	if want > held {
+		return c.pool.reserve(c, want-held)
 	}
-	if fields > freeLines {
-		held -= int64(fields) * lineCost
+	if want < held {
+		c.pool.mu.Lock()
+		c.pool.ledger.Release(c.id, held-want)
+		c.pool.mu.Unlock()
 	}
-	c.pool.mu.Lock()
-	c.pool.ledger.Release(c.id, max(0, held))
-	c.pool.mu.Unlock()
+	return true
 }
--- a/internal/link/guard/ledger.go
+++ b/internal/link/guard/ledger.go
@@ -13,6 +13,9 @@
 	// closingDivisor: connections that are being closed may hold a quarter of the budget before a holder is refused more.
 	// Their memory is in use until their goroutines have run: 600 headers of 2,200 fields took 96 MiB of 64 without this.
 	closingDivisor = 4
+	// writeGrace is how long the write of a response may make no progress before its connection can be closed for others:
+	// the caller of a job that has been stored would lose the response.
+	writeGrace = 500 * time.Millisecond
 )
 
 // ID identifies an open connection of a Ledger.
@@ -24,7 +27,7 @@
 
 // Phases of a connection.
 const (
-	Handling Phase = 1 << iota // a handler runs; without another phase the connection is not closed
+	Handling Phase = 1 << iota // from the start of a handler until its response is written; see isBusy
 	Reading                    // the process waits for bytes of a body
 	Writing                    // the process waits for the client to read the response
 )
@@ -72,11 +75,11 @@
 	id = l.add(address, now)
 	if l.byAddress[address] > l.limits.PerAddress {
 		r = PerAddress
-		victims = append(victims, l.closeIdlest(id, func(a *account) bool { return a.address == address }))
+		victims = append(victims, l.closeIdlest(id, func(a *account) bool { return a.address == address }, now))
 	}
 	if l.open > l.limits.Connections {
 		r = Connections
-		victims = append(victims, l.closeIdlest(id, func(*account) bool { return true }))
+		victims = append(victims, l.closeIdlest(id, func(*account) bool { return true }, now))
 	}
 	return id, victims, r
 }
@@ -98,13 +101,13 @@
 
 // closeIdlest chooses the connection to close among those that matches accepts: a holder, else one that has served no
 // request, else the one whose last progress is the longest ago. It chooses the connection id if there is no other.
-func (l *Ledger) closeIdlest(id ID, matches func(*account) bool) ID {
+func (l *Ledger) closeIdlest(id ID, matches func(*account) bool, now time.Time) ID {
 	own := l.find(id)
 	var worst *account
 	victim := id
 	for i := range l.accounts {
 		a := &l.accounts[i]
-		if a == own || !a.isOpen || a.isClosing || a.phases == Handling || !matches(a) {
+		if a == own || !a.isOpen || a.isClosing || l.isBusy(a, now) || !matches(a) {
 			continue
 		}
 		if worst == nil || a.isBefore(worst) {
@@ -115,6 +118,14 @@
 	return victim
 }
 
+// isBusy reports whether a request may have an effect whose response the client has not got, and does not wait for the client.
+func (l *Ledger) isBusy(a *account, now time.Time) bool {
+	if a.phases&Handling == 0 || a.phases&Reading != 0 {
+		return false
+	}
+	return a.phases&Writing == 0 || now.Before(a.deadline.Add(writeGrace-l.limits.StallTimeout))
+}
+
 func (a *account) isBefore(b *account) bool {
 	if x, y := a.held >= holderBytes, b.held >= holderBytes; x != y {
 		return x
@@ -166,7 +177,7 @@
 	best, most := -1, -1.0
 	for i := range l.accounts {
 		a := &l.accounts[i]
-		if !a.isOpen || a.isClosing || a.held == 0 || a.phases == Handling && a != own {
+		if !a.isOpen || a.isClosing || a.held == 0 || a != own && l.isBusy(a, now) {
 			continue
 		}
 		if w := a.weight(now); w > most {
@@ -223,11 +234,12 @@
 	}
 }
 
-// Complete records that a request has been served, and removes all bytes that the connection holds.
+// Complete records that a handler has returned, and removes all bytes that the connection holds. The phase Handling goes on
+// until the response is written.
 func (l *Ledger) Complete(id ID, now time.Time) {
 	if a := l.find(id); a != nil && !a.isClosing {
 		l.held -= a.held
-		a.held, a.hasServed, a.phases, a.last = 0, true, a.phases&Writing, now
+		a.held, a.hasServed, a.phases, a.last = 0, true, a.phases&^Reading, now
 	}
 }
 
--- a/internal/link/guard/server.go
+++ b/internal/link/guard/server.go
@@ -42,14 +42,23 @@
 	return &http.Server{
 		Handler: &handler{cfg}, ReadHeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout, MaxHeaderBytes: l.HeaderBytes,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			if t, ok := c.(interface{ NetConn() net.Conn }); ok { // TLS
-				c = t.NetConn()
+			return context.WithValue(ctx, connKey{}, withoutTLS(c))
+		},
+		ConnState: func(c net.Conn, s http.ConnState) {
+			if conn, ok := withoutTLS(c).(*Conn); ok && s == http.StateIdle { // the response is written
+				conn.pool.leave(conn.id, Handling)
 			}
-			return context.WithValue(ctx, connKey{}, c)
 		},
 	}
 }
 
+func withoutTLS(c net.Conn) net.Conn {
+	if t, ok := c.(interface{ NetConn() net.Conn }); ok {
+		return t.NetConn()
+	}
+	return c
+}
+
 // handler tracks the requests of a connection for the ledger.
 type handler struct {
 	cfg ServerConfig
@@ -62,9 +71,9 @@
 		h.cfg.Handler.ServeHTTP(w, r)
 		return
 	}
-	c.begin(len(r.Header))
+	isGranted := c.begin(len(r.Header))
 	defer c.end()
-	if h.cfg.Response > 0 && !c.pool.reserve(c, h.cfg.Response) {
+	if !isGranted || h.cfg.Response > 0 && !c.pool.reserve(c, h.cfg.Response) {
 		w.Header().Set("Connection", "close")
 		w.Header().Set("Retry-After", strconv.Itoa(int(time.Second.Seconds())))
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/link/guard/server_test.go
+++ b/internal/link/guard/server_test.go
@@ -50,7 +50,7 @@
 	metrics *metric.Set
 }
 
-// serve starts a server whose handler reads bodies at /read only.
+// serve starts a server whose handler reads bodies at /read only, and waits at /later.
 func serve(t *testing.T, l guard.Limits) *site {
 	t.Helper()
 	s := &site{pipeListener: &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}}
@@ -58,6 +58,9 @@
 	s.lines, s.metrics = lines, metric.New(nil)
 	g := guard.New(guard.Config{Limits: l, Metrics: s.metrics, Log: zap.New(core)})
 	srv := g.Server(guard.ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/later" {
+			time.Sleep(time.Millisecond)
+		}
 		if r.URL.Path != "/read" {
 			http.Error(w, "no route", http.StatusNotFound)
 			return
@@ -226,6 +229,71 @@
 }
 
 // A submission of 1 KiB on a connection that stays open, with and without a guard.
+// Load: pipelined requests whose second header, of 600 fields, arrives with the first one, and whose second body stops.
+// Guards against fields that no reservation covers because they were counted for the first header.
+func TestFieldsOfPipelinedHeaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := guard.Derive(32, 4100)
+		l.Bytes = 1 << 20
+		s := serve(t, l)
+		var fields strings.Builder
+		for i := range 600 {
+			fmt.Fprintf(&fields, "%x:\r\n", i)
+		}
+		request := "GET /later HTTP/1.1\r\nHost: a\r\n\r\n" + strings.Replace(post("/read", 2, "x"), "\r\n\r\n", "\r\n"+fields.String()+"\r\n", 1)
+		for range 10 {
+			_, r := s.dial(t, request)
+			res, err := http.ReadResponse(r, nil)
+			if err != nil {
+				break // the budget is used up
+			}
+			if _, err := io.Copy(io.Discard, res.Body); err != nil {
+				t.Fatal(err)
+			}
+			res.Body.Close()
+			synctest.Wait()
+		}
+		if s.lines.FilterMessage("byte budget for clients used up").Len() == 0 {
+			t.Error("the fields of 10 headers were not reserved")
+		}
+	})
+}
+
+// Load: a header that the budget has no space for. Guards against the response 400, which tells a caller within the limits
+// that its request is malformed.
+func TestHeaderBeyondBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := guard.Derive(32, 4100)
+		l.Bytes = 256 << 10
+		s := serve(t, l)
+		_, r := s.dial(t, "GET / HTTP/1.1\r\nHost: a\r\n"+strings.Repeat("a:\r\n", 2500)+"\r\n")
+		if res, err := http.ReadResponse(r, nil); err == nil {
+			res.Body.Close()
+			t.Errorf("status %d, want a closed connection", res.StatusCode)
+		}
+	})
+}
+
+// Load: the limit of connections is reached while a response is written. Guards against the loss of the response to a
+// request that may be stored, which net/http writes after the handler has returned.
+func TestResponseIsWrittenAtLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := guard.Derive(32, 4100)
+		l.Connections, l.PerAddress = 1, 1
+		s := serve(t, l)
+		_, first := s.dial(t, post("/read", 5, "12345"))
+		synctest.Wait() // the response is being written
+		_, r := s.dial(t, "")
+		if _, err := r.Peek(1); err == nil {
+			t.Error("the second connection was served")
+		}
+		expectOK(t, first)
+		synctest.Wait()
+		_, r = s.dial(t, post("/read", 5, "12345")) // the first connection is idle and can be closed
+		expectOK(t, r)
+	})
+}
+
 func BenchmarkRequest(b *testing.B) {
 	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if _, err := guard.ReadBody(r, bodyLimit); err != nil {
