Free the bytes of closed uploads at once

Cause: when a request was answered before its body had ended, net/http waits 500 ms before it closes the connection. If the guard had already closed it, its bytes counted meanwhile, so that callers were refused with 503 although the memory was free. Change: such a connection leaves the ledger when net/http begins to wait.

--- a/internal/link/guard/conn.go
+++ b/internal/link/guard/conn.go
@@ -40,6 +40,7 @@
 	listener   string
 	isExempt   atomic.Bool  // the peer has authenticated
 	isRefused  atomic.Bool  // the rest of the body is not read
+	isAborted  atomic.Bool  // closed for a limit
 	isClosed   atomic.Bool  // removed from the ledger
 	isHandling atomic.Bool  // a handler runs; unlike the phase Handling, it ends before the response is written
 	requests   atomic.Int64 // handled requests
@@ -137,6 +138,10 @@
 // CloseWrite closes the direction to the client, after which net/http waits before it closes the connection, so that the
 // client can read a response that it gets before it has sent its whole request.
 func (c *Conn) CloseWrite() error {
+	if c.isAborted.Load() { // net/http waits nevertheless, but the memory of the request is free
+		c.leave()
+		return nil
+	}
 	c.pool.leave(c.id, Handling)
 	if t, ok := c.Conn.(*net.TCPConn); ok {
 		if err := t.CloseWrite(); err != nil {
@@ -160,6 +165,7 @@
 
 // abort closes the connection and discards what the kernel has buffered for it; the reader or writer then removes it.
 func (c *Conn) abort() {
+	c.isAborted.Store(true)
 	if t, ok := c.Conn.(*net.TCPConn); ok {
 		_ = t.SetLinger(0) // fails only if the connection is already closed
 	}
