Let BenchmarkRequest run with -count

Cause: the servers were made once, so that each run after the first got closed ones. Change: each run makes its server.

--- a/internal/link/guard/server_test.go
+++ b/internal/link/guard/server_test.go
@@ -318,8 +318,12 @@
 		fmt.Fprint(w, "{}")
 	})
 	g := guard.New(guard.Config{Limits: guard.Derive(284, 4100), Log: zap.NewNop()})
-	for name, srv := range map[string]*http.Server{"plain": {Handler: h, ReadHeaderTimeout: time.Second}, "guarded": g.Server(guard.ServerConfig{Handler: h})} {
+	for _, name := range []string{"plain", "guarded"} {
 		b.Run(name, func(b *testing.B) {
+			srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+			if name == "guarded" {
+				srv = g.Server(guard.ServerConfig{Handler: h})
+			}
 			ln, err := (&net.ListenConfig{}).Listen(b.Context(), "tcp", "127.0.0.1:0")
 			if err != nil {
 				b.Fatal(err)
