Release the bytes of a header once

Cause: net/http reads ahead while a handler runs. If that read reserved bytes for the next header, the end of the request released them, and the next request did again, so that the budget could grow by up to 100 KiB a connection for the time of a request. Change: the end of a request also forgets what is reserved for a header, and a release is limited to what the connection holds. Result: TestBytesAreReleasedOnce fails before (-102,400 bytes held) and passes after.

--- a/internal/link/guard/ledger.go
+++ b/internal/link/guard/ledger.go
@@ -226,9 +226,10 @@
 	}
 }
 
-// Release removes bytes that the connection no longer holds.
+// Release removes bytes that the connection no longer holds, at most those that Complete has left.
 func (l *Ledger) Release(id ID, bytes int64) {
 	if a := l.find(id); a != nil && !a.isClosing {
+		bytes = min(bytes, a.held)
 		a.held -= bytes
 		l.held -= bytes
 	}
--- a/internal/link/guard/ledger_test.go
+++ b/internal/link/guard/ledger_test.go
@@ -149,6 +149,20 @@
 	}
 }
 
+// Load: a pipelined header that is counted while the request before it is handled, and released with the next one. Guards
+// against a budget that grows by such bytes, since the end of the first request has already released them.
+func TestBytesAreReleasedOnce(t *testing.T) {
+	c := newCrowd(1<<20, 10, 10)
+	id := c.open(t, other)
+	c.Enter(id, guard.Handling, c.now)
+	c.Reserve(id, 100<<10, c.now)
+	c.Complete(id, c.now)
+	c.Release(id, 100<<10)
+	if c.Held() != 0 {
+		t.Errorf("%d bytes held, want 0", c.Held())
+	}
+}
+
 // Load: silent connections up to the limit. Guards against new callers that are turned away, or used connections that are
 // closed, while connections that never sent a request stay.
 func TestSilentConnectionsYield(t *testing.T) {
--- a/internal/link/guard/server.go
+++ b/internal/link/guard/server.go
@@ -95,6 +95,7 @@
 	c.pool.mu.Lock()
 	c.pool.ledger.Complete(c.id, now)
 	c.pool.mu.Unlock()
+	c.headerHeld.Store(0) // a read during the handler may have reserved bytes for the next header
 	c.requests.Add(1)
 	c.isHandling.Store(false)
 }
