--- a/internal/link/guard/conn.go
+++ b/internal/link/guard/conn.go
@@ -46,6 +46,8 @@
 	requests   atomic.Int64 // handled requests
 	headerHeld atomic.Int64 // bytes reserved for the header that is being read
 
+	fieldsHeld int64 // bytes reserved for the fields of the handled request; used by the goroutine that serves it
+
 	// Used by the one reader at a time that net/http allows.
 	seen     int64 // value of requests at the last read of a header
 	lines    int   // of the header that is being read
@@ -138,7 +140,7 @@
 // CloseWrite closes the direction to the client, after which net/http waits before it closes the connection, so that the
 // client can read a response that it gets before it has sent its whole request.
 func (c *Conn) CloseWrite() error {
-	if c.isAborted.Load() { // net/http waits nevertheless, but the memory of the request is free
+	if c.isAborted.Load() && c.fieldsHeld == 0 { // net/http waits nevertheless, but holds only the header of the request
 		c.leave()
 		return nil
 	}
@@ -181,6 +183,7 @@
 	if fields > freeLines {
 		want = int64(fields) * lineCost
 	}
+	c.fieldsHeld = want
 	held := c.headerHeld.Swap(0)
 	if want > held {
 		return c.pool.reserve(c, want-held)
