--- a/internal/link/guard/conn.go
+++ b/internal/link/guard/conn.go
@@ -40,14 +40,11 @@
 	listener   string
 	isExempt   atomic.Bool  // the peer has authenticated
 	isRefused  atomic.Bool  // the rest of the body is not read
-	isAborted  atomic.Bool  // closed for a limit
 	isClosed   atomic.Bool  // removed from the ledger
 	isHandling atomic.Bool  // a handler runs; unlike the phase Handling, it ends before the response is written
 	requests   atomic.Int64 // handled requests
 	headerHeld atomic.Int64 // bytes reserved for the header that is being read
 
-	fieldsHeld int64 // bytes reserved for the fields of the handled request; used by the goroutine that serves it
-
 	// Used by the one reader at a time that net/http allows.
 	seen     int64 // value of requests at the last read of a header
 	lines    int   // of the header that is being read
@@ -140,10 +137,6 @@
 // CloseWrite closes the direction to the client, after which net/http waits before it closes the connection, so that the
 // client can read a response that it gets before it has sent its whole request.
 func (c *Conn) CloseWrite() error {
-	if c.isAborted.Load() && c.fieldsHeld == 0 { // net/http waits nevertheless, but holds only the header of the request
-		c.leave()
-		return nil
-	}
 	c.pool.leave(c.id, Handling)
 	if t, ok := c.Conn.(*net.TCPConn); ok {
 		if err := t.CloseWrite(); err != nil {
@@ -167,7 +160,6 @@
 
 // abort closes the connection and discards what the kernel has buffered for it; the reader or writer then removes it.
 func (c *Conn) abort() {
-	c.isAborted.Store(true)
 	if t, ok := c.Conn.(*net.TCPConn); ok {
 		_ = t.SetLinger(0) // fails only if the connection is already closed
 	}
@@ -183,7 +175,6 @@
 	if fields > freeLines {
 		want = int64(fields) * lineCost
 	}
-	c.fieldsHeld = want
 	held := c.headerHeld.Swap(0)
 	if want > held {
 		return c.pool.reserve(c, want-held)
