--- a/review/stand-3/proxy.go
+++ b/review/stand-3/proxy.go
@@ -16,9 +16,10 @@
 	delay  time.Duration // one way
 	ln     net.Listener
 
-	mu    sync.Mutex
-	cut   chan struct{}                 // closed when the cut ends; nil without a cut
-	conns map[*net.TCPConn]*net.TCPConn // by the connection of the client, that to the target
+	mu     sync.Mutex
+	cut    chan struct{}                 // closed when the cut ends; nil without a cut
+	conns  map[*net.TCPConn]*net.TCPConn // by the connection of the client, that to the target
+	silent map[*net.TCPConn]bool         // ends of connections on which nothing arrives any more
 }
 
 func newProxy(ctx context.Context, target string, delay time.Duration) (*proxy, error) {
@@ -26,7 +27,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{target: target, delay: delay, ln: ln, conns: make(map[*net.TCPConn]*net.TCPConn)}
+	p := &proxy{target: target, delay: delay, ln: ln, conns: make(map[*net.TCPConn]*net.TCPConn), silent: make(map[*net.TCPConn]bool)}
 	context.AfterFunc(ctx, func() { ln.Close() })
 	go p.accept(ctx)
 	return p, nil
@@ -47,6 +48,22 @@
 	}
 }
 
+// silence makes all connections that are open silent for good, without a reset, and returns their number. New ones work.
+func (p *proxy) silence() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for client, server := range p.conns {
+		p.silent[client], p.silent[server] = true, true
+	}
+	return len(p.conns)
+}
+
+func (p *proxy) isSilent(c *net.TCPConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent[c]
+}
+
 // resetConns resets a share of the connections that are open, at both ends, and returns their number.
 func (p *proxy) resetConns(share float64) int {
 	p.mu.Lock()
@@ -119,6 +136,8 @@
 	defer func() {
 		p.mu.Lock()
 		delete(p.conns, client)
+		delete(p.silent, client)
+		delete(p.silent, server)
 		p.mu.Unlock()
 	}()
 	var wg sync.WaitGroup
@@ -164,12 +183,15 @@
 		if !p.wait(ctx) {
 			return
 		}
+		if p.isSilent(to) {
+			continue
+		}
 		if _, err := to.Write(c.data); err != nil {
 			_ = from.Close() // it may be closed already
 			return
 		}
 	}
-	if p.wait(ctx) {
+	if p.wait(ctx) && !p.isSilent(to) {
 		_ = to.CloseWrite() // it may be closed already
 	}
 }
--- a/review/stand-3/stage.go
+++ b/review/stand-3/stage.go
@@ -118,14 +118,15 @@
 	}
 }
 
-// configure stores the operator's configuration.
-func (s *stage) configure(version uint64, attempts int) error {
-	b, err := platform.EncodeConfig(queues.Document{
-		Version: version, Services: []queues.Service{{Name: service}},
-		Queues: []queues.Queue{{
-			Name: "plans", Host: host, Prefix: prefix, Service: service, MaxAttempts: attempts, Stretch: 2, Objective: time.Second,
-		}},
-	})
+// configure stores the operator's configuration, with a queue for each further prefix.
+func (s *stage) configure(version uint64, attempts int, further ...string) error {
+	d := queues.Document{Version: version, Services: []queues.Service{{Name: service}}}
+	for _, p := range append([]string{prefix}, further...) {
+		d.Queues = append(d.Queues, queues.Queue{
+			Name: strings.Trim(p, "/"), Host: host, Prefix: p, Service: service, MaxAttempts: attempts, Stretch: 2, Objective: time.Second,
+		})
+	}
+	b, err := platform.EncodeConfig(d)
 	if err != nil {
 		return err
 	}
--- a/review/stand-3/stuck.go
+++ b/review/stand-3/stuck.go
@@ -226,7 +226,7 @@
 			address := addresses[n%len(addresses)]
 			wg.Go(func() {
 				j := job{Spec: "plan", Steps: []step{{Count: 11, CPU: shortCPU, MemMb: 100, EstRuntimeMs: 250}}}
-				if status := c.do(address, http.MethodPost, id, j); status != http.StatusOK {
+				if status := c.post(address, id, j); status != http.StatusOK {
 					s.logf("job %s: status %d", id, status)
 				}
 			})
--- a/review/stand-3/twice.go
+++ b/review/stand-3/twice.go
@@ -130,7 +130,7 @@
 	list := []*process{first, second}
 	for n := range 8 {
 		p := list[n%2]
-		status := t.c.do(p.callers, http.MethodPost, id, twiceJob)
+		status := t.c.post(p.callers, id, twiceJob)
 		if n > 0 || status != http.StatusOK {
 			t.s.logf("job %s at %s: status %d", id, p.name, status)
 		}
