review: show agents that exceed their memory beside large jobs

Two jobs of 20,000 tasks are accepted; the agents of the three workers send all starts at once, exceed 152 MB and are killed, and so again after each restart.

--- a/review/stand-3/large.go
+++ b/review/stand-3/large.go
@@ -45,7 +45,7 @@
 			return runs.Plan{Size: sizes.Resources{Processors: shortCPU}, RunTime: shortRunTime}
 		}
 	}
-	if err := s.configure(1, 4); err != nil {
+	if err := s.configure(1); err != nil {
 		return noCase, err
 	}
 	for i := range 3 {
@@ -92,13 +92,13 @@
 			accepted = append(accepted, id)
 		})
 		if i%10 == 9 {
-			s.logCauses()
+			s.logCauses(largeID, lastingID)
 		}
 		time.Sleep(largeEvery)
 	}
 	wg.Wait()
 	time.Sleep(finishTime)
-	s.logCauses()
+	s.logCauses(largeID, lastingID)
 	isBroken := false
 	asked := time.Now()
 	for _, id := range accepted {
@@ -127,9 +127,9 @@
 	return held, nil
 }
 
-// logCauses writes how many runs of the large job and of the job that lasts are at work, and how the others ended.
-func (s *stage) logCauses() {
-	for name, id := range map[string]string{"large": largeID, "lasting": lastingID} {
+// logCauses writes how many runs of some jobs are at work, and how the others ended.
+func (s *stage) logCauses(ids ...string) {
+	for _, id := range ids {
 		count := make(map[string]int)
 		for _, w := range s.workers {
 			for _, r := range w.Records() {
@@ -143,7 +143,7 @@
 				}
 			}
 		}
-		s.logf("%s job: runs %v", name, count)
+		s.logf("jobs %s*: runs %v", id, count)
 	}
 }
 
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -18,7 +18,7 @@
 )
 
 var cases = map[string]func(*stage) (int, error){
-	"large": playLarge, "silent": playSilent, "stuck": playStuck, "twice": playTwice,
+	"large": playLarge, "memory": playMemory, "silent": playSilent, "stuck": playStuck, "twice": playTwice,
 }
 
 func main() {
--- a/review/stand-3/silent.go
+++ b/review/stand-3/silent.go
@@ -31,7 +31,7 @@
 	s.plan = func(wire.Run) runs.Plan {
 		return runs.Plan{Size: sizes.Resources{Processors: shortCPU}, RunTime: shortRunTime}
 	}
-	if err := s.configure(1, 4); err != nil {
+	if err := s.configure(1); err != nil {
 		return noCase, err
 	}
 	for i := range 3 {
@@ -63,7 +63,7 @@
 		}
 		time.Sleep(contact + 50*time.Millisecond)
 		further = append(further, fmt.Sprintf("/further-%d/", round))
-		if err := s.configure(uint64(2+round), 4, further...); err != nil {
+		if err := s.configure(uint64(2+round), further...); err != nil {
 			return noCase, err
 		}
 		acknowledged := time.Now()
--- a/review/stand-3/stage.go
+++ b/review/stand-3/stage.go
@@ -42,6 +42,7 @@
 	entryMemory   = 284
 	agentMemory   = 152
 	startDeadline = 15 * time.Second
+	maxAttempts   = 4
 )
 
 type object map[string]any
@@ -119,11 +120,11 @@
 }
 
 // configure stores the operator's configuration, with a queue for each further prefix.
-func (s *stage) configure(version uint64, attempts int, further ...string) error {
+func (s *stage) configure(version uint64, further ...string) error {
 	d := queues.Document{Version: version, Services: []queues.Service{{Name: service}}}
 	for _, p := range append([]string{prefix}, further...) {
 		d.Queues = append(d.Queues, queues.Queue{
-			Name: strings.Trim(p, "/"), Host: host, Prefix: p, Service: service, MaxAttempts: attempts, Stretch: 2, Objective: time.Second,
+			Name: strings.Trim(p, "/"), Host: host, Prefix: p, Service: service, MaxAttempts: maxAttempts, Stretch: 2, Objective: time.Second,
 		})
 	}
 	b, err := platform.EncodeConfig(d)
--- a/review/stand-3/stuck.go
+++ b/review/stand-3/stuck.go
@@ -36,7 +36,7 @@
 		}
 		return runs.Plan{Size: sizes.Resources{Processors: shortCPU}, RunTime: shortRunTime}
 	}
-	if err := s.configure(1, 4); err != nil {
+	if err := s.configure(1); err != nil {
 		return noCase, err
 	}
 	for i := range 3 {
--- a/review/stand-3/twice.go
+++ b/review/stand-3/twice.go
@@ -31,7 +31,7 @@
 	s.plan = func(wire.Run) runs.Plan {
 		return runs.Plan{Size: sizes.Resources{Processors: shortCPU}, RunTime: twiceRunTime}
 	}
-	if err := s.configure(1, 4); err != nil {
+	if err := s.configure(1); err != nil {
 		return noCase, err
 	}
 	for i, cores := range []float64{0.8, 0.8, 0.11} {
