--- a/review/stand-3/silent.go
+++ b/review/stand-3/silent.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
