Send the cancels of released runs although the lease has expired

Cause: flush dropped the commands of a worker that the check of the leases had set back in the same turn, among them the cancels of released runs, which stayed marked as sent. A worker with such runs gets no runs, nor a lease if it has no others. The check was due in the turn of the first report of each worker that had restarted under its ID.

Ruled out: an agent that cannot carry the cancels out (E965 lists no pending runs), and lost refusals (no cancel was sent).

Why it works: commands are dropped only without a session, and the next session queues the cancels again. Starts are queued after the check of the leases in the same turn, so that none goes to a worker without a lease. A restart whose longest lease has passed makes no check due any more.

--- a/internal/core/event/jobs.go
+++ b/internal/core/event/jobs.go
@@ -61,6 +61,7 @@
 	ClientBytesExceeded Number = 962
 	ClientStalled       Number = 963
 	ClientInputExceeded Number = 964
+	WorkerWithheld      Number = 965
 )
 
 var jobEvents = []Entry{
@@ -121,4 +122,5 @@
 	{ClientBytesExceeded, zapcore.WarnLevel, "byte budget for clients used up", "Requests and responses in progress hold all bytes that clients may use; the connections that held the most for their progress were closed, or requests refused that had stored nothing.", "Find out who sends, by Remote; add entries or memory if the callers are legitimate."},
 	{ClientStalled, zapcore.InfoLevel, "stalled connection closed", "No byte of a body or a response has moved for the stall timeout.", "Check the client, by Remote, and the network if this persists."},
 	{ClientInputExceeded, zapcore.InfoLevel, "request over a limit refused", "A body, or a list in it, is longer than allowed; the request had no effect.", "Check the client, by Remote."},
+	{WorkerWithheld, zapcore.WarnLevel, "worker gets no runs", "For some seconds, a connected worker has had runs that the leader does not expect, or released runs that it may still start; it gets no runs until they are known to be gone. Cancels is the number of released runs whose cancel the leader counts as sent, Sent the number of the last command message in this session, and Received that of the last one that the agent had received.", "Check the worker and its agent if this persists."},
 }
--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -86,7 +86,7 @@
 	if m.Phase == wire.WorkerGone {
 		t.releaseAll(w, "worker has exited")
 		clear(w.suspectRuns)
-		w.synced = false
+		w.synced, w.out = false, nil
 		t.markReconciled(w)
 	}
 }
@@ -135,6 +135,7 @@
 			t.sendProfiles(w)
 		}
 		w.synced = true
+		t.logWithheld(w, m, now)
 		if !m.MoreEnds {
 			t.markReconciled(w)
 		}
--- a/internal/jobs/lead/outcome_test.go
+++ b/internal/jobs/lead/outcome_test.go
@@ -174,6 +174,44 @@
 	})
 }
 
+// heldLink is a session whose messages wait until open is closed, so that the events behind the first one are handled together.
+type heldLink struct {
+	*sent
+	open chan struct{}
+}
+
+func (l heldLink) Send(m wire.Message) error {
+	<-l.open
+	return l.sent.Send(m)
+}
+
+// Guards against a worker that gets no runs for good: the leader dropped the cancels of released runs when it checked the
+// leases right after the first report of a session, and counted them as sent.
+func TestCancelOfReleasedRunIsNotDropped(t *testing.T) {
+	for name, restartAge := range map[string]int64{"the check is due": 0, "the worker has restarted under its ID": 80_000} {
+		t.Run(name, func(t *testing.T) {
+			withRun(t, func(term *lead.Term, _ *sent, r wire.Run) {
+				time.Sleep(70 * time.Second) // the lease has expired
+				l := heldLink{&sent{}, make(chan struct{})}
+				term.Opened("host", l)
+				report := func() {
+					term.Message("host", l, &wire.WorkerState{
+						Incarnation: incarnation1, Service: "packing", Phase: wire.WorkerReady, Healthy: true, RestartAge: restartAge,
+					})
+					term.Message("host", l, &wire.RunReport{Incarnation: incarnation1, Complete: true, RequestLease: true})
+					time.Sleep(time.Second)
+				}
+				report()
+				close(l.open)
+				report()
+				if o := l.orders(); len(o) != 1 || len(o[0].Cancels) != 1 || o[0].Cancels[0] != r {
+					t.Errorf("commands %+v; want a cancel of %v", o, r)
+				}
+			})
+		})
+	}
+}
+
 // Guards against two runs of a task: a worker that had restarted under its ID took a deadline of its former incarnation, and
 // the leader counted with a shorter lease than the worker accepts.
 func TestLeaseOfRestartedWorker(t *testing.T) {
--- a/internal/jobs/lead/released.go
+++ b/internal/jobs/lead/released.go
@@ -13,6 +13,7 @@
 	releasedTTL      = 20 * time.Second // how long a released run is remembered
 	maxReleased      = 4096             // remembered runs
 	startPendingWarn = 5 * time.Second  // after which a start of unknown outcome is logged
+	withheldWarn     = 5 * time.Second  // after which a connected worker that gets no runs is logged
 )
 
 // releasedRun describes a run that the leader released without an end reported by its worker.
@@ -56,3 +57,24 @@
 	event.Log(t.cfg.Log, event.StartPending, zap.String("Task", r.key.Task), zap.Int("Run", r.key.Number),
 		zap.String("Worker", r.worker.state.Incarnation.ID), zap.Duration("Since", now.Sub(r.startedAt)))
 }
+
+// logWithheld logs once that a connected worker has long been without new runs because of runs that must be gone first.
+func (t *Term) logWithheld(w *worker, m *wire.RunReport, now time.Time) {
+	switch {
+	case len(w.unknownRuns)+len(w.suspectRuns) == 0:
+		w.withheldAt, w.isWithheld = time.Time{}, false
+	case w.withheldAt.IsZero():
+		w.withheldAt = now
+	case !w.isWithheld && now.Sub(w.withheldAt) >= withheldWarn:
+		w.isWithheld = true
+		cancels := 0
+		for _, isSent := range w.suspectRuns {
+			if isSent {
+				cancels++
+			}
+		}
+		event.Log(t.cfg.Log, event.WorkerWithheld, zap.String("Worker", w.state.Incarnation.ID),
+			zap.Int("Unexpected", len(w.unknownRuns)), zap.Int("Released", len(w.suspectRuns)), zap.Int("Cancels", cancels),
+			zap.Uint64("Sent", w.commandSeq), zap.Uint64("Received", m.LastOrders))
+	}
+}
--- a/internal/jobs/lead/restart.go
+++ b/internal/jobs/lead/restart.go
@@ -22,9 +22,14 @@
 // recordRestart records that a worker may have restarted under an ID at a given time or before, and stores it for the next
 // leader, which cannot learn of it from an agent out of its reach.
 func (t *Term) recordRestart(w *worker, id string, at time.Time) {
-	w.former.id, w.former.end = id, expiry(at, max(t.cfg.LeaseLimit, t.cfg.Lease))
-	t.expireBy(w.former.end)
-	if w.former.isStored || !time.Now().Before(w.former.end) {
+	end := expiry(at, max(t.cfg.LeaseLimit, t.cfg.Lease))
+	if !time.Now().Before(end) {
+		t.clearRestart(w)
+		return
+	}
+	w.former.id, w.former.end = id, end
+	t.expireBy(end)
+	if w.former.isStored {
 		return
 	}
 	event.Log(t.cfg.Log, event.WorkerRestarted, zap.String("Worker", id), zap.String("Agent", w.agent.Name),
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -340,12 +340,13 @@
 	return a
 }
 
-// flush sends the queued commands and acknowledgements to the agents.
+// flush sends the queued commands and acknowledgements to the connected agents, also those whose lease has expired since their
+// report: they hold the cancels that end the wait for a new lease. Starts are queued for none of them.
 func (t *Term) flush() {
 	for _, w := range t.fleet.outbox {
 		w.isQueued = false
-		if w.link == nil || !w.synced {
-			w.out = nil
+		if w.link == nil {
+			w.out = nil // agentOpened makes the next complete report decide about the runs again
 			continue
 		}
 		if w.durableEnd > w.ackedEnd {
--- a/internal/jobs/lead/worker.go
+++ b/internal/jobs/lead/worker.go
@@ -42,6 +42,8 @@
 	bestEffort   int                   // number of best-effort runs
 	unknownRuns  map[wire.Run]struct{} // unexpected runs in the last complete report, whose size may not be known
 	suspectRuns  map[wire.Run]bool     // released for an expired lease while their start was unconfirmed; true if a cancel was sent
+	withheldAt   time.Time             // since when reports show that the worker may get no runs; zero if it may
+	isWithheld   bool                  // WorkerWithheld was logged since
 	commandSeq   uint64                // number of the last command message
 	out          *wire.TaskOrders      // commands for the next flush
 	appliedEnd   uint64                // number of the last end applied
