Compare the runs of a large job without blocking the leader

Cause: the leader collected and sorted the run times of all tasks of a step for each of its runs, every 400 ms and at the end of each run, in the event loop that extends leases.

Evidence: E966, new, logs turns of the event loop of 200 ms or more by part. Ruled out by it: reports, commands, the check of the leases and the choice of workers.

Why it works: the run times of a step are sorted once for all runs of a check, and again only after 10 us a task, so that their cost no longer grows with the square of the job. The result of a check is the same.

--- a/internal/core/event/jobs.go
+++ b/internal/core/event/jobs.go
@@ -62,6 +62,7 @@
 	ClientStalled       Number = 963
 	ClientInputExceeded Number = 964
 	WorkerWithheld      Number = 965
+	TurnSlow            Number = 966
 )
 
 var jobEvents = []Entry{
@@ -123,4 +124,5 @@
 	{ClientStalled, zapcore.InfoLevel, "stalled connection closed", "No byte of a body or a response has moved for the stall timeout.", "Check the client, by Remote, and the network if this persists."},
 	{ClientInputExceeded, zapcore.InfoLevel, "request over a limit refused", "A body, or a list in it, is longer than allowed; the request had no effect.", "Check the client, by Remote."},
 	{WorkerWithheld, zapcore.WarnLevel, "worker gets no runs", "For some seconds, a connected worker has had runs that the leader does not expect, or released runs that it may still start; it gets no runs until they are known to be gone. Cancels is the number of released runs whose cancel the leader counts as sent, Sent the number of the last command message in this session, and Received that of the last one that the agent had received.", "Check the worker and its agent if this persists."},
+	{TurnSlow, zapcore.WarnLevel, "turn of the leader took long", "One turn of the leader's event loop took 200 ms or more, during which no lease was extended and no run started. Events, Leases, Starts, Watch and Commands are the times for events, the check of the leases, starts, the check of all runs, and commands.", "Check the load of the entry's instance; if it has processors to spare, report it with the log."},
 }
--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -395,7 +395,7 @@
 	if j.state.IsFinal() {
 		return
 	}
-	j.state, j.endedAt = s, now
+	j.state, j.endedAt, j.siblings = s, now, nil
 	t.markDirty(j)
 	t.commitNow = true
 	t.cfg.Meter.JobEnded(s, now.Sub(j.addedAt))
--- a/internal/jobs/lead/job.go
+++ b/internal/jobs/lead/job.go
@@ -64,6 +64,7 @@
 	remaining     time.Duration // see remainingTime; negative if unknown
 	blocks        map[blockKey]block
 	forecasts     map[int]*impact.Forecast // load forecasts of serving tasks, by step
+	siblings      map[int]*siblings        // by stepIndex
 	outlook       jobOutlook
 	credited      [workKinds]float64 // work of current runs that the rates include; see outlookCredit
 }
@@ -142,7 +143,10 @@
 	}
 	t.done = true
 	round, step := j.locate(ordinal)
-	j.done[round*len(j.offsets)+step]++
+	index := j.stepIndex(round, step)
+	if j.done[index]++; j.done[index] == j.spec.Steps[step].Count {
+		delete(j.siblings, index)
+	}
 	j.remaining = -1
 	j.demand.isKnown, j.outlook.isKnown = false, false
 	j.left--
--- a/internal/jobs/lead/schedule.go
+++ b/internal/jobs/lead/schedule.go
@@ -45,7 +45,6 @@
 			}
 		}
 	}
-	t.watchRuns(now)
 }
 
 // urgency orders jobs: by priority, then jobs that can meet their deadline first, then by deadline.
--- a/internal/jobs/lead/speed.go
+++ b/internal/jobs/lead/speed.go
@@ -1,7 +1,6 @@
 package lead
 
 import (
-	"slices"
 	"time"
 
 	"trefoilramp.org/trefoilramp/internal/jobs/order"
@@ -9,11 +8,10 @@
 )
 
 const (
-	minRatioRuns      = 12   // runs of a queue before its run time ratio is used
-	lateRatio         = 1.6  // times the reference run time after which an unfinished run counts as late
-	minSiblings       = 2    // sibling runs on other workers needed for a comparison
-	minProjectPercent = 10   // progress from which the run time of a sibling is projected
-	maxProjection     = 20.0 // cap on a projected run time, times the reference run time
+	minRatioRuns  = 12   // runs of a queue before its run time ratio is used
+	lateRatio     = 1.6  // times the reference run time after which an unfinished run counts as late
+	minSiblings   = 2    // sibling runs on other workers needed for a comparison
+	maxProjection = 20.0 // cap on a projected run time, times the reference run time
 	// minMeasuredPercent is the share of a best-effort run during which its processor time must have been measured.
 	minMeasuredPercent = 50
 )
@@ -33,24 +31,10 @@
 // returns false if neither is known.
 func (t *Term) referenceSeconds(r *run, now time.Time) (float64, bool) {
 	round, step := r.job.locate(r.ordinal)
-	first, end := r.job.span(round, step)
-	var list []float64
-	for i := first; i < end; i++ {
-		task := &r.job.tasks[i]
-		if task.runSeconds > 0 && task.doneOn != r.worker {
-			list = append(list, task.runSeconds)
-		}
-		for _, o := range task.runs {
-			if o.worker != r.worker && o.listed && o.percent >= minProjectPercent {
-				list = append(list, o.projectedSeconds(now))
-			}
-		}
+	if seconds, ok := r.job.siblingsOf(round, step, now).median(r.worker); ok {
+		return seconds, true
 	}
-	if len(list) < minSiblings {
-		return t.expectedSeconds(r)
-	}
-	slices.Sort(list)
-	return list[len(list)/2], true
+	return t.expectedSeconds(r)
 }
 
 // measuresSpeed reports whether the run time of r is a measure of the speed of its worker.
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -251,25 +251,35 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
+		var ev any
 		select {
 		case <-ctx.Done():
 			return errResigned
-		case ev := <-t.events.Items():
+		case ev = <-t.events.Items():
+		case <-timer.C:
+		}
+		s := newStopwatch()
+		if ev != nil {
 			if err := t.handle(ev); err != nil {
 				return err
 			}
 			if err := t.drain(); err != nil {
 				return err
 			}
-		case <-timer.C:
 		}
-		now := time.Now()
+		now := s.lap(&s.events)
 		t.wakeAt = now.Add(renewEvery)
 		t.expire(now)
+		s.lap(&s.leases)
 		t.schedule(ctx, now)
+		s.lap(&s.starts)
+		t.watchRuns(now)
+		s.lap(&s.watch)
 		t.flush()
 		t.retire(ctx, now)
 		t.commitIfDue(ctx, now)
+		s.lap(&s.commands)
+		s.logSlow(t.cfg.Log)
 		timer.Reset(max(time.Millisecond, time.Until(t.wakeAt)))
 	}
 }
--- a/internal/jobs/lead/watch.go
+++ b/internal/jobs/lead/watch.go
@@ -20,7 +20,7 @@
 
 // watchRuns finds stalled runs, stragglers and stalled workers, and moves or copies the affected runs.
 func (t *Term) watchRuns(now time.Time) {
-	if now.Sub(t.watchAt) < watchEvery {
+	if !t.mayGrant(now) || now.Sub(t.watchAt) < watchEvery {
 		return
 	}
 	t.watchAt = now
