--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -24,6 +24,7 @@
 		r.commandSeq, r.cancelling = 0, false // the start was sent in an earlier session or never
 	}
 	w.resetSuspects()
+	w.withheldAt, w.withheldLogged = time.Time{}, false
 	event.Log(t.cfg.Log, event.AgentOpened, zap.String("Agent", w.agent.Name), zap.Uint64("Token", t.token))
 	if err := ev.link.Send(&wire.LeadAdopt{Cell: t.cfg.Cell, Token: t.token}); err != nil {
 		ev.link.Close(err)
--- a/internal/jobs/lead/released.go
+++ b/internal/jobs/lead/released.go
@@ -62,11 +62,11 @@
 func (t *Term) logWithheld(w *worker, m *wire.RunReport, now time.Time) {
 	switch {
 	case len(w.unknownRuns)+len(w.suspectRuns) == 0:
-		w.withheldAt, w.isWithheld = time.Time{}, false
+		w.withheldAt, w.withheldLogged = time.Time{}, false
 	case w.withheldAt.IsZero():
 		w.withheldAt = now
-	case !w.isWithheld && now.Sub(w.withheldAt) >= withheldWarn:
-		w.isWithheld = true
+	case !w.withheldLogged && now.Sub(w.withheldAt) >= withheldWarn:
+		w.withheldLogged = true
 		cancels := 0
 		for _, isSent := range w.suspectRuns {
 			if isSent {
--- a/internal/jobs/lead/worker.go
+++ b/internal/jobs/lead/worker.go
@@ -21,43 +21,43 @@
 
 // worker is the leader's view of an agent and its worker.
 type worker struct {
-	agent        rows.Agent
-	rowVersion   uint64 // of the agent's row
-	link         Link   // nil while disconnected
-	state        wire.WorkerState
-	stateAt      time.Time          // when state was reported
-	reportedAt   time.Time          // when the last complete report arrived
-	synced       bool               // a complete report for this worker incarnation has arrived in this session
-	agentClock   int64              // reading of the agent's clock in its last report in this session, ms; 0 before
-	agentClockAt time.Time          // when that report arrived
-	parts        []*wire.ReportPart // of a report whose last message has not arrived
-	reconciled   bool               // no unknown run of an earlier leader can be left on the worker
-	leaseEnd     time.Time          // when the lease has certainly expired; zero if this leader has granted none
-	former       formerLease
-	lostAt       time.Time // when the last session was lost
-	runs         map[wire.Run]*run
-	used         sizes.Resources       // capacity reserved by runs
-	demand       int64                 // processors requested by all runs including best-effort ones, in thousandths
-	serving      int                   // number of serving runs
-	bestEffort   int                   // number of best-effort runs
-	unknownRuns  map[wire.Run]struct{} // unexpected runs in the last complete report, whose size may not be known
-	suspectRuns  map[wire.Run]bool     // released for an expired lease while their start was unconfirmed; true if a cancel was sent
-	withheldAt   time.Time             // since when reports show that the worker may get no runs; zero if it may
-	isWithheld   bool                  // WorkerWithheld was logged since
-	commandSeq   uint64                // number of the last command message
-	out          *wire.TaskOrders      // commands for the next flush
-	appliedEnd   uint64                // number of the last end applied
-	durableEnd   uint64                // number of the last end whose effects are durable
-	ackedEnd     uint64                // number of the last end acknowledged to the agent as durable
-	reliability  reliability
-	stalledSince time.Time               // since when the serving tasks are stalled; zero if they are not
-	sentWeights  map[impact.Pair]float64 // interference weights last sent to the agent
-	fleet        *fleet
-	index        int           // in fleet.shuffled
-	element      *list.Element // in fleet.recent
-	change       uint64        // number of the last change in the fleet
-	isQueued     bool          // in fleet.outbox
-	pressure     *pressure     // nil after a change
+	agent          rows.Agent
+	rowVersion     uint64 // of the agent's row
+	link           Link   // nil while disconnected
+	state          wire.WorkerState
+	stateAt        time.Time          // when state was reported
+	reportedAt     time.Time          // when the last complete report arrived
+	synced         bool               // a complete report for this worker incarnation has arrived in this session
+	agentClock     int64              // reading of the agent's clock in its last report in this session, ms; 0 before
+	agentClockAt   time.Time          // when that report arrived
+	parts          []*wire.ReportPart // of a report whose last message has not arrived
+	reconciled     bool               // no unknown run of an earlier leader can be left on the worker
+	leaseEnd       time.Time          // when the lease has certainly expired; zero if this leader has granted none
+	former         formerLease
+	lostAt         time.Time // when the last session was lost
+	runs           map[wire.Run]*run
+	used           sizes.Resources       // capacity reserved by runs
+	demand         int64                 // processors requested by all runs including best-effort ones, in thousandths
+	serving        int                   // number of serving runs
+	bestEffort     int                   // number of best-effort runs
+	unknownRuns    map[wire.Run]struct{} // unexpected runs in the last complete report, whose size may not be known
+	suspectRuns    map[wire.Run]bool     // released for an expired lease while their start was unconfirmed; true if a cancel was sent
+	withheldAt     time.Time             // since when reports of this session show that the worker may get no runs; zero if it may
+	withheldLogged bool                  // WorkerWithheld was logged since
+	commandSeq     uint64                // number of the last command message
+	out            *wire.TaskOrders      // commands for the next flush
+	appliedEnd     uint64                // number of the last end applied
+	durableEnd     uint64                // number of the last end whose effects are durable
+	ackedEnd       uint64                // number of the last end acknowledged to the agent as durable
+	reliability    reliability
+	stalledSince   time.Time               // since when the serving tasks are stalled; zero if they are not
+	sentWeights    map[impact.Pair]float64 // interference weights last sent to the agent
+	fleet          *fleet
+	index          int           // in fleet.shuffled
+	element        *list.Element // in fleet.recent
+	change         uint64        // number of the last change in the fleet
+	isQueued       bool          // in fleet.outbox
+	pressure       *pressure     // nil after a change
 }
 
 func newWorker(a rows.Agent, version uint64) *worker {
