Record the calls of agents to their workers, and the confirmation of starts

None of the metrics showed how many calls of an agent are open, of which kind, how old the oldest is and how they end, nor how long a start takes from the leader's command until a report lists its run.

--- a/cmd/trefoilramp/cell.go
+++ b/cmd/trefoilramp/cell.go
@@ -134,7 +134,7 @@
 		Cell: s.Process.Cell, Name: s.Process.Name, Zone: s.Process.AvailabilityZone, Address: s.Process.PeerAddress(),
 		Listen: s.Process.Sessions, Key: s.Process.Key.Bytes(),
 		Lease: workerLease(s.Process), Worker: platform.NewWorker(s.Worker),
-		Store: rows.NewMonitor(platform.NewStore(s.Process.Store), log, jobs.StoreMeter(set)), Guard: g, Log: log,
+		Store: rows.NewMonitor(platform.NewStore(s.Process.Store), log, jobs.StoreMeter(set)), Guard: g, Metrics: set, Log: log,
 	})
 	if err != nil {
 		return err
--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -257,6 +257,7 @@
 	t.creditReport(r, s.Percent)
 	if !r.listed {
 		r.job.begun = true
+		t.cfg.Meter.RunConfirmed(now.Sub(r.startedAt))
 		r.listed, r.firstSeenAt, r.firstPercent, r.progressedAt = true, now, s.Percent, now
 	}
 	if s.Percent > r.percent {
--- a/internal/jobs/lead/link_test.go
+++ b/internal/jobs/lead/link_test.go
@@ -160,6 +160,7 @@
 
 func (noMeter) Takeover()                          {}
 func (noMeter) RunStarted(time.Duration, bool)     {}
+func (noMeter) RunConfirmed(time.Duration)         {}
 func (noMeter) RunEnded(wire.EndCause)             {}
 func (noMeter) ReleasedRunFound()                  {}
 func (noMeter) ZonesEvacuated(int)                 {}
--- a/internal/jobs/lead/term.go
+++ b/internal/jobs/lead/term.go
@@ -66,6 +66,8 @@
 	Takeover()
 	// RunStarted counts a start of a run; untilFirst is the time since the job was added, isFirst its first run.
 	RunStarted(untilFirst time.Duration, isFirst bool)
+	// RunConfirmed records the time from the command to start a run until a report showed that it had begun.
+	RunConfirmed(took time.Duration)
 	// RunEnded counts the end of a run.
 	RunEnded(cause wire.EndCause)
 	// ReleasedRunFound counts a run that a worker listed after the leader had released it.
--- a/internal/ops/metric/catalogue.go
+++ b/internal/ops/metric/catalogue.go
@@ -64,6 +64,11 @@
 	JobsTurnedAway Name = "jobs_turned_away"
 	ForecastAge    Name = "forecast_age"
 	LogDropped     Name = "log_lines_dropped"
+	WorkerCalls    Name = "worker_calls"
+	WorkerSeconds  Name = "worker_call_seconds"
+	WorkerOpen     Name = "worker_calls_open"
+	WorkerOldest   Name = "worker_oldest_call_age"
+	ConfirmSeconds Name = "run_confirm_seconds"
 
 	ClientsTurnedAway Name = "clients_turned_away"
 	ClientConnections Name = "client_connections"
@@ -108,6 +113,11 @@
 	{JobsTurnedAway, Counter, []string{"reason"}, "Submitted jobs of steps that admission control rejected, by reason: Backlog or Returning."},
 	{ForecastAge, Gauge, nil, "Age of the forecast by which this entry admits jobs, in seconds; -1 without one, and 0 while admission control is off."},
 	{LogDropped, Gauge, nil, "Log lines dropped because the log queue was full or writing failed."},
+	{WorkerCalls, Counter, []string{"kind", "outcome"}, "Calls of this agent to its worker, by kind (Poll, Start, Stop or Pace) and outcome: done, refused, or failed if the outcome is unknown."},
+	{WorkerSeconds, Histogram, []string{"kind"}, "Time of a call of this agent to its worker, in seconds."},
+	{WorkerOpen, Gauge, []string{"kind"}, "Calls of this agent that its worker has not answered yet."},
+	{WorkerOldest, Gauge, []string{"kind"}, "Age of the oldest call that the worker has not answered yet, in seconds; 0 without one."},
+	{ConfirmSeconds, Histogram, nil, "Time from the command to start a run until a report shows that it has begun, in seconds."},
 	{ClientsTurnedAway, Counter, []string{"reason", "listener"}, "Connections closed and requests refused for a limit for clients, by limit and listener."},
 	{ClientConnections, Gauge, nil, "Open connections of clients, with those to the listener of sessions before their handshake has ended."},
 	{ClientBytes, Gauge, nil, "Bytes that requests and responses in progress may use."},
--- a/internal/role/jobs/agent.go
+++ b/internal/role/jobs/agent.go
@@ -19,12 +19,14 @@
 	"trefoilramp.org/trefoilramp/internal/link/guard"
 	"trefoilramp.org/trefoilramp/internal/link/sess"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/ops/metric"
 )
 
 const (
 	registerTimeout = 1500 * time.Millisecond // for a response of the store
 	registerRetry   = 400 * time.Millisecond  // delay after a failure
 	reregisterAfter = 5 * time.Second         // without a leader, after which the agent registers again
+	callsInterval   = time.Second             // between updates of the gauges of open calls
 )
 
 // errRowChanged is returned when the row of the agent has changed while its address was being stored.
@@ -42,6 +44,7 @@
 	Worker  driver.Worker
 	Store   rows.Store
 	Guard   *guard.Guard // of the listener for sessions; nil for no limits
+	Metrics *metric.Set
 	Log     *zap.Logger
 }
 
@@ -49,6 +52,7 @@
 type Agent struct {
 	cfg      AgentConfig
 	driver   *driver.Agent
+	calls    *driver.Monitor // of the worker
 	listener net.Listener
 	sessions sess.Config
 
@@ -60,7 +64,8 @@
 // NewAgent returns an agent and opens its listener for sessions; it returns an error if the address cannot be bound.
 func NewAgent(ctx context.Context, cfg AgentConfig) (*Agent, error) {
 	a := &Agent{cfg: cfg, links: make(map[*sess.Session]*link), ctx: ctx}
-	a.driver = driver.New(driver.Config{Worker: cfg.Worker, Lease: cfg.Lease, Log: cfg.Log})
+	a.calls = driver.NewMonitor(cfg.Worker, meter{cfg.Metrics})
+	a.driver = driver.New(driver.Config{Worker: a.calls, Lease: cfg.Lease, Log: cfg.Log})
 	a.sessions = sess.Config{
 		Self: wire.Hello{
 			Role: wire.RoleAgent, Name: cfg.Name, Incarnation: ident.NewIncarnation(),
@@ -91,6 +96,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { a.driver.Run(ctx) })
 	wg.Go(func() { a.register(ctx) })
+	wg.Go(func() { pause.Every(ctx, callsInterval, a.calls.Report) })
 	err := sess.Serve(ctx, a.listener, a.sessions, a)
 	wg.Wait()
 	return err
--- a/internal/role/jobs/jobs_test.go
+++ b/internal/role/jobs/jobs_test.go
@@ -114,7 +114,7 @@
 	name := w.Name
 	a, err := jobs.NewAgent(ctx, jobs.AgentConfig{
 		Cell: "main", Name: name, Zone: "agadir", Address: address, Listen: listen, Key: key, Lease: lease, Worker: w,
-		Store: s.Client(name), Log: zap.NewNop(),
+		Store: s.Client(name), Metrics: metric.New(nil), Log: zap.NewNop(),
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/role/jobs/meter.go
+++ b/internal/role/jobs/meter.go
@@ -4,6 +4,9 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"trefoilramp.org/trefoilramp/internal/host/driver"
 	"trefoilramp.org/trefoilramp/internal/jobs/fcast"
 	"trefoilramp.org/trefoilramp/internal/jobs/intake"
 	"trefoilramp.org/trefoilramp/internal/jobs/order"
@@ -12,7 +15,7 @@
 	"trefoilramp.org/trefoilramp/internal/ops/metric"
 )
 
-// meter records the metrics of an entry; it implements lead.Meter.
+// meter records the metrics of an entry or an agent; it implements lead.Meter and driver.CallMeter.
 type meter struct {
 	set *metric.Set
 }
@@ -28,6 +31,11 @@
 	}
 }
 
+// RunConfirmed implements lead.Meter.
+func (m meter) RunConfirmed(took time.Duration) {
+	m.set.Histogram(metric.ConfirmSeconds).RecordDuration(took)
+}
+
 // RunEnded implements lead.Meter.
 func (m meter) RunEnded(cause wire.EndCause) {
 	m.set.Counter(metric.RunsEnded, strings.TrimPrefix(cause.String(), "End")).Inc(1)
@@ -65,6 +73,24 @@
 // jobRejected counts jobs that admission control has rejected.
 func (m meter) jobRejected(r fcast.Reason) { m.set.Counter(metric.JobsTurnedAway, r.String()).Inc(1) }
 
+// CallEnded implements driver.CallMeter.
+func (m meter) CallEnded(kind driver.CallKind, took time.Duration, err error) {
+	outcome := "done"
+	if errors.HasType(err, (*driver.RefusedError)(nil)) {
+		outcome = "refused"
+	} else if err != nil {
+		outcome = "failed"
+	}
+	m.set.Counter(metric.WorkerCalls, kind.String(), outcome).Inc(1)
+	m.set.Histogram(metric.WorkerSeconds, kind.String()).RecordDuration(took)
+}
+
+// CallsOpen implements driver.CallMeter.
+func (m meter) CallsOpen(kind driver.CallKind, n int, oldest time.Duration) {
+	m.set.Gauge(metric.WorkerOpen, kind.String()).Update(float64(n))
+	m.set.Gauge(metric.WorkerOldest, kind.String()).Update(oldest.Seconds())
+}
+
 // StoreMeter returns a function that records the outcome and the duration of each call to a store.
 func StoreMeter(set *metric.Set) func(call string, took time.Duration, err error) {
 	return func(call string, took time.Duration, err error) {
