Limit the calls of an agent to its worker, and repeat them at a falling rate

Cause: an agent made a call for each start, stop, cancel and change of a pace at once, and repeated each unanswered stop every 100 ms in a loop of its own. On one core, 20,000 starts missed their limit of 350 ms, became stops, and the stops missed theirs, so that the overload outlived its cause. The poll that extends the lease missed its limit beside them.

Ruled out: the leader's turns (1.4 s at most while the leases still held), and a processor that is too slow for the work (with the calls limited it suffices). That the leader orders as fast as it can is true, but not the cause: with this change alone it still ordered 20,000 runs within a second, and the case held.

Why it works: commands wait in a queue. At most 24 calls are open, fewer while they go unanswered; a repetition has a share of them, waits up to 1 s, and is rarer the longer nothing is answered. Stops come first. A cancel has one call at a time, and a change of a pace replaces one that waits.

TestLeaseBesideManyStarts and TestUnansweredCommandsHaveBound failed before: 0 of 2,000 runs at work after 28,416 commands, and 7,700 (100 runs) and 154,000 (2,000 runs) commands in a minute without a response; both pass now, with at most 24 calls open and 70 a second.

--- a/internal/host/driver/agent.go
+++ b/internal/host/driver/agent.go
@@ -69,16 +69,21 @@
 	hasPollFailed    bool                    // the last poll failed
 	mayBeOther       bool                    // the worker may have restarted under the same ID since the last response
 	pacer            pacer
+	pacing           map[wire.Run]*paceCall // changes of paces that wait
+	queue            commandQueue
+	retryTimer       *time.Timer // calls dispatchDue
 	commands         sync.WaitGroup
-	hasEnded         bool // Run waits for commands, so that none may begin
+	hasEnded         bool // Run waits for the calls in progress, so that none may begin
 }
 
 // New returns an agent whose worker is unknown until its first announcement.
 func New(cfg Config) *Agent {
-	return &Agent{
+	a := &Agent{
 		cfg: cfg, wake: make(chan struct{}, 1), beganAt: time.Now(), pending: make(map[wire.Run]pendingRun),
-		stopping: make(map[wire.Run]uint64), pacer: newPacer(),
+		stopping: make(map[wire.Run]uint64), pacer: newPacer(), pacing: make(map[wire.Run]*paceCall), queue: newCommandQueue(),
 	}
+	a.retryTimer = time.AfterFunc(maxRetryPause, a.dispatchDue)
+	return a
 }
 
 func (a *Agent) signal() {
@@ -202,24 +207,25 @@
 	for _, r := range m.Stops {
 		if a.stopping[r] != h.token {
 			a.stopping[r] = h.token
-			a.commands.Go(func() { a.stop(ctx, h, r) })
+			a.enqueue(ctx, &stopCall{header: h, run: r})
 		}
 	}
 	for _, r := range m.Cancels {
+		isCancelled := a.pending[r].isCancelled // by a command that is repeated until the outcome is known
 		a.pending[r] = pendingRun{token: h.token, isCancelled: true}
-		a.commands.Go(func() {
-			a.cancelRun(ctx, h.incarnation, wire.RunRefused{Run: r, Reason: wire.RefusedSilent})
-		})
+		if !isCancelled {
+			a.enqueue(ctx, &cancelCall{incarnation: h.incarnation, refusal: wire.RunRefused{Run: r, Reason: wire.RefusedSilent}})
+		}
 	}
 	before := a.timeAt(m.StartBefore)
 	for _, s := range m.Starts {
 		a.pending[s.Run] = pendingRun{token: h.token}
 		a.pacer.addRun(s.RunProfile)
-		a.commands.Go(func() { a.start(ctx, h, s, before) })
+		a.enqueue(ctx, &startCall{header: h, command: s, before: before})
 	}
 }
 
-// Run polls the worker until ctx ends, and waits for the commands in progress.
+// Run polls the worker until ctx ends, and waits for the calls in progress.
 func (a *Agent) Run(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
@@ -255,6 +261,7 @@
 	}
 	a.mu.Lock()
 	a.hasEnded = true
+	a.retryTimer.Stop()
 	a.mu.Unlock()
 	a.commands.Wait()
 }
@@ -369,10 +376,7 @@
 		a.sendState()
 	}
 	a.resolvePending(request.Token, response, pendingBefore)
-	for _, p := range a.pacer.observe(response.Running, a.state.Capacity.Processors, time.Now()) {
-		h := a.header()
-		a.commands.Go(func() { a.pace(ctx, h, p) })
-	}
+	a.enqueuePaces(ctx, a.pacer.observe(response.Running, a.state.Capacity.Processors, time.Now()))
 	var ended []wire.RunEnd
 	for _, e := range response.Ended {
 		if e.Number > a.reported {
--- a/internal/host/driver/announce.go
+++ b/internal/host/driver/announce.go
@@ -138,6 +138,7 @@
 	a.synced, a.refused, a.mayBeOther, a.hasPollFailed = false, nil, false, false
 	clear(a.pending)
 	clear(a.stopping)
+	clear(a.pacing)
 	a.pacer = newPacer()
 	if a.cancelPoll != nil {
 		a.cancelPoll()
--- a/internal/host/driver/call.go
+++ b/internal/host/driver/call.go
@@ -8,17 +8,17 @@
 	"go.uber.org/zap"
 
 	"trefoilramp.org/trefoilramp/internal/core/event"
-	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
 
 const (
-	startTimeout    = 350 * time.Millisecond // of one attempt to start a run
-	startAttempts   = 3                      // a start without response is repeated; starts are idempotent
-	stopTimeout     = 700 * time.Millisecond // of one stop
-	stopRetryPause  = 100 * time.Millisecond // between failed stops
-	endedRetryPause = time.Second            // likewise while the worker counts as ended
-	paceTimeout     = 500 * time.Millisecond // of one change of a pace
+	startTimeout  = 350 * time.Millisecond // of one attempt to start a run
+	startAttempts = 3                      // a start without response is repeated; starts are idempotent
+	stopTimeout   = 700 * time.Millisecond // of one stop
+	minStopPause  = 100 * time.Millisecond // after the first failure of a stop
+	maxStopPause  = time.Second            // after many, and while the worker counts as ended
+	maxDoublings  = 4                      // of minStopPause
+	paceTimeout   = 500 * time.Millisecond // of one change of a pace
 )
 
 // errObsolete is returned for a command that must no longer be sent.
@@ -36,15 +36,8 @@
 }
 
 // isCurrent reports whether commands with h are still valid: neither the incarnation nor the leader has changed, and
-// the worker has not ended.
+// the worker has not ended. The caller holds mu.
 func (a *Agent) isCurrent(h header) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.isCurrentLocked(h)
-}
-
-// isCurrentLocked is isCurrent for callers that hold mu.
-func (a *Agent) isCurrentLocked(h header) bool {
 	return h.incarnation == a.state.Incarnation && h.token == a.token && !a.gone
 }
 
@@ -63,45 +56,74 @@
 	return a.beganAt.Add(time.Duration(clock-1) * time.Millisecond)
 }
 
-// start starts a run. A refusal speaks for its own attempt only: after an attempt without a response, which the worker
+// startCall starts a run. A refusal speaks for its own attempt only: after an attempt without a response, which the worker
 // may still execute, only a stop makes sure that the run does not begin.
-//
-// From before on, no attempt is made, and none continues: the worker's zone may be evacuated.
-func (a *Agent) start(ctx context.Context, h header, command wire.StartCommand, before time.Time) {
-	unanswered := 0
-	var lastRefusal wire.Refusal
-	for range startAttempts {
-		err := a.startOnce(ctx, h, command, before)
-		if errors.Is(err, errObsolete) {
-			break
-		}
-		if err == nil {
-			a.startDone(h, command.Run)
-			if command.BestEffort {
-				a.paceNewRun(ctx, h, command.Run)
-			}
-			return
-		}
-		if r := (*RefusedError)(nil); errors.As(err, &r) {
-			event.Log(a.cfg.Log, event.StartRefused, zap.String("Task", command.Task), zap.Int("Run", command.Number),
-				zap.Stringer("Reason", r.Reason), zap.Int("Unanswered", unanswered))
-			if unanswered == 0 {
-				a.startRefused(h, wire.RunRefused{Run: command.Run, Reason: r.Reason})
-				return
-			}
-			lastRefusal = r.Reason
-			break
-		}
-		event.Log(a.cfg.Log, event.StartUnanswered, zap.String("Task", command.Task),
-			zap.Int("Run", command.Number), zap.Error(err))
-		if errors.Is(err, ErrIncarnation) || errors.Is(err, ErrRestarted) {
-			break
-		}
-		if !errors.Is(err, ErrUnreachable) {
-			unanswered++
+type startCall struct {
+	header     header
+	command    wire.StartCommand
+	before     time.Time // no attempt is made, and none continues, from then on: the worker's zone may be evacuated
+	attempts   int
+	unanswered int
+}
+
+func (c *startCall) kind() CallKind { return CallStart }
+
+func (c *startCall) call(ctx context.Context, a *Agent) result {
+	err := a.startOnce(ctx, c.header, c.command, c.before)
+	r := (*RefusedError)(nil)
+	switch {
+	case err == nil:
+		a.startDone(ctx, c.header, c.command)
+		return result{reply: answered}
+	case errors.Is(err, errObsolete):
+		return result{next: a.cancelOf(c, 0)}
+	case errors.As(err, &r):
+		event.Log(a.cfg.Log, event.StartRefused, zap.String("Task", c.command.Task), zap.Int("Run", c.command.Number),
+			zap.Stringer("Reason", r.Reason), zap.Int("Unanswered", c.unanswered))
+		if c.unanswered > 0 {
+			return result{reply: answered, next: a.cancelOf(c, r.Reason)}
 		}
+		a.startRefused(c.header, wire.RunRefused{Run: c.command.Run, Reason: r.Reason})
+		return result{reply: answered}
+	}
+	event.Log(a.cfg.Log, event.StartUnanswered, zap.String("Task", c.command.Task),
+		zap.Int("Run", c.command.Number), zap.Error(err))
+	c.attempts++
+	if !errors.Is(err, ErrUnreachable) {
+		c.unanswered++
+	}
+	if c.attempts == startAttempts || isOther(err) {
+		return result{reply: replyOf(err), next: a.cancelOf(c, 0)}
 	}
-	a.cancelRun(ctx, h.incarnation, wire.RunRefused{Run: command.Run, Reason: wire.RefusedSilent, Cause: lastRefusal})
+	return result{reply: replyOf(err), next: c}
+}
+
+// cancelOf returns the command that makes sure that a run does not begin any more, or nil if there is one already or the
+// outcome of the start is known. Cause is the refusal of an attempt to start it, if there was one.
+func (a *Agent) cancelOf(c *startCall, cause wire.Refusal) command {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	p, isPending := a.pending[c.command.Run]
+	if !isPending || p.isCancelled || c.header.incarnation != a.state.Incarnation {
+		return nil
+	}
+	p.isCancelled = true
+	a.pending[c.command.Run] = p
+	return &cancelCall{
+		incarnation: c.header.incarnation,
+		refusal:     wire.RunRefused{Run: c.command.Run, Reason: wire.RefusedSilent, Cause: cause},
+	}
+}
+
+// isOther reports whether another incarnation of the worker has responded.
+func isOther(err error) bool { return errors.Is(err, ErrIncarnation) || errors.Is(err, ErrRestarted) }
+
+// replyOf returns how the worker replied to a call with an error.
+func replyOf(err error) reply {
+	if err == nil || isOther(err) || errors.HasType(err, (*RefusedError)(nil)) {
+		return answered
+	}
+	return unanswered
 }
 
 // startOnce attempts to start a pending run. Without an attempt, it returns errObsolete if the command is no longer valid, is
@@ -111,7 +133,7 @@
 	a.mu.Lock()
 	p, isPending := a.pending[command.Run]
 	now := time.Now()
-	if !isPending || p.isCancelled || !a.isCurrentLocked(h) || !now.Before(before) {
+	if !isPending || p.isCancelled || !a.isCurrent(h) || !now.Before(before) {
 		a.mu.Unlock()
 		return errObsolete
 	}
@@ -136,38 +158,52 @@
 	return err
 }
 
-// cancelRun makes sure that the worker does not start a pending run any more, stops it if it is running, and then reports
-// f. It retries until the outcome is known, whatever leaders come and go meanwhile.
-func (a *Agent) cancelRun(ctx context.Context, incarnation wire.WorkerIncarnation, f wire.RunRefused) {
-	for ctx.Err() == nil {
-		a.mu.Lock()
-		h, gone := a.header(), a.gone
-		p, isPending := a.pending[f.Run]
-		if h.incarnation != incarnation || !isPending {
-			a.mu.Unlock()
-			return
-		}
-		p.isCancelled = true
-		a.pending[f.Run] = p
-		a.mu.Unlock()
-		if a.stopOnce(ctx, h, f.Run) {
-			a.startRefused(h, f)
-			return
-		}
-		if gone {
-			pause.For(ctx, endedRetryPause)
-		} else {
-			pause.For(ctx, stopRetryPause)
-		}
+// cancelCall makes sure that the worker does not start a pending run any more, stops it if it is running, and then reports
+// its refusal. It is repeated until the outcome is known, whatever leaders come and go meanwhile.
+type cancelCall struct {
+	incarnation wire.WorkerIncarnation
+	refusal     wire.RunRefused
+	failures    int
+}
+
+func (c *cancelCall) kind() CallKind { return CallStop }
+
+func (c *cancelCall) call(ctx context.Context, a *Agent) result {
+	a.mu.Lock()
+	h, gone := a.header(), a.gone
+	_, isPending := a.pending[c.refusal.Run]
+	a.mu.Unlock()
+	if h.incarnation != c.incarnation || !isPending {
+		return result{}
+	}
+	err := a.stopOnce(ctx, h, c.refusal.Run)
+	if err == nil {
+		a.startRefused(h, c.refusal)
+		return result{reply: answered}
 	}
+	pause := stopPause(c.failures)
+	if gone {
+		pause = maxStopPause
+	}
+	c.failures++
+	return result{reply: replyOf(err), next: c, pause: pause}
+}
+
+// stopPause returns the pause after a stop that has failed after a number of earlier failures.
+func stopPause(failures int) time.Duration {
+	return min(minStopPause<<min(failures, maxDoublings), maxStopPause)
 }
 
-// startDone records that the worker has a run.
-func (a *Agent) startDone(h header, r wire.Run) {
+// startDone records that the worker has a run, and sets its pace before it interferes with serving tasks.
+func (a *Agent) startDone(ctx context.Context, h header, c wire.StartCommand) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if h.incarnation == a.state.Incarnation {
-		delete(a.pending, r)
+	if h.incarnation != a.state.Incarnation {
+		return
+	}
+	delete(a.pending, c.Run)
+	if c.BestEffort {
+		a.enqueuePaces(ctx, a.pacer.runStarted(c.Run, a.state.Capacity.Processors, time.Now()))
 	}
 }
 
@@ -189,61 +225,90 @@
 	a.report(nil, nil)
 }
 
-// stop stops a run and retries until the worker confirms it or lists its end, or the command is obsolete.
-func (a *Agent) stop(ctx context.Context, h header, r wire.Run) {
-	for ctx.Err() == nil && a.isCurrent(h) && a.isStopping(h, r) && !a.stopOnce(ctx, h, r) {
-		pause.For(ctx, stopRetryPause)
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.stopping[r] == h.token {
-		delete(a.stopping, r)
-	}
+// stopCall stops a run. It is repeated until the worker confirms it or lists the end of the run, or it is obsolete.
+type stopCall struct {
+	header   header
+	run      wire.Run
+	failures int
 }
 
-// isStopping reports whether the stop of a run with h is in progress, that is, the worker has not listed its end.
-func (a *Agent) isStopping(h header, r wire.Run) bool {
+func (c *stopCall) kind() CallKind { return CallStop }
+
+func (c *stopCall) call(ctx context.Context, a *Agent) result {
+	a.mu.Lock()
+	isDue := a.isCurrent(c.header) && a.stopping[c.run] == c.header.token
+	a.mu.Unlock()
+	var err error
+	if isDue {
+		if err = a.stopOnce(ctx, c.header, c.run); err != nil {
+			c.failures++
+			return result{reply: replyOf(err), next: c, pause: stopPause(c.failures - 1)}
+		}
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.stopping[r] == h.token
+	if a.stopping[c.run] == c.header.token {
+		delete(a.stopping, c.run)
+	}
+	if !isDue {
+		return result{}
+	}
+	return result{reply: answered}
 }
 
-// stopOnce stops a run and reports whether the worker confirmed it.
-func (a *Agent) stopOnce(ctx context.Context, h header, r wire.Run) bool {
+// stopOnce stops a run; without an error, the worker has confirmed it.
+func (a *Agent) stopOnce(ctx context.Context, h header, r wire.Run) error {
 	callCtx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
 	err := a.cfg.Worker.Stop(callCtx, h.incarnation, h.token, r)
 	if err != nil {
 		event.Log(a.cfg.Log, event.StopFailed, zap.String("Task", r.Task), zap.Int("Run", r.Number), zap.Error(err))
 	}
-	return err == nil
+	return err
 }
 
-// paceNewRun sets the pace of a run that has just started, before it interferes with serving tasks.
-func (a *Agent) paceNewRun(ctx context.Context, h header, r wire.Run) {
-	a.mu.Lock()
-	var list []paceCommand
-	if h.incarnation == a.state.Incarnation {
-		list = a.pacer.runStarted(r, a.state.Capacity.Processors, time.Now())
-	}
-	a.mu.Unlock()
+// paceCall sets the processor share of a run; later polls show whether it has to change again.
+type paceCall struct {
+	header header
+	pace   paceCommand // replaced by a later one while the call waits
+}
+
+func (c *paceCall) kind() CallKind { return CallPace }
+
+// enqueuePaces queues changes of paces. The caller holds mu.
+func (a *Agent) enqueuePaces(ctx context.Context, list []paceCommand) {
 	for _, p := range list {
-		a.pace(ctx, h, p)
+		if c := a.pacing[p.run]; c != nil {
+			c.header, c.pace = a.header(), p
+			continue
+		}
+		c := &paceCall{header: a.header(), pace: p}
+		a.pacing[p.run] = c
+		a.enqueue(ctx, c)
 	}
 }
 
-// pace sets the processor share of a run; later polls show whether it has to change again.
-func (a *Agent) pace(ctx context.Context, h header, p paceCommand) {
+func (c *paceCall) call(ctx context.Context, a *Agent) result {
+	a.mu.Lock()
+	h, p := c.header, c.pace
+	delete(a.pacing, p.run)
+	isCurrent := a.isCurrent(h)
+	a.mu.Unlock()
+	if !isCurrent {
+		return result{}
+	}
 	callCtx, cancel := context.WithTimeout(ctx, paceTimeout)
 	defer cancel()
-	if err := a.cfg.Worker.Pace(callCtx, h.incarnation, h.token, p.run, p.percent); err != nil {
+	err := a.cfg.Worker.Pace(callCtx, h.incarnation, h.token, p.run, p.percent)
+	if err != nil {
 		event.Log(a.cfg.Log, event.PaceFailed, zap.String("Task", p.run.Task), zap.Int("Run", p.run.Number),
 			zap.Int("Percent", p.percent), zap.Error(err))
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.pacer.markUnconfirmed(p.run, time.Now())
-		return
+		return result{reply: replyOf(err)}
 	}
 	event.Log(a.cfg.Log, event.RunPaced, zap.String("Task", p.run.Task), zap.Int("Run", p.run.Number),
 		zap.Int("Percent", p.percent), zap.Int("Tail", p.tail))
+	return result{reply: answered}
 }
--- a/internal/host/driver/driver_test.go
+++ b/internal/host/driver/driver_test.go
@@ -136,6 +136,15 @@
 
 // withAgent runs f in virtual time with an agent that has adopted a leader with token 5.
 func withAgent(t *testing.T, f func(ctx context.Context, a *driver.Agent, w *countingWorker, l *leader)) {
+	t.Helper()
+	withWrappedWorker(t, func(w *countingWorker) driver.Worker { return w }, f)
+}
+
+// withWrappedWorker is withAgent with calls to the worker that wrap returns.
+func withWrappedWorker(
+	t *testing.T, wrap func(*countingWorker) driver.Worker,
+	f func(ctx context.Context, a *driver.Agent, w *countingWorker, l *leader),
+) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -144,7 +153,7 @@
 			Plan: func(wire.Run) runs.Plan { return runs.Plan{RunTime: time.Second} },
 		}}
 		w.Restart(wire.WorkerIncarnation{ID: "w-1", StartedAt: 1})
-		a := driver.New(driver.Config{Worker: w, Lease: lease, Log: zap.NewNop()})
+		a := driver.New(driver.Config{Worker: wrap(w), Lease: lease, Log: zap.NewNop()})
 		var wg sync.WaitGroup
 		wg.Go(func() { a.Run(ctx) })
 		a.Announce(w.State(), 1)
--- a/internal/host/driver/monitor.go
+++ b/internal/host/driver/monitor.go
@@ -28,6 +28,8 @@
 	CallEnded(kind CallKind, took time.Duration, err error)
 	// CallsOpen records the number of calls without a response, and the age of the oldest of them.
 	CallsOpen(kind CallKind, n int, oldest time.Duration)
+	// CallsWaiting records the number of commands that wait for a call, and the time since the oldest of them was received.
+	CallsWaiting(kind CallKind, n int, oldest time.Duration)
 }
 
 // Monitor is a Worker that forwards calls to another worker and records them.
--- /dev/null
+++ b/internal/host/driver/overload_test.go
@@ -0,0 +1,165 @@
+package driver_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/host/driver"
+	"trefoilramp.org/trefoilramp/internal/link/wire"
+	"trefoilramp.org/trefoilramp/internal/stand/runs"
+)
+
+const (
+	callTime     = time.Millisecond // of the processor of a busyWorker
+	maxOpen      = 24               // commands that an agent may have open
+	maxPerSecond = 70               // commands a second without any response: maxOpen in each time limit of a start
+)
+
+// busyWorker has one processor, which carries out calls one after the other, also those whose caller has given up.
+type busyWorker struct {
+	*countingWorker
+	processor chan struct{}
+
+	mu       sync.Mutex
+	mute     bool // commands get no response and have no effect
+	open     int
+	maxOpen  int
+	commands int
+}
+
+func newBusyWorker(w *countingWorker) *busyWorker {
+	w.Capacity = sizes.Resources{Processors: 1 << 30, Memory: 1 << 40}
+	w.Plan = func(wire.Run) runs.Plan { return runs.Plan{RunTime: time.Hour} }
+	return &busyWorker{countingWorker: w, processor: make(chan struct{}, 1)}
+}
+
+// process waits for the processor, or until the caller gives up.
+func (w *busyWorker) process(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.processor <- struct{}{}
+		time.Sleep(callTime)
+		<-w.processor
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (w *busyWorker) Poll(ctx context.Context, request driver.PollRequest) (driver.PollResponse, error) {
+	if err := w.process(ctx); err != nil {
+		return driver.PollResponse{}, err
+	}
+	return w.countingWorker.Poll(ctx, request)
+}
+
+func (w *busyWorker) command(ctx context.Context, f func() error) error {
+	w.mu.Lock()
+	w.commands++
+	w.open++
+	w.maxOpen = max(w.maxOpen, w.open)
+	mute := w.mute
+	w.mu.Unlock()
+	defer func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.open--
+	}()
+	if mute {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if err := w.process(ctx); err != nil {
+		return err
+	}
+	return f()
+}
+
+func (w *busyWorker) Start(ctx context.Context, s driver.Start) error {
+	return w.command(ctx, func() error { return w.Worker.Start(ctx, s) })
+}
+
+func (w *busyWorker) Stop(ctx context.Context, incarnation wire.WorkerIncarnation, token uint64, r wire.Run) error {
+	return w.command(ctx, func() error { return w.Worker.Stop(ctx, incarnation, token, r) })
+}
+
+func (w *busyWorker) setMuteCommands(mute bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mute = mute
+}
+
+func (w *busyWorker) commandCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.commands
+}
+
+// withBusyWorker is withAgent with a busyWorker.
+func withBusyWorker(t *testing.T, f func(ctx context.Context, a *driver.Agent, w *busyWorker, l *leader)) {
+	t.Helper()
+	var busy *busyWorker
+	wrap := func(w *countingWorker) driver.Worker {
+		busy = newBusyWorker(w)
+		return busy
+	}
+	withWrappedWorker(t, wrap, func(ctx context.Context, a *driver.Agent, _ *countingWorker, l *leader) { f(ctx, a, busy, l) })
+}
+
+// runsOf returns n runs of different tasks.
+func runsOf(n int) []wire.Run {
+	var list []wire.Run
+	for i := range n {
+		list = append(list, wire.Run{Task: fmt.Sprintf("5c0e7a21d94b36f8.0.0.%d", i), Number: 1})
+	}
+	return list
+}
+
+// Guards against leases that expire beside a large job on a busy machine: calls without a limit missed their deadlines, all of
+// them were repeated, and the poll that extends the lease missed its own for as long as that went on.
+func TestLeaseBesideManyStarts(t *testing.T) {
+	withBusyWorker(t, func(ctx context.Context, a *driver.Agent, w *busyWorker, l *leader) {
+		const n = 2000
+		a.Execute(ctx, l, commands(1, w.countingWorker, runsOf(n)...))
+		time.Sleep(2*lease + n*callTime)
+		atWork := 0
+		for _, r := range w.Records() {
+			if r.Ended.IsZero() {
+				atWork++
+			}
+		}
+		if atWork != n || w.commandCount() != n {
+			t.Errorf("%d of %d runs are at work after %d commands; want all of them after one each", atWork, n, w.commandCount())
+		}
+	})
+}
+
+// Guards against commands whose number a second grows with the runs, and never falls, while a worker does not answer them, and
+// against runs that stay pending when it answers again.
+func TestUnansweredCommandsHaveBound(t *testing.T) {
+	for _, n := range []int{100, 2000} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			withBusyWorker(t, func(ctx context.Context, a *driver.Agent, w *busyWorker, l *leader) {
+				w.setMuteCommands(true)
+				a.Execute(ctx, l, commands(1, w.countingWorker, runsOf(n)...))
+				const seconds = 60
+				time.Sleep(seconds * time.Second)
+				if got := w.commandCount(); got > seconds*maxPerSecond || w.maxOpen > maxOpen {
+					t.Errorf("%d commands in %d s, %d of them open at a time; want at most %d a second and %d", got, seconds, w.maxOpen,
+						maxPerSecond, maxOpen)
+				}
+				w.setMuteCommands(false)
+				time.Sleep(lease + 3*callTime*time.Duration(n))
+				checkResolved(t, w.countingWorker, l)
+			})
+		})
+	}
+}
--- a/internal/ops/metric/catalogue.go
+++ b/internal/ops/metric/catalogue.go
@@ -68,6 +68,8 @@
 	WorkerSeconds  Name = "worker_call_seconds"
 	WorkerOpen     Name = "worker_calls_open"
 	WorkerOldest   Name = "worker_oldest_call_age"
+	WorkerWaiting  Name = "worker_calls_waiting"
+	WorkerWait     Name = "worker_oldest_waiting_age"
 	ConfirmSeconds Name = "run_confirm_seconds"
 
 	ClientsTurnedAway Name = "clients_turned_away"
@@ -117,6 +119,8 @@
 	{WorkerSeconds, Histogram, []string{"kind"}, "Time of a call of this agent to its worker, in seconds."},
 	{WorkerOpen, Gauge, []string{"kind"}, "Calls of this agent that its worker has not answered yet."},
 	{WorkerOldest, Gauge, []string{"kind"}, "Age of the oldest call that the worker has not answered yet, in seconds; 0 without one."},
+	{WorkerWaiting, Gauge, []string{"kind"}, "Commands of the leader that wait for a call to the worker, or for their repetition."},
+	{WorkerWait, Gauge, []string{"kind"}, "Time since the oldest command that waits was received, in seconds; 0 without one."},
 	{ConfirmSeconds, Histogram, nil, "Time from the command to start a run until a report shows that it has begun, in seconds."},
 	{ClientsTurnedAway, Counter, []string{"reason", "listener"}, "Connections closed and requests refused for a limit for clients, by limit and listener."},
 	{ClientConnections, Gauge, nil, "Open connections of clients, with those to the listener of sessions before their handshake has ended."},
--- a/internal/role/jobs/agent.go
+++ b/internal/role/jobs/agent.go
@@ -96,7 +96,12 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { a.driver.Run(ctx) })
 	wg.Go(func() { a.register(ctx) })
-	wg.Go(func() { pause.Every(ctx, callsInterval, a.calls.Report) })
+	wg.Go(func() {
+		pause.Every(ctx, callsInterval, func() {
+			a.calls.Report()
+			a.driver.ReportWaiting(meter{a.cfg.Metrics})
+		})
+	})
 	err := sess.Serve(ctx, a.listener, a.sessions, a)
 	wg.Wait()
 	return err
--- a/internal/role/jobs/meter.go
+++ b/internal/role/jobs/meter.go
@@ -91,6 +91,12 @@
 	m.set.Gauge(metric.WorkerOldest, kind.String()).Update(oldest.Seconds())
 }
 
+// CallsWaiting implements driver.CallMeter.
+func (m meter) CallsWaiting(kind driver.CallKind, n int, oldest time.Duration) {
+	m.set.Gauge(metric.WorkerWaiting, kind.String()).Update(float64(n))
+	m.set.Gauge(metric.WorkerWait, kind.String()).Update(oldest.Seconds())
+}
+
 // StoreMeter returns a function that records the outcome and the duration of each call to a store.
 func StoreMeter(set *metric.Set) func(call string, took time.Duration, err error) {
 	return func(call string, took time.Duration, err error) {
