Give polls more time once the worker counts as unresponsive

What callers would see: runs that end by their lease although their worker responds, each time 0.6 s after a poll has begun instead of 0.4 s.

Cause: a poll could take 400 ms beyond its wait, however often that had not been enough. A worker with many runs on a busy machine may take longer to list them.

Why it works: from the third poll without a response on, the time doubles up to 1.6 s, and the first response resets it. The worker still counts as unresponsive after two polls.

TestLeaseBesideSlowList failed before (the run had lapsed) and passes now.

--- a/internal/host/driver/agent.go
+++ b/internal/host/driver/agent.go
@@ -18,6 +18,7 @@
 	idleWait            = time.Second            // of a long poll; the worker responds earlier when a run ends
 	activeWait          = 400 * time.Millisecond // while the worker has runs: the leader needs their measurements
 	pollMargin          = 400 * time.Millisecond // beyond the wait, until a poll times out
+	maxPollMargin       = 4 * pollMargin         // likewise, after doubling for a worker that does not respond
 	leaseInterval       = 450 * time.Millisecond // between lease requests, which are sent with a complete report
 	ackPause            = 40 * time.Millisecond  // while ended runs are not acknowledged, since polls return at once then
 	retryPause          = 60 * time.Millisecond  // after a failed poll
@@ -67,6 +68,7 @@
 	stopping         map[wire.Run]uint64     // runs with a stop in progress, with its fencing token
 	startCalls       int                     // starts in flight to the worker
 	hasPollFailed    bool                    // the last poll failed
+	pollTimeouts     int                     // consecutive polls without response
 	mayBeOther       bool                    // the worker may have restarted under the same ID since the last response
 	pacer            pacer
 	pacing           map[wire.Run]*paceCall // changes of paces that wait
@@ -304,13 +306,19 @@
 	if mayBeOther {
 		request.Deadline, request.Wait = 0, 0
 	}
-	pollCtx, cancel := context.WithTimeout(ctx, time.Duration(request.Wait)*time.Millisecond+pollMargin)
+	pollCtx, cancel := context.WithTimeout(ctx, time.Duration(request.Wait)*time.Millisecond+a.pollMargin())
 	a.cancelPoll = cancel
 	return request, pollContext{
 		ctx: pollCtx, cancel: cancel, adoptions: a.adoptions, commandNumber: a.commandNumber, announced: a.announced,
 	}, true
 }
 
+// pollMargin returns how long a poll may take beyond its wait. It grows only after the worker counts as unhealthy, so that this
+// is not delayed, and a worker that is slow to list its runs can still extend its lease.
+func (a *Agent) pollMargin() time.Duration {
+	return min(pollMargin<<min(max(0, a.pollTimeouts-unhealthyAfterPolls+1), 8), maxPollMargin)
+}
+
 // pollFailed handles a failed poll and returns the number of consecutive failures.
 func (a *Agent) pollFailed(request PollRequest, err error, failures int) int {
 	a.mu.Lock()
@@ -320,6 +328,9 @@
 		return 0
 	}
 	a.hasPollFailed = true
+	if errors.Is(err, context.DeadlineExceeded) {
+		a.pollTimeouts++
+	}
 	a.mayBeOther = a.mayBeOther || !errors.HasType(err, (*RefusedError)(nil))
 	switch {
 	case !a.confirmed && (errors.Is(err, ErrIncarnation) || errors.Is(err, ErrRestarted)):
@@ -364,7 +375,7 @@
 	if request.Incarnation != a.state.Incarnation || poll.adoptions != a.adoptions {
 		return true
 	}
-	a.mayBeOther, a.hasPollFailed = false, false
+	a.mayBeOther, a.hasPollFailed, a.pollTimeouts = false, false, 0
 	if n := poll.announced; n != nil && n == a.announced {
 		a.refuseAnnouncement(n.state.Incarnation)
 		a.announced = nil
--- a/internal/host/driver/driver_test.go
+++ b/internal/host/driver/driver_test.go
@@ -87,14 +87,22 @@
 	mute     bool          // polls get no response
 	refuses  bool          // every second poll is refused
 	delay    time.Duration // of the responses to polls
+	latency  time.Duration // of polls, before they are carried out
 }
 
 func (w *countingWorker) Poll(ctx context.Context, request driver.PollRequest) (driver.PollResponse, error) {
 	w.mu.Lock()
 	w.polls++
 	w.requests = append(w.requests, request)
-	mute, delay, refuses := w.mute, w.delay, w.refuses && w.polls%2 == 0
+	mute, delay, refuses, latency := w.mute, w.delay, w.refuses && w.polls%2 == 0, w.latency
 	w.mu.Unlock()
+	if latency > 0 {
+		select {
+		case <-time.After(latency):
+		case <-ctx.Done():
+			return driver.PollResponse{}, ctx.Err()
+		}
+	}
 	if refuses {
 		return driver.PollResponse{}, &driver.RefusedError{Reason: wire.RefusedSick}
 	}
--- a/internal/host/driver/overload_test.go
+++ b/internal/host/driver/overload_test.go
@@ -163,3 +163,19 @@
 		})
 	}
 }
+
+// Guards against a lease that expires although the worker responds: it takes longer to list its runs than a poll may take.
+func TestLeaseBesideSlowList(t *testing.T) {
+	withAgent(t, func(ctx context.Context, a *driver.Agent, w *countingWorker, l *leader) {
+		w.Plan = func(wire.Run) runs.Plan { return runs.Plan{RunTime: time.Hour} }
+		a.Execute(ctx, l, commands(1, w, run1))
+		time.Sleep(time.Second)
+		w.mu.Lock()
+		w.latency = 600 * time.Millisecond
+		w.mu.Unlock()
+		time.Sleep(4 * lease)
+		if r := w.Records(); !r[0].Ended.IsZero() {
+			t.Errorf("the run has ended (%v)", r[0].Cause)
+		}
+	})
+}
