Follow the worker's response time with the limit for calls

The limit now falls by one with each answer after 100 ms or more, and grows by one with each earlier one.

--- a/internal/host/driver/queue.go
+++ b/internal/host/driver/queue.go
@@ -10,8 +10,9 @@
 	// maxCalls is the largest number of commands that are sent to the worker at a time. Polls are not counted: they extend
 	// the lease and never wait.
 	maxCalls = 24
-	// minCalls is the number to which unanswered calls reduce it.
+	// minCalls is the number to which slow and unanswered calls reduce it.
 	minCalls      = 6
+	slowAfter     = 100 * time.Millisecond // for an answer, well below the time limits of calls
 	retryShare    = 2                      // one in retryShare calls may repeat a command, so that new commands find room
 	minRetryPause = 25 * time.Millisecond  // between repetitions while minCalls calls go unanswered
 	maxRetryPause = 250 * time.Millisecond // likewise, after doubling
@@ -51,8 +52,8 @@
 }
 
 // commandQueue orders the commands to a worker and limits the calls in progress, so that neither grows with the number of
-// runs. The limit follows the worker: it is halved when calls go unanswered, and grows with each answer. Commands that were
-// sent before have a share of the limit, and their rate falls while nothing is answered.
+// runs. The limit follows the worker: it grows with each answer in good time, falls with each late one, and is halved when calls
+// go unanswered. Commands that were sent before have a share of the limit, and their rate falls while nothing is answered.
 type commandQueue struct {
 	fresh       [callKinds][]*queuedCommand // in the order of their arrival
 	retries     retryHeap
@@ -125,7 +126,11 @@
 	}
 	switch {
 	case r.reply == answered:
-		q.limit = min(q.limit+1, maxCalls)
+		if now.Sub(c.beganAt) < slowAfter {
+			q.limit = min(q.limit+1, maxCalls)
+		} else {
+			q.limit = max(q.limit-1, minCalls)
+		}
 		q.retryPause, q.retryAt = 0, time.Time{}
 	case r.reply == unanswered && c.beganAt.Before(q.reducedAt):
 	case r.reply == unanswered && q.limit > minCalls:
