Report a refused start no more as pending

What callers saw: nothing yet.

Cause: a complete report lists the runs that were pending before its poll, since one of them may have started after the worker made the list. It listed those that were refused meanwhile too; the leader had released them and took them for unexpected runs.

Why it works: the refusal of the only attempt shows that the run has not started, so it is taken from that list. A run whose start had no response stays in it.

--- a/internal/host/driver/agent.go
+++ b/internal/host/driver/agent.go
@@ -65,6 +65,7 @@
 	moreEnds         bool // as in the last complete report
 	refused          []wire.RunRefused
 	pending          map[wire.Run]pendingRun // runs that the worker may still start because of a command
+	pendingBefore    map[wire.Run]pendingRun // of pending at the start of the current poll, those that the worker may have started since
 	stopping         map[wire.Run]uint64     // runs with a stop in progress, with its fencing token
 	startCalls       int                     // starts in flight to the worker
 	hasPollFailed    bool                    // the last poll failed
@@ -239,7 +240,7 @@
 			}
 			continue
 		}
-		pendingBefore := a.pendingRuns()
+		a.keepPending()
 		response, err := a.cfg.Worker.Poll(pollCtx.ctx, request)
 		pollCtx.cancel()
 		if err != nil {
@@ -252,7 +253,7 @@
 			continue
 		}
 		failures = 0
-		if a.pollDone(ctx, request, pollCtx, response, pendingBefore) {
+		if a.pollDone(ctx, request, pollCtx, response) {
 			continue
 		}
 		select { // ended runs are reported but not acknowledged yet, and a poll would return at once
@@ -365,10 +366,7 @@
 
 // pollDone handles a poll response and sends the changes to the leader. It reports whether the next poll would wait
 // at the worker instead of returning at once.
-func (a *Agent) pollDone(
-	ctx context.Context, request PollRequest, poll pollContext, response PollResponse,
-	pendingBefore map[wire.Run]pendingRun,
-) bool {
+func (a *Agent) pollDone(ctx context.Context, request PollRequest, poll pollContext, response PollResponse) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.cancelPoll = nil
@@ -386,7 +384,7 @@
 		a.confirmed, a.state.Healthy = true, true
 		a.sendState()
 	}
-	a.resolvePending(request.Token, response, pendingBefore)
+	a.resolvePending(request.Token, response)
 	a.enqueuePaces(ctx, a.pacer.observe(response.Running, a.state.Capacity.Processors, time.Now()))
 	var ended []wire.RunEnd
 	for _, e := range response.Ended {
@@ -411,8 +409,8 @@
 		if !a.synced {
 			m.Interference = a.pacer.weights()
 		}
-		maps.Copy(pendingBefore, a.pending)
-		m.Pending = slices.Collect(maps.Keys(pendingBefore))
+		maps.Copy(a.pendingBefore, a.pending)
+		m.Pending = slices.Collect(maps.Keys(a.pendingBefore))
 		a.leaseRequestedAt = now
 	}
 	a.report(m, response.Ended)
--- a/internal/host/driver/call.go
+++ b/internal/host/driver/call.go
@@ -217,6 +217,8 @@
 	delete(a.pending, f.Run)
 	if f.Reason == wire.RefusedSilent || f.Reason == wire.RefusedOld {
 		a.synced = false // the next complete report shows whether the run is running, has ended or never started
+	} else {
+		delete(a.pendingBefore, f.Run) // the worker has not started it since
 	}
 	if f.Reason == wire.RefusedOld || h.token != a.token {
 		return
--- a/internal/host/driver/outcome_test.go
+++ b/internal/host/driver/outcome_test.go
@@ -99,6 +99,33 @@
 	}
 }
 
+// Guards against a worker that gets no runs for the time of a report: after the refusal of a start, a report listed its run as one
+// that may still begin, which the leader took for a run that it does not expect.
+func TestRefusedStartIsNotPending(t *testing.T) {
+	withBusyWorker(t, func(ctx context.Context, a *driver.Agent, w *busyWorker, l *leader) {
+		w.SetFaults(func() runs.Fault { return runs.Fault{Refuse: wire.RefusedRoom} })
+		for n, r := range runsOf(2000) {
+			a.Execute(ctx, l, commands(uint64(n+1), w.countingWorker, r))
+			time.Sleep(callTime)
+		}
+		time.Sleep(time.Second)
+		refused := make(map[wire.Run]bool)
+		for _, m := range l.reports() {
+			for _, f := range m.Refused {
+				refused[f.Run] = true
+			}
+			for _, r := range m.Pending {
+				if refused[r] {
+					t.Errorf("%v is reported as pending after its refusal", r)
+				}
+			}
+		}
+		if len(refused) != 2000 {
+			t.Errorf("%d of 2000 starts were reported as refused", len(refused))
+		}
+	})
+}
+
 // Guards against a task that never starts again: a stop that the worker refused was given up, and the start without a
 // response stayed pending.
 func TestStopOfUnansweredStartIsRepeatedAfterRefusal(t *testing.T) {
--- a/internal/host/driver/pending.go
+++ b/internal/host/driver/pending.go
@@ -12,18 +12,17 @@
 	isCancelled bool   // a stop of the run was sent, which the worker may execute late too
 }
 
-// pendingRuns returns a copy of the pending runs.
-func (a *Agent) pendingRuns() map[wire.Run]pendingRun {
+// keepPending records the runs that are pending before a poll. The response need not list one that starts meanwhile.
+func (a *Agent) keepPending() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return maps.Clone(a.pending)
+	a.pendingBefore = maps.Clone(a.pending)
 }
 
 // resolvePending removes the pending runs whose outcome follows from a poll with the given token: the worker lists a run
-// that has started, never starts a run again that has ended, and refuses commands with a lower token. It removes them from
-// before too, the runs that were pending before the poll.
-func (a *Agent) resolvePending(token uint64, response PollResponse, before map[wire.Run]pendingRun) {
-	for _, pending := range []map[wire.Run]pendingRun{a.pending, before} {
+// that has started, never starts a run again that has ended, and refuses commands with a lower token.
+func (a *Agent) resolvePending(token uint64, response PollResponse) {
+	for _, pending := range []map[wire.Run]pendingRun{a.pending, a.pendingBefore} {
 		for i := range response.Running {
 			if r := response.Running[i].Run; !pending[r].isCancelled {
 				delete(pending, r)
