Order no more starts than an agent has confirmed, but for 256

What callers saw: beside a job of 20,000 tasks on one core, starts waited in their agents for up to 6.6 s, also those of small jobs that come first.

Cause: the leader ordered the starts of all 20,000 tasks within a second, 1,800 for each agent, whatever the agents had confirmed. Later starts, which may be more urgent, wait in the agents' queues behind them, where the leader cannot reorder them.

Why it works: a worker gets at most 256 runs that no report has listed yet. The rest stay with the leader, which picks the most urgent when a report confirms some. Gangs, which start together, are not limited.

--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -258,7 +258,8 @@
 	if !r.listed {
 		r.job.begun = true
 		t.cfg.Meter.RunConfirmed(now.Sub(r.startedAt))
-		r.listed, r.firstSeenAt, r.firstPercent, r.progressedAt = true, now, s.Percent, now
+		r.worker.confirm(r)
+		r.firstSeenAt, r.firstPercent, r.progressedAt = now, s.Percent, now
 	}
 	if s.Percent > r.percent {
 		r.progressedAt = now
--- a/internal/jobs/lead/cost.go
+++ b/internal/jobs/lead/cost.go
@@ -67,10 +67,11 @@
 	excludeMemory
 	excludeAccelerators
 	excludePerWorker
-	excludeEvacuated  // the zone is evacuated, or evacuations are not known
-	excludeLoad       // a best-effort task would be too slow beside the other tasks
-	excludeUnreliable // no probe is due; see placement.evaluate
-	endOfExclusions   = iota + 1
+	excludeEvacuated   // the zone is evacuated, or evacuations are not known
+	excludeLoad        // a best-effort task would be too slow beside the other tasks
+	excludeUnreliable  // no probe is due; see placement.evaluate
+	excludeUnconfirmed // many starts on the worker are not confirmed
+	endOfExclusions    = iota + 1
 )
 
 //go:generate go run golang.org/x/tools/cmd/stringer@v0.52.0 -type exclusion -trimprefix exclude -output exclusion_string.go
@@ -104,6 +105,8 @@
 		return 0, excludeAccelerators
 	case s.PerWorker > 0 && w.countRuns(c.job, c.round, c.step) >= s.PerWorker:
 		return 0, excludePerWorker
+	case !s.Gang && w.unconfirmed >= maxUnconfirmed:
+		return 0, excludeUnconfirmed
 	case !t.allowsStart(w, c.now): // last, since mayRun marks a worker that could run the task otherwise
 		return 0, excludeEvacuated
 	case !s.BestEffort:
--- a/internal/jobs/lead/exclusion_string.go
+++ b/internal/jobs/lead/exclusion_string.go
@@ -20,11 +20,12 @@
 	_ = x[excludeEvacuated-10]
 	_ = x[excludeLoad-11]
 	_ = x[excludeUnreliable-12]
+	_ = x[excludeUnconfirmed-13]
 }
 
-const _exclusion_name = "DisconnectedServiceRackLabelTicketProcessorsMemoryAcceleratorsPerWorkerEvacuatedLoadUnreliable"
+const _exclusion_name = "DisconnectedServiceRackLabelTicketProcessorsMemoryAcceleratorsPerWorkerEvacuatedLoadUnreliableUnconfirmed"
 
-var _exclusion_index = [...]uint8{0, 12, 19, 23, 28, 34, 44, 50, 62, 71, 80, 84, 94}
+var _exclusion_index = [...]uint8{0, 12, 19, 23, 28, 34, 44, 50, 62, 71, 80, 84, 94, 105}
 
 func (i exclusion) String() string {
 	idx := int(i) - 1
--- a/internal/jobs/lead/unmatched.go
+++ b/internal/jobs/lead/unmatched.go
@@ -59,7 +59,8 @@
 				continue
 			}
 			if r := t.adopt(w, key, now); r != nil {
-				r.listed, r.stopping = true, true // its stop was sent when it was found
+				w.confirm(r)
+				r.stopping = true // its stop was sent when it was found
 				delete(w.unknownRuns, key)
 			}
 		}
--- a/internal/jobs/lead/worker.go
+++ b/internal/jobs/lead/worker.go
@@ -11,6 +11,10 @@
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
 
+// maxUnconfirmed is the largest number of runs on a worker whose start no report has confirmed yet, without those of gangs, which
+// start together. An agent queues its starts, so that later ones, which may be more urgent, would wait behind all of them.
+const maxUnconfirmed = 256
+
 // Link is a session with an agent or an entry.
 type Link interface {
 	// Send queues a message; it returns an error if the session is closed or its queue is full.
@@ -40,6 +44,7 @@
 	demand         int64                 // processors requested by all runs including best-effort ones, in thousandths
 	serving        int                   // number of serving runs
 	bestEffort     int                   // number of best-effort runs
+	unconfirmed    int                   // number of runs that no complete report has listed
 	unknownRuns    map[wire.Run]struct{} // unexpected runs in the last complete report, whose size may not be known
 	suspectRuns    map[wire.Run]bool     // released for an expired lease while their start was unconfirmed; true if a cancel was sent
 	withheldAt     time.Time             // since when reports of this session show that the worker may get no runs; zero if it may
@@ -97,6 +102,17 @@
 	if r.step.BestEffort {
 		w.bestEffort++
 	}
+	if !r.listed {
+		w.unconfirmed++
+	}
+}
+
+// confirm records that a complete report has listed a run.
+func (w *worker) confirm(r *run) {
+	if !r.listed {
+		r.listed = true
+		w.unconfirmed--
+	}
 }
 
 // remove removes a run and releases its capacity; a run that is not on the worker is ignored.
@@ -115,6 +131,9 @@
 	if r.step.BestEffort {
 		w.bestEffort--
 	}
+	if !r.listed {
+		w.unconfirmed--
+	}
 }
 
 // recheckRuns makes the next complete report decide about the runs of a worker that has restarted under the same ID. Its
@@ -124,6 +143,7 @@
 		r.commandSeq, r.listed, r.cancelling, r.startBlocked = 0, false, false, false
 		r.percent, r.startedAt, r.progressedAt = 0, now, now
 	}
+	w.unconfirmed = len(w.runs)
 }
 
 // recordSuspects remembers the runs whose start the worker has not confirmed, before they are released for an expired lease.
