Limit the log lines of one message to 1,000 a second

Logs take processor time from the calls that they are about.

Cause: nothing limited the lines of an event that occurs for each run.

Why it works: zap's sampler writes the first 1,000 lines of each message a second and counts the others (log_lines_suppressed).

--- a/cmd/trefoilramp/cell.go
+++ b/cmd/trefoilramp/cell.go
@@ -40,7 +40,7 @@
 
 const (
 	drainTime         = 2 * time.Second  // for which a draining entry serves requests on open connections
-	droppedInterval   = 10 * time.Second // between updates of the gauge of dropped log lines
+	droppedInterval   = 10 * time.Second // between updates of the gauges of log lines that are not written
 	memoryShare       = 0.7              // of the memory limit of the process that the Go runtime may use
 	minMemoryShare    = 0.25
 	outsideHeap       = 24  // MiB of the process outside the Go runtime, most of it the program itself
@@ -245,7 +245,10 @@
 		}
 	}()
 	go p.guard.Run(ctx)
-	go pause.Every(ctx, droppedInterval, func() { p.set.Gauge(metric.LogDropped).Update(float64(p.out.Dropped())) })
+	go pause.Every(ctx, droppedInterval, func() {
+		p.set.Gauge(metric.LogDropped).Update(float64(p.out.Dropped()))
+		p.set.Gauge(metric.LogSuppressed).Update(float64(p.out.Suppressed()))
+	})
 	event.Log(p.log, event.ProcessStarted, zap.String("Role", p.role))
 	for {
 		select {
--- a/cmd/trefoilramp/log.go
+++ b/cmd/trefoilramp/log.go
@@ -11,10 +11,10 @@
 )
 
 // cellLog returns a logger that writes JSON with fields in Pascal case to standard output. Its writer drops lines
-// instead of blocking.
+// instead of blocking, and limits those of one message.
 func cellLog(fields ...zap.Field) (*zap.Logger, *logs.Writer) {
 	w := logs.NewWriter(os.Stdout)
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding()), w, zapcore.InfoLevel)
+	core := w.Core(zapcore.NewJSONEncoder(encoding()), zapcore.InfoLevel)
 	return zap.New(core, zap.Fields(fields...)), w
 }
 
--- a/internal/ops/logs/logs_test.go
+++ b/internal/ops/logs/logs_test.go
@@ -6,6 +6,9 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
 	"trefoilramp.org/trefoilramp/internal/ops/logs"
 )
 
@@ -80,6 +83,30 @@
 	return len(p), nil
 }
 
+// Load: the lines of a leader for 20,000 runs. Guards against log lines whose number a second grows with the runs of a job, and
+// against a message that is lost beside them.
+func TestLinesOfMessageHaveBound(t *testing.T) {
+	const lines, perSecond = 20_000, 1000
+	o := &output{release: make(chan struct{})}
+	close(o.release)
+	w := logs.NewWriter(o)
+	log := zap.New(w.Core(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.InfoLevel))
+	began := time.Now()
+	for range lines {
+		log.Info("run ordered")
+	}
+	log.Info("job ended")
+	w.Flush()
+	seconds := 2 + int(time.Since(began).Seconds()) // in which lines were counted
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n := bytes.Count(o.buf.Bytes(), []byte("run ordered"))
+	if n > seconds*perSecond || uint64(lines-n) != w.Suppressed()+w.Dropped() || !bytes.Contains(o.buf.Bytes(), []byte("job ended")) {
+		t.Errorf("%d of %d lines written in %d s, %d suppressed, %d dropped; want at most %d a second, and the other message",
+			n, lines, seconds, w.Suppressed(), w.Dropped(), perSecond)
+	}
+}
+
 // Guards against lines that are lost in part at a pipe whose reader takes 4 KiB at a time, while a leader logs thousands
 // of starts a second.
 func TestWritesFitPipe(t *testing.T) {
--- a/internal/ops/logs/writer.go
+++ b/internal/ops/logs/writer.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap/zapcore"
+
 	"trefoilramp.org/trefoilramp/internal/core/queue"
 )
 
@@ -14,6 +16,8 @@
 	ringBytes  = 4 << 20               // limit of its lines; those of refused requests can be longer than a header
 	batchBytes = 4 << 10               // limit of a batch: what a pipe takes whole (PIPE_BUF)
 	batchDelay = 20 * time.Millisecond // delay between the first line of a batch and its write
+	// messageLines is the largest number of lines of one message a second. A large job has some messages for each of its runs.
+	messageLines = 1000
 )
 
 // Writer is a zapcore.WriteSyncer that writes lines in the background.
@@ -22,6 +26,7 @@
 	lines         *queue.Ring[[]byte]
 	queued        atomic.Int64 // bytes of lines
 	dropped       atomic.Uint64
+	suppressed    atomic.Uint64
 	flushRequests chan chan struct{}
 }
 
@@ -42,6 +47,22 @@
 	return len(line), nil
 }
 
+// Core returns a core that writes to w, at most messageLines lines of each message a second.
+func (w *Writer) Core(enc zapcore.Encoder, level zapcore.LevelEnabler) zapcore.Core {
+	count := func(_ zapcore.Entry, d zapcore.SamplingDecision) {
+		if d&zapcore.LogDropped != 0 {
+			w.suppressed.Add(1)
+		}
+	}
+	const thereafter = 0 // none
+	return zapcore.NewSamplerWithOptions(
+		zapcore.NewCore(enc, w, level), time.Second, messageLines, thereafter, zapcore.SamplerHook(count),
+	)
+}
+
+// Suppressed returns the number of lines beyond messageLines.
+func (w *Writer) Suppressed() uint64 { return w.suppressed.Load() }
+
 // Dropped returns the number of lines lost because the queue was full or a write to the output failed.
 func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
 
--- a/internal/ops/metric/catalogue.go
+++ b/internal/ops/metric/catalogue.go
@@ -64,6 +64,7 @@
 	JobsTurnedAway Name = "jobs_turned_away"
 	ForecastAge    Name = "forecast_age"
 	LogDropped     Name = "log_lines_dropped"
+	LogSuppressed  Name = "log_lines_suppressed"
 	WorkerCalls    Name = "worker_calls"
 	WorkerSeconds  Name = "worker_call_seconds"
 	WorkerOpen     Name = "worker_calls_open"
@@ -115,6 +116,7 @@
 	{JobsTurnedAway, Counter, []string{"reason"}, "Submitted jobs of steps that admission control rejected, by reason: Backlog or Returning."},
 	{ForecastAge, Gauge, nil, "Age of the forecast by which this entry admits jobs, in seconds; -1 without one, and 0 while admission control is off."},
 	{LogDropped, Gauge, nil, "Log lines dropped because the log queue was full or writing failed."},
+	{LogSuppressed, Gauge, nil, "Log lines not written because there were more than 1,000 of the same message in a second."},
 	{WorkerCalls, Counter, []string{"kind", "outcome"}, "Calls of this agent to its worker, by kind (Poll, Start, Stop or Pace) and outcome: done, refused, or failed if the outcome is unknown."},
 	{WorkerSeconds, Histogram, []string{"kind"}, "Time of a call of this agent to its worker, in seconds."},
 	{WorkerOpen, Gauge, []string{"kind"}, "Calls of this agent that its worker has not answered yet."},
