Report a cancel under the token of the leader that sent it

What callers would see: a task that never starts again. A leader cancels the run of a start without a response while the agent's own stop of it, under the token of the leader before, is in progress. Since such a cancel begins no call of its own, and the confirmation of that stop was reported to nobody: the new leader waits for a refusal for as long as its session lasts.

The stop is now repeated under the newer token, and then reported.

A pace that waits while the leader changes is sent under the new token rather than dropped, since the agent takes it for sent. A start that was refused without a call no longer raises the limit for calls.

--- a/internal/host/driver/call.go
+++ b/internal/host/driver/call.go
@@ -69,22 +69,22 @@
 func (c *startCall) kind() CallKind { return CallStart }
 
 func (c *startCall) call(ctx context.Context, a *Agent) result {
-	err := a.startOnce(ctx, c.header, c.command, c.before)
+	reply, err := a.startOnce(ctx, c.header, c.command, c.before)
 	r := (*RefusedError)(nil)
 	switch {
 	case err == nil:
 		a.startDone(ctx, c.header, c.command)
-		return result{reply: answered}
+		return result{reply: reply}
 	case errors.Is(err, errObsolete):
 		return result{next: a.cancelOf(c, 0)}
 	case errors.As(err, &r):
 		event.Log(a.cfg.Log, event.StartRefused, zap.String("Task", c.command.Task), zap.Int("Run", c.command.Number),
 			zap.Stringer("Reason", r.Reason), zap.Int("Unanswered", c.unanswered))
 		if c.unanswered > 0 {
-			return result{reply: answered, next: a.cancelOf(c, r.Reason)}
+			return result{reply: reply, next: a.cancelOf(c, r.Reason)}
 		}
 		a.startRefused(c.header, wire.RunRefused{Run: c.command.Run, Reason: r.Reason})
-		return result{reply: answered}
+		return result{reply: reply}
 	}
 	event.Log(a.cfg.Log, event.StartUnanswered, zap.String("Task", c.command.Task),
 		zap.Int("Run", c.command.Number), zap.Error(err))
@@ -93,9 +93,9 @@
 		c.unanswered++
 	}
 	if c.attempts == startAttempts || isOtherIncarnation(err) {
-		return result{reply: replyOf(err), next: a.cancelOf(c, 0)}
+		return result{reply: reply, next: a.cancelOf(c, 0)}
 	}
-	return result{reply: replyOf(err), next: c}
+	return result{reply: reply, next: c}
 }
 
 // cancelOf returns the command that makes sure that a run does not begin any more, or nil if there is one already or the
@@ -131,17 +131,17 @@
 // startOnce attempts to start a pending run. Without an attempt, it returns errObsolete if the command is no longer valid, is
 // cancelled or too late, or the run is no longer pending, and a refusal while the worker does not respond to polls. The worker
 // does not count as ended during an attempt, since its next incarnation may have the same ID and execute it.
-func (a *Agent) startOnce(ctx context.Context, h header, command wire.StartCommand, before time.Time) error {
+func (a *Agent) startOnce(ctx context.Context, h header, command wire.StartCommand, before time.Time) (reply, error) {
 	a.mu.Lock()
 	p, isPending := a.pending[command.Run]
 	now := time.Now()
 	if !isPending || p.isCancelled || !a.isCurrent(h) || !now.Before(before) {
 		a.mu.Unlock()
-		return errObsolete
+		return noCall, errObsolete
 	}
 	if a.mayBeOther { // another incarnation would take the deadline for one on its clock
 		a.mu.Unlock()
-		return &RefusedError{Reason: wire.RefusedSick}
+		return noCall, &RefusedError{Reason: wire.RefusedSick}
 	}
 	a.startCalls++
 	a.mu.Unlock()
@@ -157,7 +157,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.startCalls--
-	return err
+	return replyOf(err), err
 }
 
 // cancelCall makes sure that the worker does not start a pending run any more, stops it if it is running, and then reports
@@ -179,6 +179,9 @@
 		return result{}
 	}
 	err := a.stopOnce(ctx, h, c.refusal.Run)
+	if err == nil && a.hasNewerCommand(h, c.refusal.Run) {
+		return result{reply: answered, next: c}
+	}
 	if err == nil {
 		a.startRefused(h, c.refusal)
 		return result{reply: answered}
@@ -191,6 +194,14 @@
 	return result{reply: replyOf(err), next: c, pause: pause}
 }
 
+// hasNewerCommand reports whether a later leader than that of h has cancelled a pending run. It waits for a refusal, which a
+// stop under its own token brings about.
+func (a *Agent) hasNewerCommand(h header, r wire.Run) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return h.incarnation == a.state.Incarnation && a.pending[r].token > h.token
+}
+
 // stopPause returns the pause after a stop that has failed after a number of earlier failures.
 func stopPause(failures int) time.Duration {
 	return min(minStopPause<<min(failures, maxDoublings), maxStopPause)
@@ -273,8 +284,8 @@
 
 // paceCall sets the processor share of a run; later polls show whether it has to change again.
 type paceCall struct {
-	header header
-	pace   paceCommand // replaced by a later one while the call waits
+	incarnation wire.WorkerIncarnation
+	pace        paceCommand // replaced by a later one while the call waits
 }
 
 func (c *paceCall) kind() CallKind { return CallPace }
@@ -283,10 +294,10 @@
 func (a *Agent) enqueuePaces(ctx context.Context, list []paceCommand) {
 	for _, p := range list {
 		if c := a.pacing[p.run]; c != nil {
-			c.header, c.pace = a.header(), p
+			c.pace = p
 			continue
 		}
-		c := &paceCall{header: a.header(), pace: p}
+		c := &paceCall{incarnation: a.state.Incarnation, pace: p}
 		a.pacing[p.run] = c
 		a.enqueue(ctx, c)
 	}
@@ -294,13 +305,13 @@
 
 func (c *paceCall) call(ctx context.Context, a *Agent) result {
 	a.mu.Lock()
-	h, p := c.header, c.pace
-	delete(a.pacing, p.run)
-	isCurrent := a.isCurrent(h)
-	a.mu.Unlock()
-	if !isCurrent {
+	if c.incarnation != a.state.Incarnation {
+		a.mu.Unlock()
 		return result{}
 	}
+	h, p := a.header(), c.pace
+	delete(a.pacing, p.run)
+	a.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, paceTimeout)
 	defer cancel()
 	err := a.cfg.Worker.Pace(callCtx, h.incarnation, h.token, p.run, p.percent)
--- a/internal/host/driver/outcome_test.go
+++ b/internal/host/driver/outcome_test.go
@@ -99,6 +99,29 @@
 	}
 }
 
+// Guards against a task that never starts again: a new leader cancelled its run while the stop of an earlier command was in progress,
+// whose confirmation was not reported to the new leader.
+func TestCancelDuringStopOfEarlierLeader(t *testing.T) {
+	withBusyWorker(t, func(ctx context.Context, a *driver.Agent, w *busyWorker, l *leader) {
+		const startsEnd = 3 * 350 * time.Millisecond // then the run is stopped
+		w.setCommands(true, 0)
+		a.Execute(ctx, l, commands(1, w.countingWorker, run1))
+		time.Sleep(startsEnd - 10*time.Millisecond)
+		w.setCommands(false, 400*time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
+		next := &leader{}
+		a.Adopt(next, &wire.LeadAdopt{Token: 6})
+		cancels := commands(1, w.countingWorker)
+		cancels.Cancels = []wire.Run{run1}
+		a.Execute(ctx, next, cancels)
+		time.Sleep(3 * time.Second)
+		if f := next.refusals(); len(f) != 1 || f[0].Run != run1 {
+			t.Errorf("refusals %+v reported to the leader that cancelled the run; want one of it", f)
+		}
+		checkResolved(t, w.countingWorker, next)
+	})
+}
+
 // Guards against a worker that gets no runs for the time of a report: after the refusal of a start, a report listed its run as one
 // that may still begin, which the leader took for a run that it does not expect.
 func TestRefusedStartIsNotPending(t *testing.T) {
--- a/internal/host/driver/overload_test.go
+++ b/internal/host/driver/overload_test.go
@@ -25,7 +25,8 @@
 	processor chan struct{}
 
 	mu       sync.Mutex
-	mute     bool // commands get no response and have no effect
+	mute     bool          // commands get no response and have no effect
+	delay    time.Duration // of the responses to commands
 	open     int
 	maxOpen  int
 	commands int
@@ -66,8 +67,9 @@
 	w.commands++
 	w.open++
 	w.maxOpen = max(w.maxOpen, w.open)
-	mute := w.mute
+	mute, delay := w.mute, w.delay
 	w.mu.Unlock()
+	defer time.Sleep(delay)
 	defer func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -91,10 +93,10 @@
 	return w.command(ctx, func() error { return w.Worker.Stop(ctx, incarnation, token, r) })
 }
 
-func (w *busyWorker) setMuteCommands(mute bool) {
+func (w *busyWorker) setCommands(mute bool, delay time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.mute = mute
+	w.mute, w.delay = mute, delay
 }
 
 func (w *busyWorker) commandCount() int {
@@ -191,7 +193,7 @@
 	for _, n := range []int{100, 2000} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			withBusyWorker(t, func(ctx context.Context, a *driver.Agent, w *busyWorker, l *leader) {
-				w.setMuteCommands(true)
+				w.setCommands(true, 0)
 				a.Execute(ctx, l, commands(1, w.countingWorker, runsOf(n)...))
 				const seconds = 60
 				time.Sleep(seconds * time.Second)
@@ -199,7 +201,7 @@
 					t.Errorf("%d commands in %d s, %d of them open at a time; want at most %d a second and %d", got, seconds, w.maxOpen,
 						maxPerSecond, maxOpen)
 				}
-				w.setMuteCommands(false)
+				w.setCommands(false, 0)
 				time.Sleep(lease + 3*callTime*time.Duration(n))
 				checkResolved(t, w.countingWorker, l)
 			})
