Repeat an acknowledgement of ends that the agent has lost

What callers saw: nothing yet.

Cause: an agent that had restarted while another writer announced workers took one of those for its own for 1.4 s, and dropped the commands for its real worker, among them the acknowledgement of ends. The leader sends it once a session. A worker lists a limited number of ends, so that it listed the same one for good, and no later end was seen.

Why it works: an end is reported once a session, so that a second report of one that was acknowledged shows that the agent has lost the acknowledgement. The leader sends it again.

TestLostAcknowledgementIsRepeated failed before (one acknowledgement after two reports) and passes now.

--- a/internal/jobs/lead/agents.go
+++ b/internal/jobs/lead/agents.go
@@ -125,6 +125,9 @@
 			w.appliedEnd = e.Number
 			t.undurable[w] = struct{}{}
 			t.applyEnd(w, e, firstReport, now)
+		} else if e.Number <= w.ackedEnd {
+			w.ackedEnd = 0 // the agent has lost the acknowledgement, so that the next flush repeats it
+			w.queue()
 		}
 	}
 	for _, r := range m.Refused {
--- a/internal/jobs/lead/ends_test.go
+++ b/internal/jobs/lead/ends_test.go
@@ -1,11 +1,13 @@
 package lead_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"trefoilramp.org/trefoilramp/internal/core/sizes"
+	"trefoilramp.org/trefoilramp/internal/jobs/lead"
 	"trefoilramp.org/trefoilramp/internal/jobs/rows"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 	"trefoilramp.org/trefoilramp/internal/stand/runs"
@@ -68,3 +70,36 @@
 		c.awaitState(busy.ID, rows.Done, 60*time.Second)
 	})
 }
+
+// Guards against ends that nobody sees any more: an agent that had restarted took an announcement of another writer for its worker's,
+// and dropped the acknowledgement meanwhile, which the leader sent only once; a worker lists no further ends without it.
+func TestLostAcknowledgementIsRepeated(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	agents, term, stop := startCell(ctx, t, 1)
+	defer stop()
+	defer cancel()
+	a := agents[0]
+	accept(t, term, job(1, 1, 1))
+	awaitStarts(t, agents, 1)
+	end := wire.RunEnd{Number: 1, Run: a.starts()[0], Cause: wire.EndDone}
+	for n := 1; n <= 2; n++ {
+		a.lastEnd = 1
+		a.report([]wire.RunEnd{end})
+		for began := time.Now(); a.acknowledgements(end.Number) < n; time.Sleep(time.Millisecond) {
+			if time.Since(began) > lead.MaxLease/2 {
+				t.Fatalf("%d acknowledgements after an end was reported %d times", a.acknowledgements(end.Number), n)
+			}
+		}
+	}
+}
+
+// acknowledgements returns how often the end with a number was acknowledged.
+func (l *sent) acknowledgements(number uint64) int {
+	n := 0
+	for _, o := range l.orders() {
+		if o.DurableEnds >= number {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/jobs/lead/large_test.go
+++ b/internal/jobs/lead/large_test.go
@@ -23,7 +23,7 @@
 // lease request meanwhile, neither while the runs went on nor when they ended.
 func TestLeasesBesideLargeJob(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
-	agents, term, stop := largeCell(ctx, t)
+	agents, term, stop := startCell(ctx, t, largeAgents)
 	defer stop()
 	defer cancel()
 	accept(t, term, largeJob(1))
@@ -52,11 +52,11 @@
 	awaitGrants(t, agents, "when the runs have ended")
 }
 
-// largeCell starts a leader with sessions to largeAgents agents.
-func largeCell(ctx context.Context, t *testing.T) (agents []*largeAgent, term *lead.Term, stop func()) {
+// startCell starts a leader with sessions to n agents.
+func startCell(ctx context.Context, t *testing.T, n int) (agents []*largeAgent, term *lead.Term, stop func()) {
 	t.Helper()
 	var names []string
-	for i := range largeAgents {
+	for i := range n {
 		names = append(names, fmt.Sprintf("host-%02d", i))
 	}
 	open := make(chan struct{})
@@ -84,7 +84,7 @@
 func TestStartsWaitForConfirmation(t *testing.T) {
 	const maxUnconfirmed = 256
 	ctx, cancel := context.WithCancel(t.Context())
-	agents, term, stop := largeCell(ctx, t)
+	agents, term, stop := startCell(ctx, t, largeAgents)
 	defer stop()
 	defer cancel()
 	accept(t, term, largeJob(1))
