Leave time between polls in proportion to what they cost

Cause: with 20,000 runs, the polls of the agents and their reports took 72% of the core while nothing else happened, and 97% when the runs ended (processor time of the processes in a run on one core; the stand-in 26%, agents 35%, the leader 10%). Each agent asked its worker for its 1,800 runs again after 400 ms, and after 40 ms or at the next acknowledgement while ends waited, whatever a list cost. On a core that others slow down, polls alone exceed it, miss their limit, and extend no lease.

Why it works: an agent measures what a poll takes beyond its wait, and leaves three times that until the next one, up to 1 s. Polls that take less than 13 ms, or 133 ms while no ends wait, are as frequent as before.

TestPollsTakeBoundedShare failed before (polls of 0.2 s took 6.8 and 16.6 s of 20 s) and passes now (at most a quarter).

--- a/internal/host/driver/agent.go
+++ b/internal/host/driver/agent.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"trefoilramp.org/trefoilramp/internal/core/event"
+	"trefoilramp.org/trefoilramp/internal/core/pause"
 	"trefoilramp.org/trefoilramp/internal/link/wire"
 )
 
@@ -22,6 +23,7 @@
 	leaseInterval       = 450 * time.Millisecond // between lease requests, which are sent with a complete report
 	ackPause            = 40 * time.Millisecond  // while ended runs are not acknowledged, since polls return at once then
 	retryPause          = 60 * time.Millisecond  // after a failed poll
+	pollShare           = 3                      // times what a poll costs until the next one, at most idleWait
 	downAfterPolls      = 3                      // consecutive refused connections after which the worker counts as ended
 	unhealthyAfterPolls = 2                      // consecutive polls without response after which the worker gets no runs
 )
@@ -71,6 +73,7 @@
 	hasPollFailed    bool                    // the last poll failed
 	pollTimeouts     int                     // consecutive polls without response
 	pollMargin       time.Duration           // of the next poll, between minPollMargin and maxPollMargin
+	pollCost         time.Duration           // smoothed time that a poll takes beyond its wait
 	mayBeOther       bool                    // the worker may have restarted under the same ID since the last response
 	pacer            pacer
 	pacing           map[wire.Run]*paceCall // changes of paces that wait
@@ -255,14 +258,12 @@
 			continue
 		}
 		failures = 0
-		if a.pollDone(ctx, request, pollCtx, response) {
+		mayWait := a.pollDone(ctx, request, pollCtx, response)
+		a.recordCost(request, pollCtx, response)
+		if mayWait {
 			continue
 		}
-		select { // ended runs are reported but not acknowledged yet, and a poll would return at once
-		case <-a.wake:
-		case <-time.After(ackPause):
-		case <-ctx.Done():
-		}
+		a.awaitAcknowledgement(ctx)
 	}
 	a.mu.Lock()
 	a.hasEnded = true
@@ -278,6 +279,8 @@
 	adoptions     uint64
 	commandNumber uint64
 	announced     *announcement // as of the start of the poll
+	reported      uint64        // highest number of an ended run that was reported before the poll
+	beganAt       time.Time
 }
 
 // nextPoll returns the next poll request, or false while there is no worker or no leader has connected yet.
@@ -289,7 +292,7 @@
 	}
 	wait := idleWait
 	if a.runCount > 0 {
-		wait = activeWait
+		wait = max(activeWait, a.minPause())
 	}
 	if a.leader != nil && (!a.synced || len(a.refused) > 0) || a.announced != nil {
 		wait = 0
@@ -313,9 +316,41 @@
 	a.cancelPoll = cancel
 	return request, pollContext{
 		ctx: pollCtx, cancel: cancel, adoptions: a.adoptions, commandNumber: a.commandNumber, announced: a.announced,
+		reported: a.reported, beganAt: time.Now(),
 	}, true
 }
 
+// recordCost records what a poll took beyond its wait. A worker with thousands of runs on a busy machine takes long to list them. It
+// does not wait while it has ends that were listed before, and ends the wait at an unknown time when a run ends.
+func (a *Agent) recordCost(request PollRequest, poll pollContext, response PollResponse) {
+	cost := time.Since(poll.beganAt)
+	switch {
+	case len(response.Ended) == 0:
+		cost -= time.Duration(request.Wait) * time.Millisecond
+	case response.Ended[0].Number > poll.reported:
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.pollCost += (max(0, cost) - a.pollCost) / 2
+}
+
+// minPause returns the least time until the next poll, so that polls take a bounded share of the time. The caller holds mu.
+func (a *Agent) minPause() time.Duration { return min(pollShare*a.pollCost, idleWait) }
+
+// awaitAcknowledgement waits while ended runs are reported but not acknowledged yet, since a poll would return at once.
+func (a *Agent) awaitAcknowledgement(ctx context.Context) {
+	a.mu.Lock()
+	least := a.minPause()
+	a.mu.Unlock()
+	pause.For(ctx, least)
+	select {
+	case <-a.wake:
+	case <-time.After(max(0, ackPause-least)):
+	case <-ctx.Done():
+	}
+}
+
 // countTimeout gives polls more time once the worker counts as unhealthy, which the longer time does not delay. A worker that
 // is slow to list its runs can then extend its lease.
 func (a *Agent) countTimeout() {
--- a/internal/host/driver/overload_test.go
+++ b/internal/host/driver/overload_test.go
@@ -224,3 +224,36 @@
 		}
 	})
 }
+
+// Guards against polls that take all of a busy machine's processor beside a large job: a worker that takes long to list its runs was
+// asked again at once, while ends wait for their acknowledgement, or after the same 400 ms.
+func TestPollsTakeBoundedShare(t *testing.T) {
+	const listTime, seconds, share = 200 * time.Millisecond, 20, 4 // one in share seconds at most
+	for _, ends := range []bool{false, true} {
+		t.Run(fmt.Sprintf("ends wait %v", ends), func(t *testing.T) {
+			withAgent(t, func(ctx context.Context, a *driver.Agent, w *countingWorker, l *leader) {
+				w.Plan = func(r wire.Run) runs.Plan {
+					if ends && r == run1 {
+						return runs.Plan{RunTime: time.Second}
+					}
+					return runs.Plan{RunTime: time.Hour}
+				}
+				a.Execute(ctx, l, commands(1, w, run1, wire.Run{Task: run1.Task + "0", Number: 1}))
+				w.mu.Lock()
+				w.latency = listTime
+				w.mu.Unlock()
+				time.Sleep(5 * time.Second)
+				before := w.pollCount()
+				time.Sleep(seconds * time.Second)
+				if took := time.Duration(w.pollCount()-before) * listTime; took > seconds*time.Second/share+listTime {
+					t.Errorf("polls took %v of %d s; want at most one part in %d", took, seconds, share)
+				}
+				for _, r := range w.Records() {
+					if !r.Ended.IsZero() && r.Cause != wire.EndDone {
+						t.Errorf("%v has ended (%v)", r.Run, r.Cause)
+					}
+				}
+			})
+		})
+	}
+}
