Begin repeated commands from a goroutine instead of a reset timer

The driver resets a timer of time.AfterFunc from many goroutines since the queue of commands; nothing else in these tests does.

A goroutine of the agent now waits for the next repetition, or for a change of its time. That the timer is the cause is suspected, not shown.

--- a/internal/host/driver/agent.go
+++ b/internal/host/driver/agent.go
@@ -78,20 +78,19 @@
 	pacer            pacer
 	pacing           map[wire.Run]*paceCall // changes of paces that wait
 	queue            commandQueue
-	retryTimer       *time.Timer // calls dispatchDue
+	retryAt          time.Time     // when dispatchRetries wakes up; zero for never
+	retryChanged     chan struct{} // signals that retryAt has changed
 	commands         sync.WaitGroup
 	hasEnded         bool // Run waits for the calls in progress, so that none may begin
 }
 
 // New returns an agent whose worker is unknown until its first announcement.
 func New(cfg Config) *Agent {
-	a := &Agent{
+	return &Agent{
 		cfg: cfg, wake: make(chan struct{}, 1), beganAt: time.Now(), pending: make(map[wire.Run]pendingRun),
 		stopping: make(map[wire.Run]uint64), pacer: newPacer(), pacing: make(map[wire.Run]*paceCall), queue: newCommandQueue(),
-		pollMargin: minPollMargin,
+		pollMargin: minPollMargin, retryChanged: make(chan struct{}, 1),
 	}
-	a.retryTimer = time.AfterFunc(maxRetryPause, a.dispatchDue)
-	return a
 }
 
 func (a *Agent) signal() {
@@ -235,6 +234,8 @@
 
 // Run polls the worker until ctx ends, and waits for the calls in progress.
 func (a *Agent) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { a.dispatchRetries(ctx) })
 	failures := 0
 	for ctx.Err() == nil {
 		request, pollCtx, ok := a.nextPoll(ctx)
@@ -267,9 +268,9 @@
 	}
 	a.mu.Lock()
 	a.hasEnded = true
-	a.retryTimer.Stop()
 	a.mu.Unlock()
 	a.commands.Wait()
+	wg.Wait()
 }
 
 // pollContext is the context of one poll, with the session and the number of the last commands received before it.
--- a/internal/host/driver/dispatch.go
+++ b/internal/host/driver/dispatch.go
@@ -20,8 +20,12 @@
 	for c := a.queue.next(now); c != nil; c = a.queue.next(now) {
 		a.commands.Go(func() { a.execute(c) })
 	}
-	if at := a.queue.wakeAt(); !at.IsZero() {
-		a.retryTimer.Reset(max(0, at.Sub(now)))
+	if at := a.queue.wakeAt(); !at.Equal(a.retryAt) {
+		a.retryAt = at
+		select {
+		case a.retryChanged <- struct{}{}:
+		default: // the signal of an earlier change has not been received yet
+		}
 	}
 }
 
@@ -34,11 +38,23 @@
 	a.dispatch()
 }
 
-// dispatchDue begins calls whose time has come.
-func (a *Agent) dispatchDue() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.dispatch()
+// dispatchRetries begins calls whose time has come, until ctx ends.
+func (a *Agent) dispatchRetries(ctx context.Context) {
+	for ctx.Err() == nil {
+		a.mu.Lock()
+		a.dispatch()
+		at := a.retryAt
+		a.mu.Unlock()
+		var due <-chan time.Time
+		if !at.IsZero() {
+			due = time.After(time.Until(at))
+		}
+		select {
+		case <-due:
+		case <-a.retryChanged:
+		case <-ctx.Done():
+		}
+	}
 }
 
 // ReportWaiting records the commands that wait for a call.
