--- a/internal/host/driver/agent.go
+++ b/internal/host/driver/agent.go
@@ -344,10 +344,15 @@
 	a.mu.Lock()
 	least := a.minPause()
 	a.mu.Unlock()
-	pause.For(ctx, least)
+	if least > 0 {
+		pause.For(ctx, least)
+	}
+	if least >= ackPause {
+		return
+	}
 	select {
 	case <-a.wake:
-	case <-time.After(max(0, ackPause-least)):
+	case <-time.After(ackPause - least):
 	case <-ctx.Done():
 	}
 }
--- a/internal/host/driver/dispatch.go
+++ b/internal/host/driver/dispatch.go
@@ -47,7 +47,7 @@
 		a.mu.Unlock()
 		var due <-chan time.Time
 		if !at.IsZero() {
-			due = time.After(time.Until(at))
+			due = time.After(max(time.Millisecond, time.Until(at)))
 		}
 		select {
 		case <-due:
